Place requests by the conversation's part of the prompt

Cause: the last part of a prompt is the request's own, so no two requests of a conversation met on one target. Change: a conversation is named by the part before the last.

--- a/packages/core/include/plumfold/core/plumfold_target_board.hpp
+++ b/packages/core/include/plumfold/core/plumfold_target_board.hpp
@@ -11,6 +11,18 @@
 
 namespace plumfold::core {
 
+/// A piece of a prompt that requests may share.
+struct prompt_part {
+    std::string id;
+    std::uint64_t tokens = 0;
+    auto operator<=>(const prompt_part&) const = default;
+};
+
+/// Names the conversation that a prompt returns to. The last part is the request's own; those before it are
+/// shared by all requests of the conversation.
+/// @return a number that is the same for all its requests, or 0 when the prompt has no parts.
+std::uint64_t conversationOf(const std::vector<prompt_part>& parts);
+
 /// What a choice of target needs to know of a request.
 struct placement_request {
     std::string service;
--- a/packages/core/src/plumfold_target_board.cpp
+++ b/packages/core/src/plumfold_target_board.cpp
@@ -19,6 +19,14 @@
 
 } // namespace
 
+std::uint64_t conversationOf(const std::vector<prompt_part>& parts)
+{
+    if (parts.empty())
+        return 0;
+    const auto& shared = parts.size() > 1 ? parts[parts.size() - 2] : parts.front();
+    return hashBytes(shared.id) | 1;
+}
+
 void target_board::take(const std::vector<target_announcement>& targets, bool everything, instant now)
 {
     std::set<std::string> told;
--- a/packages/forwarding/src/plumfold_request_forwarder.cpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.cpp
@@ -119,8 +119,8 @@
     out.timeLeft = timeLeft();
     out.excluded = m_tried;
     out.excluded.insert(m_unreachable.begin(), m_unreachable.end());
-    if (m_route->hasSessions && !m_head.parts.empty())
-        out.session = core::hashBytes(m_head.parts.back().id) | 1;
+    if (m_route->hasSessions)
+        out.session = core::conversationOf(m_head.parts);
     return out;
 }
 
--- /dev/null
+++ b/tests/core/plumfold_target_board_tests.cpp
@@ -0,0 +1,126 @@
+#include "plumfold/core/plumfold_target_board.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace plumfold::core;
+
+namespace {
+
+const instant start {};
+
+target_announcement engine(const std::string& name, const std::string& failureDomain = "a")
+{
+    target_announcement out;
+    out.name = name;
+    out.service = "pool";
+    out.address = "10.0.0.1:" + std::to_string(8000 + name.back());
+    out.failureDomain = failureDomain;
+    out.slots = 64;
+    out.models = { { "m", "1", {} } };
+    return out;
+}
+
+target_board boardOf(std::initializer_list<target_announcement> targets)
+{
+    board_options options;
+    options.failureDomain = "a";
+    target_board board(options);
+    board.take(targets, true, start);
+    return board;
+}
+
+placement_request requestOf(std::uint64_t session = 0)
+{
+    placement_request out;
+    out.service = "pool";
+    out.model = "m";
+    out.session = session;
+    return out;
+}
+
+} // namespace
+
+TEST_CASE("Requests of one conversation share a number whatever their own last part is", "[target_board]")
+{
+    CHECK(conversationOf({ { "system", 500 }, { "session", 8000 }, { "own", 200 } })
+        == conversationOf({ { "system", 500 }, { "session", 8000 }, { "other", 300 } }));
+    CHECK(conversationOf({ { "system", 500 }, { "session", 8000 }, { "own", 200 } })
+        != conversationOf({ { "system", 500 }, { "another", 8000 }, { "own", 200 } }));
+    CHECK(conversationOf({}) == 0);
+}
+
+TEST_CASE("A conversation returns to the same target on every entry", "[target_board]")
+{
+    auto first = boardOf({ engine("t1"), engine("t2"), engine("t3") });
+    auto second = boardOf({ engine("t3"), engine("t1"), engine("t2") });
+    for (std::uint64_t session = 1; session < 50; ++session)
+        CHECK(first.choose(requestOf(session), start).chosen->target
+            == second.choose(requestOf(session), start).chosen->target);
+}
+
+TEST_CASE("Leaving targets and failure domains out of service get nothing", "[target_board]")
+{
+    auto board = boardOf({ engine("t1"), engine("t2", "b") });
+    auto leaving = engine("t1");
+    leaving.state = target_state::leaving;
+    board.take({ leaving }, false, start);
+    CHECK(board.choose(requestOf(), start).chosen->target == "t2");
+    board.setOutOfService({ "b" });
+    CHECK_FALSE(board.choose(requestOf(), start).chosen);
+}
+
+TEST_CASE("A target that could not be reached is left alone for a while", "[target_board]")
+{
+    auto board = boardOf({ engine("t1") });
+    REQUIRE(board.choose(requestOf(), start).chosen);
+    board.ended("t1", attempt_end::not_reached, start);
+    CHECK_FALSE(board.choose(requestOf(), start + milliseconds(100)).chosen);
+    CHECK(board.choose(requestOf(), start + milliseconds(1000)).chosen);
+}
+
+TEST_CASE("All entries together keep to the rate that a cold target bears", "[target_board]")
+{
+    constexpr std::uint32_t entries = 9;
+    constexpr double coldRate = 9;
+    auto cold = engine("t1");
+    cold.coldFor = milliseconds(3000);
+    service_limits limits;
+    limits.name = "pool";
+    limits.coldRequestsPerSecond = coldRate;
+    auto board = boardOf({ cold });
+    board.setServices({ limits });
+    board.setEntries(entries);
+    int begun = 0;
+    for (int ms = 0; ms < 1000; ++ms)
+        begun += board.choose(requestOf(), start + milliseconds(ms)).chosen.has_value();
+    CHECK(begun * entries <= coldRate);
+    CHECK(begun > 0);
+    CHECK(board.choose(requestOf(), start + milliseconds(4000)).chosen);
+}
+
+TEST_CASE(
+    "Older weights begin a request only within their bound after newer ones were named", "[target_board]")
+{
+    auto board = boardOf({ engine("t1") });
+    board.setWeights({ { "m", 2 } }, start);
+    CHECK(board.choose(requestOf(), start + milliseconds(1000)).chosen->weights == "1");
+    CHECK_FALSE(board.choose(requestOf(), start + milliseconds(7000)).chosen);
+    auto loaded = engine("t2");
+    loaded.models = { { "m", "2", {} } };
+    board.take({ loaded }, false, start);
+    CHECK(board.choose(requestOf(), start + milliseconds(1000)).chosen->target == "t2");
+}
+
+TEST_CASE("Repeats stay within the share of requests and the entry's part of the reserve", "[target_board]")
+{
+    repeat_budget budget(0.2, 58, milliseconds(10'000));
+    budget.setEntries(9);
+    for (int count = 0; count < 100; ++count)
+        budget.onRequest("pool", start);
+    int taken = 0;
+    while (budget.tryTake("pool", start))
+        ++taken;
+    CHECK(taken == 26); // 0.2 of 100 requests and a ninth of 58
+    CHECK_FALSE(budget.tryTake("pool", start + milliseconds(9'000)));
+    CHECK(budget.tryTake("pool", start + milliseconds(10'500)));
+}
