Streams resume after the last whole event; a stopping entry closes kept connections

Change: event_cursor::beginRun drops what is held; 3 s after SIGTERM the entry closes idle kept connections and its listener, and serves what was read to its end. A cold target's first request is not delayed by a rate of zero history.

--- a/benchmarks/plumfold_bench_control.cpp
+++ b/benchmarks/plumfold_bench_control.cpp
@@ -43,7 +43,8 @@
     options.snapshotEveryEntries = snapshotEvery;
     auto log = control::durable_log::open(folder, 0);
     return std::make_unique<control::control_node>(
-        options, std::move(*log), [](std::vector<core::raft_message>) {}, [](const std::string&) {});
+        options, std::move(*log), [](std::vector<core::raft_message>) {}, [](control::control_view) {},
+        [](const std::string&) {});
 }
 
 std::future<control::propose_answer> propose(control::control_node& node, core::command what)
--- a/packages/core/include/plumfold/core/plumfold_event_cursor.hpp
+++ b/packages/core/include/plumfold/core/plumfold_event_cursor.hpp
@@ -18,6 +18,10 @@
     /// @return the id of the last whole event, or nothing when none had one.
     std::optional<std::uint64_t> lastId() const { return m_lastId; }
 
+    /// Starts to take another run's bytes, which go on after the last whole event. What is held of the former
+    /// run's unfinished event is dropped.
+    void beginRun() { m_rest.clear(); }
+
     /// @return the bytes of an event that is not whole, which are not held any more.
     std::string takeRest() { return std::exchange(m_rest, {}); }
 
--- a/packages/core/include/plumfold/core/plumfold_target_board.hpp
+++ b/packages/core/include/plumfold/core/plumfold_target_board.hpp
@@ -109,7 +109,7 @@
     struct board_target {
         target_announcement last;
         instant coldUntil {};
-        instant lastColdStart {}; ///< When an attempt was last begun while it was cold.
+        std::optional<instant> lastColdStart; ///< When an attempt was last begun while it was cold.
         instant suspendedUntil {};
         milliseconds nextSuspension { 0 };
         std::uint32_t inFlight = 0;
--- a/packages/core/src/plumfold_target_board.cpp
+++ b/packages/core/src/plumfold_target_board.cpp
@@ -116,7 +116,7 @@
         if (!isUsable(target, request, now))
             continue;
         bool cold = now < target.coldUntil && coldSpacing(target).count() > 0;
-        if (cold && now - target.lastColdStart < coldSpacing(target)) {
+        if (cold && target.lastColdStart && now - *target.lastColdStart < coldSpacing(target)) {
             coldOnly = true;
             continue;
         }
--- a/packages/forwarding/src/plumfold_caller_connection.cpp
+++ b/packages/forwarding/src/plumfold_caller_connection.cpp
@@ -47,6 +47,12 @@
     , m_stream(std::move(socket))
 {
     limitSilence(m_stream.socket(), silenceBound);
+    m_state.callers.insert(this);
+}
+
+caller_connection::~caller_connection()
+{
+    m_state.callers.erase(this);
 }
 
 task<void> caller_connection::run()
--- a/packages/forwarding/src/plumfold_caller_connection.hpp
+++ b/packages/forwarding/src/plumfold_caller_connection.hpp
@@ -11,6 +11,9 @@
 class caller_connection : public std::enable_shared_from_this<caller_connection> {
 public:
     caller_connection(forwarding_state& state, asio::ip::tcp::socket socket);
+    ~caller_connection();
+    caller_connection(const caller_connection&) = delete;
+    caller_connection& operator=(const caller_connection&) = delete;
 
     /// Serves the connection to its end.
     task<void> run();
--- a/packages/forwarding/src/plumfold_forwarding_role.cpp
+++ b/packages/forwarding/src/plumfold_forwarding_role.cpp
@@ -71,9 +71,10 @@
         auto began = runtime::now();
         auto grace = core::milliseconds(m_settings.process.gracePeriodMs);
         auto latest = began + std::max(grace - exitReserve, core::milliseconds(0));
-        auto earliest = std::min(began + balancerNoticeTime, latest);
+        std::this_thread::sleep_until(std::min(began + balancerNoticeTime, latest));
+        asio::post(m_io, [this] { closeToCallers(); });
         std::size_t open = openRequests();
-        while (runtime::now() < latest && (runtime::now() < earliest || open > 0)) {
+        while (runtime::now() < latest && open > 0) {
             std::this_thread::sleep_for(drainCheckInterval);
             open = openRequests();
         }
@@ -83,6 +84,15 @@
     void setControl(std::vector<std::string> addresses) { m_follower.setSeeds(std::move(addresses)); }
 
 private:
+    /// A request that came later might not end within the grace period.
+    void closeToCallers()
+    {
+        error_code ignored;
+        m_acceptor.close(ignored);
+        for (auto* caller : m_state.callers)
+            caller->closeIfIdle();
+    }
+
     std::size_t openRequests()
     {
         return asio::post(m_io, asio::use_future([this] { return m_state.openRequests; })).get();
@@ -131,7 +141,7 @@
             error_code error;
             asio::ip::tcp::socket socket(m_io);
             co_await m_acceptor.async_accept(socket, into(error));
-            if (error == asio::error::operation_aborted)
+            if (error == asio::error::operation_aborted || error == asio::error::bad_descriptor)
                 co_return;
             if (error) {
                 runtime::log_event("accept_failed", runtime::log_level::warning)
--- a/packages/forwarding/src/plumfold_forwarding_state.hpp
+++ b/packages/forwarding/src/plumfold_forwarding_state.hpp
@@ -9,9 +9,12 @@
 #include "plumfold/runtime/plumfold_settings.hpp"
 
 #include <memory>
+#include <set>
 
 namespace plumfold::forwarding {
 
+class caller_connection;
+
 /// What all requests of one entry share. Lives on the forwarding duty.
 struct forwarding_state {
     asio::io_context& io;
@@ -24,6 +27,7 @@
     target_connections connections;
     bool stopping = false; ///< SIGTERM came: answers close their connections.
     std::size_t openRequests = 0;
+    std::set<caller_connection*> callers {}; ///< Open connections; each enters and removes itself.
 };
 
 } // namespace plumfold::forwarding
--- a/packages/forwarding/src/plumfold_request_forwarder.cpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.cpp
@@ -368,6 +368,7 @@
 
 task<core::attempt_end> request_forwarder::relayStream(answer_parser& parser)
 {
+    m_events.beginRun();
     if (!m_streamStarted)
         platform::copyAnswerHeaders(parser.get().base(), m_streamHead);
     std::string piece;
