KV parts: saved to the stores, fetched from them when a conversation returns

Ruled out: placement; the same conversation goes to the same target on every entry. Change: the nearest control VM reads each store's events, control relays which parts are whole, entries name a source and a home for each shared part. Knowledge that was not confirmed for 1.5 s is not used, fetches end by a bound on the targets' clock, a store that starts anew gets no saves for 4.5 s; nothing is freed yet. A slow store (seconds 15 to 20) makes callers late: its slowness must be learned.

--- a/packages/control/src/plumfold_control_role.cpp
+++ b/packages/control/src/plumfold_control_role.cpp
@@ -3,6 +3,7 @@
 #include "plumfold_control_service.hpp"
 #include "plumfold_peer_links.hpp"
 #include "plumfold_platform_front.hpp"
+#include "plumfold_store_readers.hpp"
 #include "plumfold_weights_duty.hpp"
 
 #include "plumfold/runtime/plumfold_secrets.hpp"
@@ -65,6 +66,7 @@
         m_front = std::make_unique<platform_front>(
             platform_front_context { m_rpc, m_settings, *m_feed, *m_leader });
         m_weights = std::make_unique<weights_duty>(m_rpc, m_settings, *m_feed, *m_leader);
+        m_stores = std::make_unique<store_readers>(m_rpc, *m_feed);
     }
 
     ~impl()
@@ -72,6 +74,7 @@
         // First no new calls, then the duty, then what the duty sends through.
         m_front.reset();
         m_weights.reset();
+        m_stores.reset();
         m_rpc.run([&] { m_listener.reset(); });
         m_node.reset();
         m_rpc.flush();
@@ -104,6 +107,7 @@
     std::unique_ptr<wire::rpc_listener> m_listener;
     std::unique_ptr<platform_front> m_front;
     std::unique_ptr<weights_duty> m_weights;
+    std::unique_ptr<store_readers> m_stores;
 };
 
 absl::StatusOr<std::unique_ptr<control_role>> control_role::start(
--- a/packages/control/src/plumfold_control_service.cpp
+++ b/packages/control/src/plumfold_control_service.cpp
@@ -52,6 +52,10 @@
             targets.push_back(wire::read(each));
         control_peer_state state { params.getFailureDomain().cStr(), params.getEntries(), {} };
         m_context.feed.shared(params.getAddress().cStr(), std::move(state), targets);
+        std::vector<core::store_news> stores;
+        for (auto each : params.getStores())
+            stores.push_back(wire::read(each));
+        m_context.feed.sharedParts(stores, params.getClock());
         return kj::READY_NOW;
     }
 
@@ -136,6 +140,7 @@
         auto targets = out.initTargets(changed.size());
         for (unsigned index = 0; index < changed.size(); ++index)
             writeTarget(targets[index], changed[index]);
+        writeParts(call);
         auto domains = feed.controlDomains();
         auto control = out.initControl(domains.size());
         unsigned index = 0;
@@ -145,6 +150,23 @@
         }
     }
 
+    void writeParts(FollowContext& call)
+    {
+        const auto& parts = m_context.feed.parts();
+        std::map<std::string, core::store_cursor> known;
+        for (auto each : call.getParams().getStores()) {
+            auto cursor = wire::read(each);
+            known[cursor.store] = cursor;
+        }
+        for (const auto& [store, content] : parts.stores())
+            known.emplace(store, core::store_cursor { store, 0, 0 });
+        auto out = call.getResults().initStores(known.size());
+        unsigned index = 0;
+        for (const auto& [store, cursor] : known)
+            wire::write(out[index++], parts.newsAfter(cursor));
+        call.getResults().setClock(m_context.feed.targetClock());
+    }
+
     static void writeTarget(wire::AnnouncedTarget::Builder out, const core::target_directory::entry& entry)
     {
         core::target_announcement told = entry.last;
--- a/packages/control/src/plumfold_deployment_feed.cpp
+++ b/packages/control/src/plumfold_deployment_feed.cpp
@@ -1,5 +1,6 @@
 #include "plumfold_deployment_feed.hpp"
 
+#include "plumfold/platform/plumfold_platform_deployment.hpp"
 #include "plumfold/runtime/plumfold_clock.hpp"
 #include "plumfold/runtime/plumfold_log.hpp"
 #include "plumfold/runtime/plumfold_secrets.hpp"
@@ -13,6 +14,8 @@
 constexpr core::milliseconds followerForgetTime { 5'000 };
 constexpr core::milliseconds peerForgetTime { 5'000 };
 constexpr core::milliseconds targetForgetTime { 60'000 };
+/// What is known of a store counts no more when it was not confirmed for so long.
+constexpr core::milliseconds storeSilence { 1'500 };
 
 const char* stateName(core::target_state state)
 {
@@ -43,7 +46,10 @@
         runtime::log_event(view.fresh ? "quorum_regained" : "quorum_lost")
             .with("term", view.term)
             .with("leader", view.leaderAddress);
+    bool newDocument = view.deployment->document.version != m_view.deployment->document.version;
     m_view = std::move(view);
+    if (newDocument)
+        takeStores();
     wake();
 }
 
@@ -99,6 +105,66 @@
         wake();
 }
 
+void deployment_feed::takeStores()
+{
+    auto decoded = platform::decodeDeployment(m_view.deployment->document.text);
+    if (!decoded.ok()) {
+        runtime::log_event("deployment_unreadable", runtime::log_level::error)
+            .with("reason", std::string(decoded.status().message()));
+        return;
+    }
+    m_stores.clear();
+    for (const auto& service : decoded->services()) {
+        if (service.store)
+            m_stores.push_back(*service.store);
+    }
+}
+
+std::vector<std::string> deployment_feed::ownStores() const
+{
+    std::vector<std::string> own;
+    auto domains = controlDomains();
+    for (const auto& store : m_stores) {
+        // The control VM nearest to a store reads it; the first by address among equals.
+        auto reader = std::find_if(domains.begin(), domains.end(),
+            [&](const auto& each) { return each.second == store.failureDomain; });
+        if (reader == domains.end())
+            reader = domains.begin();
+        if (reader->first == m_settings.control->address)
+            own.push_back(store.address);
+    }
+    return own;
+}
+
+void deployment_feed::takeClock(std::uint64_t clock)
+{
+    if (clock == 0)
+        return;
+    m_clock = clock;
+    m_clockAt = runtime::now();
+}
+
+std::uint64_t deployment_feed::targetClock() const
+{
+    if (m_clock == 0)
+        return 0;
+    auto age = std::chrono::duration_cast<core::milliseconds>(runtime::now() - m_clockAt);
+    return m_clock + static_cast<std::uint64_t>(age.count());
+}
+
+void deployment_feed::sharedParts(const std::vector<core::store_news>& stores, std::uint64_t clock)
+{
+    for (const auto& news : stores)
+        m_parts.take(news, runtime::now());
+    takeClock(clock);
+}
+
+void deployment_feed::readParts(const core::store_news& news, std::uint64_t clock)
+{
+    m_parts.take(news, runtime::now());
+    takeClock(clock);
+}
+
 void deployment_feed::followedBy(const std::string& entry)
 {
     m_followers[entry] = runtime::now();
@@ -112,6 +178,7 @@
     for (const auto& name : expired)
         logTarget("target_silent", m_directory.entries().at(name).last);
     m_directory.forget(now, targetForgetTime);
+    m_parts.expire(now, storeSilence);
     std::erase_if(m_followers, [&](const auto& each) { return now - each.second > followerForgetTime; });
     if (!expired.empty())
         wake();
--- a/packages/control/src/plumfold_deployment_feed.hpp
+++ b/packages/control/src/plumfold_deployment_feed.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "plumfold/control/plumfold_control_node.hpp"
+#include "plumfold/core/plumfold_part_directory.hpp"
 #include "plumfold/core/plumfold_target_directory.hpp"
 #include "plumfold/runtime/plumfold_settings.hpp"
 #include "plumfold/wire/plumfold_rpc_connection.hpp"
@@ -41,6 +42,10 @@
     /// Takes what another control VM heard.
     void shared(const std::string& from, control_peer_state state,
         const std::vector<core::target_announcement>& targets);
+    /// Takes what another control VM knows of stores and the targets' clock.
+    void sharedParts(const std::vector<core::store_news>& stores, std::uint64_t clock);
+    /// Takes news that this control VM read from a store itself.
+    void readParts(const core::store_news& news, std::uint64_t clock);
     /// Takes that an entry follows this control VM.
     void followedBy(const std::string& entry);
 
@@ -48,6 +53,11 @@
     void tick();
 
     const core::target_directory& directory() const { return m_directory; }
+    const core::part_directory& parts() const { return m_parts; }
+    /// @return the stores that this control VM reads itself.
+    std::vector<std::string> ownStores() const;
+    /// @return the targets' clock, or 0 while it is not known.
+    std::uint64_t targetClock() const;
     /// @return a number that another life of this process does not have.
     std::uint64_t id() const { return m_id; }
     /// @return the control VMs that were heard lately and this one, by address.
@@ -72,6 +82,8 @@
 
     kj::Promise<void> waitUntil(std::function<bool()> done);
     void wake();
+    void takeClock(std::uint64_t clock);
+    void takeStores();
     void logTarget(const char* event, const core::target_announcement& target);
 
     wire::rpc_thread& m_rpc;
@@ -79,6 +91,10 @@
     std::uint64_t m_id;
     control_view m_view;
     core::target_directory m_directory;
+    core::part_directory m_parts;
+    std::vector<core::part_store> m_stores; // of the deployment in force
+    std::uint64_t m_clock = 0; // the targets' clock when it was last told
+    core::instant m_clockAt {};
     std::map<std::string, control_peer_state> m_peers; // by address
     std::map<std::string, core::instant> m_followers; // by name
     std::list<waiter> m_waiters;
--- a/packages/control/src/plumfold_peer_links.cpp
+++ b/packages/control/src/plumfold_peer_links.cpp
@@ -9,6 +9,8 @@
 
 /// How often a peer is told everything again, so that it knows which targets are still heard.
 constexpr core::milliseconds shareAllInterval { 1500 };
+/// How often a peer is told of the stores that this control VM reads.
+constexpr core::milliseconds sharePartsInterval { 300 };
 constexpr unsigned maxInFlight = 64;
 constexpr std::chrono::milliseconds connectTimeout { 500 };
 constexpr std::chrono::milliseconds callTimeout { 2000 };
@@ -70,7 +72,9 @@
         if (entry.own && (all || entry.change > to.sharedChange))
             told.push_back(&entry.last);
     }
-    if (to.sharing || (told.empty() && !all))
+    auto own = feed.ownStores();
+    bool parts = !own.empty() && now - to.sharedPartsAt > sharePartsInterval;
+    if (to.sharing || (told.empty() && !all && !parts))
         return;
     auto request = KJ_ASSERT_NONNULL(to.peer).shareRequest();
     request.setAddress(m_self);
@@ -79,13 +83,27 @@
     auto targets = request.initTargets(told.size());
     for (unsigned index = 0; index < told.size(); ++index)
         wire::write(targets[index], *told[index]);
+    std::vector<core::store_news> stores;
+    for (const auto& store : own) {
+        auto& cursor = to.sharedParts[store];
+        cursor.store = store;
+        stores.push_back(feed.parts().newsAfter(cursor));
+    }
+    auto outStores = request.initStores(stores.size());
+    for (unsigned index = 0; index < stores.size(); ++index)
+        wire::write(outStores[index], stores[index]);
+    if (!own.empty())
+        request.setClock(feed.targetClock());
     to.sharing = true;
     auto change = feed.directory().latestChange();
     std::uint64_t generation = to.generation;
     auto sent = wire::withTimeout(m_rpc, request.send().ignoreResult(), callTimeout);
     m_tasks.add(sent.then(
-        [&to, change, all, now] {
+        [&to, change, all, now, stores = std::move(stores)] {
             to.sharing = false;
+            to.sharedPartsAt = now;
+            for (const auto& news : stores)
+                to.sharedParts[news.store] = { news.store, news.generation, news.count };
             to.sharedChange = change;
             if (all)
                 to.sharedAllAt = now;
@@ -139,6 +157,8 @@
     if (generation != to.generation)
         return;
     ++to.generation;
+    to.sharedParts.clear();
+    to.sharedChange = 0;
     to.peer = nullptr;
     to.inFlight = 0;
     // The connection must not be destroyed inside one of its own callbacks.
--- a/packages/control/src/plumfold_peer_links.hpp
+++ b/packages/control/src/plumfold_peer_links.hpp
@@ -39,6 +39,8 @@
         bool sharing = false;
         std::uint64_t sharedChange = 0; // latest change that the peer was told
         core::instant sharedAllAt {};
+        core::instant sharedPartsAt {};
+        std::map<std::string, core::store_cursor> sharedParts; // what the peer was told of stores
     };
 
     void shareOn(link& to, const deployment_feed& feed);
--- /dev/null
+++ b/packages/control/src/plumfold_store_readers.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "plumfold_deployment_feed.hpp"
+
+#include "plumfold/platform/plumfold_platform_target_calls.hpp"
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <thread>
+
+namespace plumfold::control {
+
+/// Reads the events of the stores that this control VM is the nearest to, a thread for each store, and tells the
+/// feed which parts each holds whole.
+class store_readers {
+public:
+    store_readers(wire::rpc_thread& rpc, deployment_feed& feed);
+    ~store_readers();
+
+private:
+    class reader;
+
+    void run();
+
+    wire::rpc_thread& m_rpc;
+    deployment_feed& m_feed;
+    std::map<std::string, std::unique_ptr<reader>> m_readers; // by address of the store
+    std::atomic<bool> m_stopping { false };
+    std::thread m_thread;
+};
+
+} // namespace plumfold::control
--- a/packages/core/include/plumfold/core/plumfold_target_board.hpp
+++ b/packages/core/include/plumfold/core/plumfold_target_board.hpp
@@ -37,6 +37,7 @@
     std::string target;
     std::string address;
     std::string weights; ///< The weight version that the target is known to have; empty for plain services.
+    std::string failureDomain;
     bool operator==(const placement&) const = default;
 };
 
--- /dev/null
+++ b/packages/core/src/plumfold_part_directory.cpp
@@ -0,0 +1,192 @@
+#include "plumfold/core/plumfold_part_directory.hpp"
+
+#include "plumfold/core/plumfold_hash.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace plumfold::core {
+
+namespace {
+
+/// A save that was asked for is not asked for again so soon: its event comes late.
+constexpr milliseconds saveAgainAfter { 3'000 };
+/// A store that has just started anew gets no saves until every entry knows that its former parts are gone;
+/// otherwise one could fetch a part that is being written.
+constexpr milliseconds quietAfterReset { 4'500 };
+/// Part of a store's memory that saves may fill.
+constexpr double fillShare = 0.96;
+/// Preference of a store in the target's own failure domain, where a transfer takes half the time.
+constexpr double nearPreference = 4;
+constexpr double hashRange = 18446744073709551616.0; // 2^64
+
+} // namespace
+
+void part_directory::reset(const std::string& store, std::uint64_t generation, instant now)
+{
+    m_stores[store] = { generation, {}, {}, 0, now, now };
+}
+
+void part_directory::add(const std::string& store, const stored_part& part)
+{
+    auto& content = m_stores[store];
+    auto [place, isNew] = content.tokens.emplace(part.key, part.tokens);
+    if (!isNew)
+        return;
+    content.parts.push_back(part);
+    content.usedTokens += part.tokens;
+}
+
+void part_directory::refresh(const std::string& store, instant now)
+{
+    auto found = m_stores.find(store);
+    if (found != m_stores.end())
+        found->second.refreshedAt = now;
+}
+
+void part_directory::take(const store_news& news, instant now)
+{
+    auto found = m_stores.find(news.store);
+    if (news.generation == 0) {
+        if (found != m_stores.end())
+            m_stores.erase(found);
+        return;
+    }
+    bool isNew = found == m_stores.end() || found->second.generation != news.generation;
+    if (isNew) {
+        if (news.first != 0)
+            return;
+        reset(news.store, news.generation, now);
+    }
+    if (news.first > m_stores[news.store].parts.size())
+        return;
+    for (const auto& part : news.parts)
+        add(news.store, part);
+    refresh(news.store, now);
+}
+
+store_news part_directory::newsAfter(const store_cursor& cursor) const
+{
+    store_news news;
+    news.store = cursor.store;
+    auto found = m_stores.find(cursor.store);
+    if (found == m_stores.end())
+        return news;
+    const auto& content = found->second;
+    news.generation = content.generation;
+    news.count = static_cast<std::uint32_t>(content.parts.size());
+    news.first = cursor.generation == content.generation ? std::min(cursor.count, news.count) : 0;
+    news.parts.assign(content.parts.begin() + news.first, content.parts.end());
+    return news;
+}
+
+std::vector<store_cursor> part_directory::cursors() const
+{
+    std::vector<store_cursor> all;
+    for (const auto& [store, content] : m_stores)
+        all.push_back({ store, content.generation, static_cast<std::uint32_t>(content.parts.size()) });
+    return all;
+}
+
+void part_directory::expire(instant now, milliseconds bound)
+{
+    std::erase_if(m_stores, [&](const auto& each) { return now - each.second.refreshedAt > bound; });
+}
+
+bool part_plan::fetches() const
+{
+    return std::any_of(fetchFrom.begin(), fetchFrom.end(), [](const auto& each) { return !each.empty(); });
+}
+
+bool part_plan::saves() const
+{
+    return std::any_of(saveTo.begin(), saveTo.end(), [](const auto& each) { return !each.empty(); });
+}
+
+void part_planner::setStores(const std::vector<service_limits>& services)
+{
+    m_stores.clear();
+    for (const auto& service : services) {
+        if (service.store)
+            m_stores.push_back(*service.store);
+    }
+}
+
+const part_store* part_planner::sourceOf(
+    const part_key& key, const std::string& failureDomain, const part_directory& directory) const
+{
+    const part_store* best = nullptr;
+    double bestCost = 0;
+    for (const auto& store : m_stores) {
+        auto known = directory.stores().find(store.address);
+        if (known == directory.stores().end() || !known->second.tokens.contains(key))
+            continue;
+        double cost = (store.failureDomain == failureDomain ? 1.0 : 2.0) / store.linkMegabitsPerSecond;
+        if (best && cost >= bestCost)
+            continue;
+        best = &store;
+        bestCost = cost;
+    }
+    return best;
+}
+
+const part_store* part_planner::homeOf(const part_key& key, std::uint64_t tokens,
+    const std::string& failureDomain, const part_directory& directory, instant now) const
+{
+    const part_store* best = nullptr;
+    double bestScore = 0;
+    for (const auto& store : m_stores) {
+        auto known = directory.stores().find(store.address);
+        bool ready = known != directory.stores().end() && now - known->second.since >= quietAfterReset;
+        auto room = static_cast<std::uint64_t>(static_cast<double>(store.capacityTokens) * fillShare);
+        if (!ready || known->second.usedTokens + tokens > room)
+            continue;
+        // Weighted rendezvous: every entry comes to the same store without a message.
+        double draw = (static_cast<double>(hashBytes(store.address + key.id)) + 1) / hashRange;
+        double weight = static_cast<double>(store.capacityTokens)
+            * (store.failureDomain == failureDomain ? nearPreference : 1.0);
+        double score = -weight / std::log(std::min(draw, 1 - 1e-12));
+        if (best && score <= bestScore)
+            continue;
+        best = &store;
+        bestScore = score;
+    }
+    return best;
+}
+
+bool part_planner::mayAskAgain(const part_key& key, instant now)
+{
+    if (now >= m_nextClean) {
+        std::erase_if(m_asked, [&](const auto& each) { return now - each.second >= saveAgainAfter; });
+        m_nextClean = now + saveAgainAfter;
+    }
+    auto [place, isNew] = m_asked.emplace(key, now);
+    if (isNew)
+        return true;
+    if (now - place->second < saveAgainAfter)
+        return false;
+    place->second = now;
+    return true;
+}
+
+part_plan part_planner::plan(const std::vector<prompt_part>& parts, const std::string& partition,
+    const std::string& failureDomain, const part_directory& directory, instant now)
+{
+    part_plan out;
+    out.fetchFrom.resize(parts.size());
+    out.saveTo.resize(parts.size());
+    // The last part is the request's own and does not return.
+    for (std::size_t index = 0; index + 1 < parts.size(); ++index) {
+        part_key key { partition, parts[index].id };
+        if (const auto* source = sourceOf(key, failureDomain, directory)) {
+            out.fetchFrom[index] = source->address;
+            continue;
+        }
+        const auto* home = homeOf(key, parts[index].tokens, failureDomain, directory, now);
+        if (home && mayAskAgain(key, now))
+            out.saveTo[index] = home->address;
+    }
+    return out;
+}
+
+} // namespace plumfold::core
--- a/packages/core/src/plumfold_target_board.cpp
+++ b/packages/core/src/plumfold_target_board.cpp
@@ -140,7 +140,7 @@
     ++target.inFlight;
     if (now < target.coldUntil)
         target.lastColdStart = now;
-    placement out { target.last.name, target.last.address, {} };
+    placement out { target.last.name, target.last.address, {}, target.last.failureDomain };
     for (const auto& loaded : target.last.models) {
         if (loaded.model == request.model)
             out.weights = loaded.version;
--- a/packages/forwarding/src/plumfold_deployment_follower.cpp
+++ b/packages/forwarding/src/plumfold_deployment_follower.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds connectTimeout { 400 };
-constexpr std::uint32_t waitMs = 1'000;
+constexpr std::uint32_t waitMs = 400;
 constexpr std::chrono::milliseconds answerTimeout { 2'000 };
 constexpr auto retryPause = 100 * kj::MILLISECONDS;
 
@@ -109,6 +109,10 @@
     request.setKnownChange(m_knownChange);
     request.setWaitMs(m_feed == 0 ? 0 : waitMs);
     request.setConfirmed(!m_confirmed);
+    auto cursors = request.initStores(m_stores.size());
+    unsigned index = 0;
+    for (const auto& [store, cursor] : m_stores)
+        wire::write(cursors[index++], cursor);
     return wire::withTimeout(m_rpc, request.send().dropPipeline(), answerTimeout)
         .then([this](auto&& response) { take(kj::mv(response)); });
 }
@@ -121,6 +125,14 @@
     news.entries = response.getEntries();
     for (auto each : response.getTargets())
         news.targets.push_back(wire::read(each));
+    news.targetClock = response.getClock();
+    for (auto each : response.getStores()) {
+        news.stores.push_back(wire::read(each));
+        const auto& told = news.stores.back();
+        m_stores[told.store] = { told.store, told.generation, told.count };
+        if (told.generation == 0)
+            m_stores.erase(told.store);
+    }
     // An older revision comes from a control VM that lags; what is in force never goes back.
     if (response.hasDeployment() && response.getDeployment().getRevision() > m_knownDeployment) {
         news.deployment = wire::read(response.getDeployment());
--- a/packages/forwarding/src/plumfold_deployment_follower.hpp
+++ b/packages/forwarding/src/plumfold_deployment_follower.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "plumfold/core/plumfold_deployment_state.hpp"
+#include "plumfold/core/plumfold_part_directory.hpp"
 #include "plumfold/core/plumfold_target_directory.hpp"
 #include "plumfold/runtime/plumfold_settings.hpp"
 #include "plumfold/wire/plumfold_rpc_connection.hpp"
@@ -21,6 +22,8 @@
     std::vector<core::target_announcement> targets; ///< Those that changed.
     bool everything = false; ///< The targets are all that there are.
     std::uint32_t entries = 1; ///< Entries that follow any control VM.
+    std::vector<core::store_news> stores;
+    std::uint64_t targetClock = 0; ///< The targets' clock in milliseconds; 0: not known.
 };
 
 /// Follows the deployment and the targets at one control VM, the nearest that is in touch with a quorum.
@@ -57,6 +60,7 @@
     std::uint64_t m_knownChange = 0;
     bool m_confirmed = false; // a quorum confirmed what we know once
     bool m_wantsNear = false; // a nearer control VM is known than the one that we follow
+    std::map<std::string, core::store_cursor> m_stores; // what is known of each store
     unsigned m_failures = 0;
     kj::Own<wire::task_group> m_tasks;
 };
--- a/packages/forwarding/src/plumfold_forwarding_role.cpp
+++ b/packages/forwarding/src/plumfold_forwarding_role.cpp
@@ -104,6 +104,10 @@
         m_state.board.take(news.targets, news.everything, now);
         m_state.board.setEntries(news.entries);
         m_state.repeats.setEntries(news.entries);
+        for (const auto& store : news.stores)
+            m_state.parts.take(store, now);
+        m_state.targetClock = news.targetClock;
+        m_state.targetClockAt = now;
         if (news.deployment)
             takeDeployment(*news.deployment, now);
         m_metrics.set("plumfold_known_targets", static_cast<double>(m_state.board.size()));
@@ -125,6 +129,7 @@
             }
             m_state.deployment = std::make_shared<const core::deployment>(std::move(*decoded));
             m_state.board.setServices(m_state.deployment->services());
+            m_state.partPlanner.setStores(m_state.deployment->services());
         }
         runtime::log_event("deployment_in_force")
             .with("revision", next.revision)
--- a/packages/forwarding/src/plumfold_forwarding_state.hpp
+++ b/packages/forwarding/src/plumfold_forwarding_state.hpp
@@ -4,6 +4,7 @@
 #include "plumfold_target_connections.hpp"
 
 #include "plumfold/core/plumfold_deployment.hpp"
+#include "plumfold/core/plumfold_part_directory.hpp"
 #include "plumfold/core/plumfold_target_board.hpp"
 #include "plumfold/runtime/plumfold_metrics.hpp"
 #include "plumfold/runtime/plumfold_settings.hpp"
@@ -25,6 +26,10 @@
     core::target_board board;
     core::repeat_budget repeats;
     target_connections connections;
+    core::part_directory parts {};
+    core::part_planner partPlanner {};
+    std::uint64_t targetClock = 0; ///< The targets' clock when it was last told; 0: not known.
+    core::instant targetClockAt {};
     bool stopping = false; ///< SIGTERM came: answers close their connections.
     std::size_t openRequests = 0;
     std::set<caller_connection*> callers {}; ///< Open connections; each enters and removes itself.
--- a/packages/forwarding/src/plumfold_request_forwarder.cpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.cpp
@@ -18,6 +18,10 @@
 constexpr core::milliseconds placementWait { 25 };
 /// A request without a target waits for one for this part of its latency target before it is refused.
 constexpr int placementWaitPart = 8;
+/// What is known of the stores is used while it was confirmed within this time.
+constexpr core::milliseconds storeSilence { 1'500 };
+/// A fetch that has not ended by then is thrown away and the prompt is read.
+constexpr core::milliseconds fetchBound { 2'500 };
 constexpr std::size_t pieceBytes = 16 << 10;
 constexpr std::uint64_t maxWholeAnswerBytes = 64 << 20;
 constexpr unsigned httpVersion = 11;
@@ -211,11 +215,26 @@
         head.partition = "w" + on.weights;
         if (m_customer && m_customer->isIsolated)
             head.partition += ":" + m_customer->name;
+        planParts(on, head);
     }
     head.lastEvent = m_events.lastId();
     return head;
 }
 
+void request_forwarder::planParts(const core::placement& on, platform::target_request_head& head) const
+{
+    auto now = runtime::now();
+    auto age = std::chrono::duration_cast<core::milliseconds>(now - m_state.targetClockAt);
+    // What we know of the stores may be outdated while no control VM answers.
+    m_state.parts.expire(now, storeSilence);
+    if (m_state.targetClock == 0 || age > storeSilence)
+        return;
+    head.parts
+        = m_state.partPlanner.plan(m_head.parts, head.partition, on.failureDomain, m_state.parts, now);
+    head.fetchUntil
+        = m_state.targetClock + static_cast<std::uint64_t>(age.count()) + static_cast<std::uint64_t>(fetchBound.count());
+}
+
 task<std::unique_ptr<target_connection>> request_forwarder::connectTo(const core::placement& on)
 {
     auto idle = m_state.connections.takeIdle(on.target, on.address);
--- a/packages/forwarding/src/plumfold_request_forwarder.hpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.hpp
@@ -53,6 +53,7 @@
 
     core::placement_request placementRequest() const;
     platform::target_request_head targetHead(const core::placement& on) const;
+    void planParts(const core::placement& on, platform::target_request_head& head) const;
     core::milliseconds timeLeft() const;
 
     forwarding_state& m_state;
--- a/packages/wire/include/plumfold/wire/plumfold_convert.hpp
+++ b/packages/wire/include/plumfold/wire/plumfold_convert.hpp
@@ -3,6 +3,7 @@
 #include "plumfold/core/plumfold_configuration_view.hpp"
 #include "plumfold/core/plumfold_control_state.hpp"
 #include "plumfold/core/plumfold_dispatch_types.hpp"
+#include "plumfold/core/plumfold_part_directory.hpp"
 #include "plumfold/core/plumfold_raft_types.hpp"
 #include "plumfold/core/plumfold_suspect_registry.hpp"
 #include "plumfold/core/plumfold_target_directory.hpp"
@@ -95,6 +96,12 @@
 void write(AnnouncedTarget::Builder out, const core::target_announcement& value);
 core::target_announcement read(AnnouncedTarget::Reader in);
 
+void write(StoreParts::Builder out, const core::store_news& value);
+core::store_news read(StoreParts::Reader in);
+
+void write(StoreCursor::Builder out, const core::store_cursor& value);
+core::store_cursor read(StoreCursor::Reader in);
+
 void write(HardState::Builder out, const core::hard_state& value);
 core::hard_state read(HardState::Reader in);
 
--- a/packages/wire/schema/plumfold.capnp
+++ b/packages/wire/schema/plumfold.capnp
@@ -187,7 +187,8 @@
 interface ControlPeer {
   deliver @0 (message :RaftMessage) -> ();
   # What this control VM heard from targets itself, how many entries follow it, and the entries' suspects.
-  share @1 (address :Text, failureDomain :Text, entries :UInt32, targets :List(AnnouncedTarget)) -> ();
+  share @1 (address :Text, failureDomain :Text, entries :UInt32, targets :List(AnnouncedTarget),
+      stores :List(StoreParts), clock :UInt64) -> ();
 }
 interface Operator {
   form @0 () -> (reply :Reply);
@@ -205,9 +206,10 @@
   submit @1 (command :Command) -> (reply :Reply, result :CommandResult);
   # Answers as soon as the deployment or a target differs from what is known, or after waitMs. With confirmed,
   # a quorum has shown first that nothing newer is in force.
-  follow @2 (knownDeployment :UInt64, feed :UInt64, knownChange :UInt64, waitMs :UInt32, confirmed :Bool)
+  follow @2 (knownDeployment :UInt64, feed :UInt64, knownChange :UInt64, waitMs :UInt32, confirmed :Bool,
+      stores :List(StoreCursor))
       -> (fresh :Bool, deployment :DeploymentState, feed :UInt64, change :UInt64, everything :Bool,
-          targets :List(AnnouncedTarget), control :List(ControlAddress), entries :UInt32);
+          targets :List(AnnouncedTarget), control :List(ControlAddress), entries :UInt32, stores :List(StoreParts), clock :UInt64);
 }
 
 # A target as it announced itself, see core::target_announcement.
@@ -223,6 +225,11 @@
   sequence @8 :UInt64;
   models @9 :List(LoadedModel);
 }
+# KV parts that a store holds whole. They are numbered in the order in which they were learned; another generation
+# numbers anew.
+struct StoredPart { key :group { partition @0 :Text; id @1 :Text; } tokens @2 :UInt32; }
+struct StoreParts { store @0 :Text; generation @1 :UInt64; first @2 :UInt32; count @3 :UInt32; parts @4 :List(StoredPart); }
+struct StoreCursor { store @0 :Text; generation @1 :UInt64; count @2 :UInt32; }
 struct ControlAddress { address @0 :Text; failureDomain @1 :Text; }
 
 # ---------------------------------------------------------------- between entries
--- a/packages/wire/src/plumfold_convert_deployment.cpp
+++ b/packages/wire/src/plumfold_convert_deployment.cpp
@@ -83,4 +83,44 @@
     return value;
 }
 
+void write(StoreParts::Builder out, const core::store_news& value)
+{
+    out.setStore(value.store);
+    out.setGeneration(value.generation);
+    out.setFirst(value.first);
+    out.setCount(value.count);
+    auto parts = out.initParts(value.parts.size());
+    for (unsigned index = 0; index < value.parts.size(); ++index) {
+        auto key = parts[index].getKey();
+        key.setPartition(value.parts[index].key.partition);
+        key.setId(value.parts[index].key.id);
+        parts[index].setTokens(value.parts[index].tokens);
+    }
+}
+
+core::store_news read(StoreParts::Reader in)
+{
+    core::store_news value;
+    value.store = text(in.getStore());
+    value.generation = in.getGeneration();
+    value.first = in.getFirst();
+    value.count = in.getCount();
+    for (auto each : in.getParts())
+        value.parts.push_back(
+            { { text(each.getKey().getPartition()), text(each.getKey().getId()) }, each.getTokens() });
+    return value;
+}
+
+void write(StoreCursor::Builder out, const core::store_cursor& value)
+{
+    out.setStore(value.store);
+    out.setGeneration(value.generation);
+    out.setCount(value.count);
+}
+
+core::store_cursor read(StoreCursor::Reader in)
+{
+    return core::store_cursor { text(in.getStore()), in.getGeneration(), in.getCount() };
+}
+
 } // namespace plumfold::wire
