Placement by reported load and predicted time; slow stores are learned

Cause: (1) conversations of one home met in one target's memory: 39 requests were put back and 26 callers waited past their deadline while other targets had room. Ruled out for (1): too little memory in all; five contracts a target take 60 of 93 thousand tokens on average. Change: control reads each engine's report once, from its own failure domain, and relays it; an entry adds what it began since and takes the lowest predicted time to the first event. Entries learn per store how much longer than predicted callers wait and read again while that is longer than reading.

--- a/packages/control/src/plumfold_control_role.cpp
+++ b/packages/control/src/plumfold_control_role.cpp
@@ -1,6 +1,7 @@
 #include "plumfold/control/plumfold_control_role.hpp"
 
 #include "plumfold_control_service.hpp"
+#include "plumfold_load_reader.hpp"
 #include "plumfold_peer_links.hpp"
 #include "plumfold_platform_front.hpp"
 #include "plumfold_store_readers.hpp"
@@ -67,6 +68,7 @@
             platform_front_context { m_rpc, m_settings, *m_feed, *m_leader });
         m_weights = std::make_unique<weights_duty>(m_rpc, m_settings, *m_feed, *m_leader);
         m_stores = std::make_unique<store_readers>(m_rpc, *m_feed);
+        m_loads = std::make_unique<load_reader>(m_rpc, *m_feed);
     }
 
     ~impl()
@@ -75,6 +77,7 @@
         m_front.reset();
         m_weights.reset();
         m_stores.reset();
+        m_loads.reset();
         m_rpc.run([&] { m_listener.reset(); });
         m_node.reset();
         m_rpc.flush();
@@ -108,6 +111,7 @@
     std::unique_ptr<platform_front> m_front;
     std::unique_ptr<weights_duty> m_weights;
     std::unique_ptr<store_readers> m_stores;
+    std::unique_ptr<load_reader> m_loads;
 };
 
 absl::StatusOr<std::unique_ptr<control_role>> control_role::start(
--- a/packages/control/src/plumfold_control_service.cpp
+++ b/packages/control/src/plumfold_control_service.cpp
@@ -56,6 +56,10 @@
         for (auto each : params.getStores())
             stores.push_back(wire::read(each));
         m_context.feed.sharedParts(stores, params.getClock());
+        std::vector<core::target_load> loads;
+        for (auto each : params.getLoads())
+            loads.push_back(wire::read(each));
+        m_context.feed.takeLoads(loads, false);
         return kj::READY_NOW;
     }
 
@@ -165,6 +169,10 @@
         for (const auto& [store, cursor] : known)
             wire::write(out[index++], parts.newsAfter(cursor));
         call.getResults().setClock(m_context.feed.targetClock());
+        auto loads = m_context.feed.loads(false);
+        auto outLoads = call.getResults().initLoads(loads.size());
+        for (unsigned at = 0; at < loads.size(); ++at)
+            wire::write(outLoads[at], loads[at]);
     }
 
     static void writeTarget(wire::AnnouncedTarget::Builder out, const core::target_directory::entry& entry)
--- a/packages/control/src/plumfold_deployment_feed.cpp
+++ b/packages/control/src/plumfold_deployment_feed.cpp
@@ -14,6 +14,7 @@
 constexpr core::milliseconds followerForgetTime { 5'000 };
 constexpr core::milliseconds peerForgetTime { 5'000 };
 constexpr core::milliseconds targetForgetTime { 60'000 };
+constexpr core::milliseconds loadForgetTime { 2'000 };
 /// What is known of a store counts no more when it was not confirmed for so long.
 constexpr core::milliseconds storeSilence { 1'500 };
 
@@ -123,19 +124,54 @@
 std::vector<std::string> deployment_feed::ownStores() const
 {
     std::vector<std::string> own;
-    auto domains = controlDomains();
     for (const auto& store : m_stores) {
-        // The control VM nearest to a store reads it; the first by address among equals.
-        auto reader = std::find_if(domains.begin(), domains.end(),
-            [&](const auto& each) { return each.second == store.failureDomain; });
-        if (reader == domains.end())
-            reader = domains.begin();
-        if (reader->first == m_settings.control->address)
+        if (isNearest(store.failureDomain))
             own.push_back(store.address);
     }
     return own;
 }
 
+/// @return whether this control VM is the first by address among those nearest to a failure domain.
+bool deployment_feed::isNearest(const std::string& failureDomain) const
+{
+    auto domains = controlDomains();
+    auto nearest = std::find_if(
+        domains.begin(), domains.end(), [&](const auto& each) { return each.second == failureDomain; });
+    if (nearest == domains.end())
+        nearest = domains.begin();
+    return nearest->first == m_settings.control->address;
+}
+
+std::vector<core::target_announcement> deployment_feed::ownEngines() const
+{
+    std::vector<core::target_announcement> own;
+    for (const auto& [name, entry] : m_directory.entries()) {
+        bool isEngine = !entry.last.models.empty() && entry.last.state == core::target_state::ready;
+        if (isEngine && isNearest(entry.last.failureDomain))
+            own.push_back(entry.last);
+    }
+    return own;
+}
+
+void deployment_feed::takeLoads(const std::vector<core::target_load>& loads, bool own)
+{
+    for (const auto& load : loads)
+        m_loads[load.target] = { load, runtime::now() - load.age, own };
+}
+
+std::vector<core::target_load> deployment_feed::loads(bool ownOnly) const
+{
+    std::vector<core::target_load> out;
+    auto now = runtime::now();
+    for (const auto& [target, known] : m_loads) {
+        if (now - known.at > loadForgetTime || (ownOnly && !known.own))
+            continue;
+        out.push_back(known.load);
+        out.back().age = std::chrono::duration_cast<core::milliseconds>(now - known.at);
+    }
+    return out;
+}
+
 void deployment_feed::takeClock(std::uint64_t clock)
 {
     if (clock == 0)
@@ -179,6 +215,7 @@
         logTarget("target_silent", m_directory.entries().at(name).last);
     m_directory.forget(now, targetForgetTime);
     m_parts.expire(now, storeSilence);
+    std::erase_if(m_loads, [&](const auto& each) { return now - each.second.at > loadForgetTime; });
     std::erase_if(m_followers, [&](const auto& each) { return now - each.second > followerForgetTime; });
     if (!expired.empty())
         wake();
--- a/packages/control/src/plumfold_deployment_feed.hpp
+++ b/packages/control/src/plumfold_deployment_feed.hpp
@@ -46,6 +46,8 @@
     void sharedParts(const std::vector<core::store_news>& stores, std::uint64_t clock);
     /// Takes news that this control VM read from a store itself.
     void readParts(const core::store_news& news, std::uint64_t clock);
+    /// Takes loads that targets reported, to this control VM or another.
+    void takeLoads(const std::vector<core::target_load>& loads, bool own);
     /// Takes that an entry follows this control VM.
     void followedBy(const std::string& entry);
 
@@ -54,6 +56,11 @@
 
     const core::target_directory& directory() const { return m_directory; }
     const core::part_directory& parts() const { return m_parts; }
+    /// @return the loads that are not outdated.
+    /// @param ownOnly those that this control VM read itself.
+    std::vector<core::target_load> loads(bool ownOnly) const;
+    /// @return the ready model engines whose reports this control VM reads.
+    std::vector<core::target_announcement> ownEngines() const;
     /// @return the stores that this control VM reads itself.
     std::vector<std::string> ownStores() const;
     /// @return the targets' clock, or 0 while it is not known.
@@ -81,6 +88,7 @@
     };
 
     kj::Promise<void> waitUntil(std::function<bool()> done);
+    bool isNearest(const std::string& failureDomain) const;
     void wake();
     void takeClock(std::uint64_t clock);
     void takeStores();
@@ -93,6 +101,12 @@
     core::target_directory m_directory;
     core::part_directory m_parts;
     std::vector<core::part_store> m_stores; // of the deployment in force
+    struct known_load {
+        core::target_load load;
+        core::instant at {};
+        bool own = false;
+    };
+    std::map<std::string, known_load> m_loads; // by target
     std::uint64_t m_clock = 0; // the targets' clock when it was last told
     core::instant m_clockAt {};
     std::map<std::string, control_peer_state> m_peers; // by address
--- a/packages/control/src/plumfold_peer_links.cpp
+++ b/packages/control/src/plumfold_peer_links.cpp
@@ -73,7 +73,8 @@
             told.push_back(&entry.last);
     }
     auto own = feed.ownStores();
-    bool parts = !own.empty() && now - to.sharedPartsAt > sharePartsInterval;
+    auto loads = feed.loads(true);
+    bool parts = !(own.empty() && loads.empty()) && now - to.sharedPartsAt > sharePartsInterval;
     if (to.sharing || (told.empty() && !all && !parts))
         return;
     auto request = KJ_ASSERT_NONNULL(to.peer).shareRequest();
@@ -92,6 +93,9 @@
     auto outStores = request.initStores(stores.size());
     for (unsigned index = 0; index < stores.size(); ++index)
         wire::write(outStores[index], stores[index]);
+    auto outLoads = request.initLoads(loads.size());
+    for (unsigned index = 0; index < loads.size(); ++index)
+        wire::write(outLoads[index], loads[index]);
     if (!own.empty())
         request.setClock(feed.targetClock());
     to.sharing = true;
--- a/packages/control/src/plumfold_store_readers.hpp
+++ b/packages/control/src/plumfold_store_readers.hpp
@@ -11,8 +11,8 @@
 
 namespace plumfold::control {
 
-/// Reads the events of the stores that this control VM is the nearest to, a thread for each store, and tells the
-/// feed which parts each holds whole.
+/// Reads the events of the stores that this control VM is the nearest to, a thread for each store, and tells
+/// the feed which parts each holds whole.
 class store_readers {
 public:
     store_readers(wire::rpc_thread& rpc, deployment_feed& feed);
--- a/packages/core/include/plumfold/core/plumfold_part_directory.hpp
+++ b/packages/core/include/plumfold/core/plumfold_part_directory.hpp
@@ -65,8 +65,8 @@
     /// Tells that what is known of a store is still so.
     void refresh(const std::string& store, instant now);
 
-    /// Takes news of another directory. News that do not follow what is known are dropped; the next ones start
-    /// from the cursor.
+    /// Takes news of another directory. News that do not follow what is known are dropped; the next ones
+    /// start from the cursor.
     void take(const store_news& news, instant now);
 
     /// @return the news after a reader's cursor.
@@ -92,18 +92,53 @@
     bool operator==(const part_plan&) const = default;
 };
 
-/// Plans the fetches and saves of prompts on one entry. Load it answers: conversations that return after their
-/// target has evicted them, whose memory comes from a store in a tenth of the time that reading them again takes.
+/// Learns how much longer than predicted callers wait for their first event when their prompt's parts come
+/// from a store. Load it answers: a store whose link turns slow or queues, so that reading again is faster.
+class store_delays {
+public:
+    /// Takes a first event.
+    /// @param stores those that the prompt named for fetches; none for a prompt that was read.
+    /// @param excessMs time beyond the prediction, not below 0.
+    void record(const std::vector<std::string>& stores, double excessMs, instant now);
+
+    /// @return the milliseconds that fetches from a store take beyond what other prompts wait.
+    double delayMs(const std::string& store, instant now) const;
+
+private:
+    struct moving_delay {
+        double ms = 0;
+        instant at {};
+    };
+    static double faded(const moving_delay& delay, instant now);
+    static void mix(moving_delay& delay, double sample, instant now);
+
+    moving_delay m_others;
+    std::map<std::string, moving_delay> m_stores;
+};
+
+/// Plans the fetches and saves of prompts on one entry. Load it answers: conversations that return after
+/// their target has evicted them, whose memory comes from a store in a tenth of the time that reading them
+/// again takes.
 class part_planner {
 public:
     /// Takes the stores of a deployment.
     void setStores(const std::vector<service_limits>& services);
 
+    /// @param readTokensPerMs how fast a target reads a prompt that is not fetched.
     /// @param failureDomain of the target that will run the prompt.
     part_plan plan(const std::vector<prompt_part>& parts, const std::string& partition,
-        const std::string& failureDomain, const part_directory& directory, instant now);
+        const std::string& failureDomain, const part_directory& directory, double readTokensPerMs,
+        instant now);
+
+    /// @return whether the conversation's part can be fetched faster than it is read.
+    bool canFetch(const std::vector<prompt_part>& parts, const std::string& partition,
+        const part_directory& directory, double readTokensPerMs, instant now) const;
+
+    store_delays& delays() { return m_delays; }
 
 private:
+    bool isWorthFetching(
+        const part_store& store, std::uint64_t tokens, double readTokensPerMs, instant now) const;
     const part_store* sourceOf(
         const part_key& key, const std::string& failureDomain, const part_directory& directory) const;
     const part_store* homeOf(const part_key& key, std::uint64_t tokens, const std::string& failureDomain,
@@ -111,6 +146,7 @@
     bool mayAskAgain(const part_key& key, instant now);
 
     std::vector<part_store> m_stores;
+    store_delays m_delays;
     std::map<part_key, instant> m_asked; // saves that were asked for lately
     instant m_nextClean {};
 };
--- a/packages/core/include/plumfold/core/plumfold_target_board.hpp
+++ b/packages/core/include/plumfold/core/plumfold_target_board.hpp
@@ -23,11 +23,25 @@
 /// @return a number that is the same for all its requests, or 0 when the prompt has no parts.
 std::uint64_t conversationOf(const std::vector<prompt_part>& parts);
 
+/// What a target reported of its work.
+struct target_load {
+    std::string target;
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t usedTokens = 0; ///< Memory that cannot yield.
+    milliseconds age { 0 }; ///< Since the target told.
+    auto operator<=>(const target_load&) const = default;
+};
+
 /// What a choice of target needs to know of a request.
 struct placement_request {
     std::string service;
     std::uint64_t session = 0; ///< Requests with the same number share a prompt; 0: none.
     std::string model; ///< Empty for plain services.
+    std::uint64_t promptTokens = 0;
+    std::uint64_t sharedTokens = 0; ///< Of the prompt, those that other requests of the conversation share.
+    std::uint64_t outputTokens = 0; ///< As far as expected.
+    bool isStored = false; ///< Whether a store holds the shared part.
     std::set<std::string> excluded; ///< Targets that were tried already.
     milliseconds timeLeft { 0 }; ///< Until the caller's deadline.
 };
@@ -38,6 +52,7 @@
     std::string address;
     std::string weights; ///< The weight version that the target is known to have; empty for plain services.
     std::string failureDomain;
+    double predictedMs = 0; ///< Expected time to the first event; 0 for plain services.
     bool operator==(const placement&) const = default;
 };
 
@@ -65,12 +80,24 @@
     given_up, ///< The caller left or time ran out.
 };
 
+/// Times that predict how long a model engine takes to the first event.
+struct engine_speeds {
+    double readTokensPerMs = 48; ///< Prompt tokens that an engine reads, from the users' sheet.
+    double fetchTokensPerMs = 200; ///< Tokens that come from a store, over its link.
+    double waitingMs = 25; ///< Each request that waits before this one.
+    double runningMs = 3; ///< Each request in the same batch slows the steps.
+    double memoryShare = 0.75; ///< From this share of memory on, running requests may be put back.
+    double overflowMs = 4'000; ///< For each whole memory beyond that share.
+};
+
 /// Limits of the choice.
 struct board_options {
     std::string failureDomain; ///< Of this entry; near targets are taken first.
     double coldShare = 1.0; ///< Of a service's cold rate that all entries together use.
     milliseconds suspension { 400 }; ///< A target that failed is left alone so long at first.
     milliseconds longestSuspension { 5'000 };
+    engine_speeds speeds {};
+    milliseconds loadBound { 1'500 }; ///< A reported load counts so long.
     milliseconds staleWeightsBound {
         6'000
     }; ///< How long older weights may begin a request after newer were named.
@@ -92,6 +119,8 @@
     void setOutOfService(std::set<std::string> failureDomains) { m_outOfService = std::move(failureDomains); }
     void setWeights(const std::map<std::string, std::uint64_t>& weights, instant now);
     void setServices(const std::vector<service_limits>& services);
+    /// Takes what targets reported of their work.
+    void takeLoads(const std::vector<target_load>& loads, instant now);
     /// @param count entries that share the cold targets' rates.
     void setEntries(std::uint32_t count) { m_entries = count; }
 
@@ -99,11 +128,22 @@
     placement_answer choose(const placement_request& request, instant now);
 
     /// Takes how an attempt ended that choose() began.
-    void ended(const std::string& target, attempt_end how, instant now);
+    /// @param tokens memory that the attempt was expected to take, see expectedTokens().
+    void ended(const std::string& target, attempt_end how, std::uint64_t tokens, instant now);
+
+    /// @return the memory that a request is expected to take at its end.
+    static std::uint64_t expectedTokens(const placement_request& request)
+    {
+        return request.promptTokens + request.outputTokens;
+    }
 
     /// Takes that a target reported another weight version than it was known to have.
     void forgetWeights(const std::string& target, instant now);
 
+    /// @return the named weight version of a model, or that of a target that has it while none is named.
+    std::string weightsOf(const std::string& model) const;
+
+    const engine_speeds& speeds() const { return m_options.speeds; }
     std::size_t size() const { return m_targets.size(); }
 
 private:
@@ -114,6 +154,10 @@
         instant suspendedUntil {};
         milliseconds nextSuspension { 0 };
         std::uint32_t inFlight = 0;
+        std::uint64_t inFlightTokens = 0;
+        std::optional<target_load> load; ///< As last reported.
+        instant loadAt {};
+        std::deque<std::pair<instant, std::uint64_t>> begun; ///< Own attempts that a report may not show yet.
         bool weightsDoubted = false;
         instant doubtedAt {};
     };
@@ -126,9 +170,14 @@
     bool hasNamedWeights(const board_target& target, const std::string& model) const;
     bool mayBeginOnOlder(const std::string& model, instant now) const;
     milliseconds coldSpacing(const board_target& target) const;
-    board_target* pick(std::vector<board_target*>& candidates, const placement_request& request) const;
-    board_target* pickForSession(std::vector<board_target*>& candidates, std::uint64_t session) const;
+    board_target* pick(
+        std::vector<board_target*>& candidates, const placement_request& request, instant now) const;
+    board_target* pickForSession(
+        std::vector<board_target*>& candidates, const placement_request& request, instant now) const;
+    double predictedMs(
+        const board_target& target, const placement_request& request, bool isHome, instant now) const;
     placement begin(board_target& target, const placement_request& request, instant now);
+    board_target* homeOf(const std::vector<board_target*>& candidates, std::uint64_t session) const;
 
     board_options m_options;
     std::map<std::string, board_target> m_targets;
--- a/packages/core/src/plumfold_part_directory.cpp
+++ b/packages/core/src/plumfold_part_directory.cpp
@@ -18,6 +18,12 @@
 constexpr double fillShare = 0.96;
 /// Preference of a store in the target's own failure domain, where a transfer takes half the time.
 constexpr double nearPreference = 4;
+/// The learned delay of a store halves in this time, so that it is tried again.
+constexpr double delayHalfLifeMs = 1'500;
+constexpr double delaySampleWeight = 0.25;
+constexpr double longestDelayMs = 2'000;
+/// Differences of this size come from the targets' own load.
+constexpr double acceptedDelayMs = 40;
 constexpr double hashRange = 18446744073709551616.0; // 2^64
 
 } // namespace
@@ -93,6 +99,52 @@
     std::erase_if(m_stores, [&](const auto& each) { return now - each.second.refreshedAt > bound; });
 }
 
+double store_delays::faded(const moving_delay& delay, instant now)
+{
+    double halves = std::chrono::duration<double, std::milli>(now - delay.at).count() / delayHalfLifeMs;
+    return delay.ms * std::exp2(-std::max(0.0, halves));
+}
+
+void store_delays::mix(moving_delay& delay, double sample, instant now)
+{
+    delay.ms = faded(delay, now) * (1 - delaySampleWeight) + sample * delaySampleWeight;
+    delay.at = now;
+}
+
+void store_delays::record(const std::vector<std::string>& stores, double excessMs, instant now)
+{
+    double sample = std::min(std::max(excessMs, 0.0), longestDelayMs);
+    if (stores.empty())
+        mix(m_others, sample, now);
+    for (const auto& store : stores)
+        mix(m_stores[store], sample, now);
+}
+
+double store_delays::delayMs(const std::string& store, instant now) const
+{
+    auto found = m_stores.find(store);
+    if (found == m_stores.end())
+        return 0;
+    return std::max(0.0, faded(found->second, now) - faded(m_others, now));
+}
+
+bool part_planner::isWorthFetching(
+    const part_store& store, std::uint64_t tokens, double readTokensPerMs, instant now) const
+{
+    double readMs = static_cast<double>(tokens) / readTokensPerMs;
+    return m_delays.delayMs(store.address, now) < readMs + acceptedDelayMs;
+}
+
+bool part_planner::canFetch(const std::vector<prompt_part>& parts, const std::string& partition,
+    const part_directory& directory, double readTokensPerMs, instant now) const
+{
+    if (parts.size() < 2)
+        return false;
+    const auto& shared = parts[parts.size() - 2];
+    const auto* source = sourceOf({ partition, shared.id }, {}, directory);
+    return source && isWorthFetching(*source, shared.tokens, readTokensPerMs, now);
+}
+
 bool part_plan::fetches() const
 {
     return std::any_of(fetchFrom.begin(), fetchFrom.end(), [](const auto& each) { return !each.empty(); });
@@ -170,7 +222,7 @@
 }
 
 part_plan part_planner::plan(const std::vector<prompt_part>& parts, const std::string& partition,
-    const std::string& failureDomain, const part_directory& directory, instant now)
+    const std::string& failureDomain, const part_directory& directory, double readTokensPerMs, instant now)
 {
     part_plan out;
     out.fetchFrom.resize(parts.size());
@@ -179,7 +231,8 @@
     for (std::size_t index = 0; index + 1 < parts.size(); ++index) {
         part_key key { partition, parts[index].id };
         if (const auto* source = sourceOf(key, failureDomain, directory)) {
-            out.fetchFrom[index] = source->address;
+            if (isWorthFetching(*source, parts[index].tokens, readTokensPerMs, now))
+                out.fetchFrom[index] = source->address;
             continue;
         }
         const auto* home = homeOf(key, parts[index].tokens, failureDomain, directory, now);
--- a/packages/core/src/plumfold_target_board.cpp
+++ b/packages/core/src/plumfold_target_board.cpp
@@ -11,10 +11,9 @@
 
 constexpr milliseconds retryWithoutTarget { 500 };
 constexpr milliseconds retryWhenFull { 300 };
-/// A target may have this many times the average of requests in flight before its sessions move on.
-constexpr double sessionLoadFactor = 1.5;
-constexpr double sessionLoadSlack = 3;
-/// Gone targets are remembered so long, for attempts that still run there.
+/// Own attempts that are added to a target's reported load at most.
+constexpr std::size_t maxRemembered = 64;
+/// A target that refused the weights it was known to have gets no request so long.
 constexpr milliseconds weightsDoubtTime { 1'500 };
 
 } // namespace
@@ -62,6 +61,17 @@
     }
 }
 
+void target_board::takeLoads(const std::vector<target_load>& loads, instant now)
+{
+    for (const auto& load : loads) {
+        auto found = m_targets.find(load.target);
+        if (found == m_targets.end())
+            continue;
+        found->second.load = load;
+        found->second.loadAt = now - load.age;
+    }
+}
+
 void target_board::setServices(const std::vector<service_limits>& services)
 {
     m_services.clear();
@@ -78,6 +88,19 @@
         [&](const auto& each) { return each.model == model && each.version == named->second.version; });
 }
 
+std::string target_board::weightsOf(const std::string& model) const
+{
+    if (auto named = m_weights.find(model); named != m_weights.end())
+        return named->second.version;
+    for (const auto& [name, target] : m_targets) {
+        for (const auto& loaded : target.last.models) {
+            if (loaded.model == model)
+                return loaded.version;
+        }
+    }
+    return {};
+}
+
 bool target_board::mayBeginOnOlder(const std::string& model, instant now) const
 {
     auto named = m_weights.find(model);
@@ -125,9 +148,14 @@
         else if (mayBeginOnOlder(request.model, now))
             older.push_back(&target);
     }
-    auto* chosen = pick(current.empty() ? older : current, request);
+    auto& candidates = current.empty() ? older : current;
+    auto* chosen = pick(candidates, request, now);
     if (chosen) {
+        double predicted = request.session == 0
+            ? 0
+            : predictedMs(*chosen, request, chosen == homeOf(candidates, request.session), now);
         answer.chosen = begin(*chosen, request, now);
+        answer.chosen->predictedMs = predicted;
         return answer;
     }
     answer.reason = coldOnly ? placement_refusal::cold : placement_refusal::no_target;
@@ -138,9 +166,13 @@
 placement target_board::begin(board_target& target, const placement_request& request, instant now)
 {
     ++target.inFlight;
+    target.inFlightTokens += expectedTokens(request);
+    target.begun.emplace_back(now, expectedTokens(request));
+    while (target.begun.size() > maxRemembered || now - target.begun.front().first > m_options.loadBound)
+        target.begun.pop_front();
     if (now < target.coldUntil)
         target.lastColdStart = now;
-    placement out { target.last.name, target.last.address, {}, target.last.failureDomain };
+    placement out { target.last.name, target.last.address, {}, target.last.failureDomain, 0 };
     for (const auto& loaded : target.last.models) {
         if (loaded.model == request.model)
             out.weights = loaded.version;
@@ -149,12 +181,12 @@
 }
 
 target_board::board_target* target_board::pick(
-    std::vector<board_target*>& candidates, const placement_request& request) const
+    std::vector<board_target*>& candidates, const placement_request& request, instant now) const
 {
     if (candidates.empty())
         return nullptr;
     if (request.session != 0)
-        return pickForSession(candidates, request.session);
+        return pickForSession(candidates, request, now);
     auto cost = [&](const board_target* target) {
         bool far = target->last.failureDomain != m_options.failureDomain;
         // A far target is taken when the near ones have a whole batch more in flight.
@@ -165,30 +197,69 @@
         [&](const auto* left, const auto* right) { return cost(left) < cost(right); });
 }
 
-target_board::board_target* target_board::pickForSession(
-    std::vector<board_target*>& candidates, std::uint64_t session) const
+double target_board::predictedMs(
+    const board_target& target, const placement_request& request, bool isHome, instant now) const
+{
+    const auto& speeds = m_options.speeds;
+    auto limits = m_services.find(target.last.service);
+    bool hasEngine = limits != m_services.end() && limits->second.engine.has_value();
+    double capacity = hasEngine ? static_cast<double>(limits->second.engine->memoryTokens) : 0;
+    double waiting = 0;
+    double running = static_cast<double>(target.inFlight) * m_entries;
+    double used = static_cast<double>(target.inFlightTokens) * m_entries;
+    if (target.load && now - target.loadAt < m_options.loadBound) {
+        waiting = target.load->waiting;
+        running = target.load->running;
+        used = target.load->usedTokens;
+        for (const auto& [at, tokens] : target.begun) {
+            if (at < target.loadAt)
+                continue;
+            waiting += 1;
+            used += static_cast<double>(tokens);
+        }
+    }
+    double shared = isHome ? 0 : static_cast<double>(request.sharedTokens);
+    double own = static_cast<double>(request.promptTokens - request.sharedTokens);
+    double missMs = shared / (request.isStored ? speeds.fetchTokensPerMs : speeds.readTokensPerMs);
+    double readMs = own / speeds.readTokensPerMs;
+    double share = capacity > 0 ? (used + static_cast<double>(expectedTokens(request))) / capacity : 0;
+    double overflowMs = std::max(0.0, share - speeds.memoryShare) * speeds.overflowMs;
+    return readMs + missMs + waiting * speeds.waitingMs + running * speeds.runningMs + overflowMs;
+}
+
+/// @return the target with the highest score, which is the conversation's home on every entry.
+target_board::board_target* target_board::homeOf(
+    const std::vector<board_target*>& candidates, std::uint64_t session) const
 {
-    double total = 0;
-    for (const auto* target : candidates)
-        total += target->inFlight;
-    double bound = sessionLoadFactor * total / static_cast<double>(candidates.size()) + sessionLoadSlack;
     auto score = [&](const board_target* target) { return hashBytes(target->last.name, session); };
-    std::sort(candidates.begin(), candidates.end(),
-        [&](const auto* left, const auto* right) { return score(left) > score(right); });
+    return *std::max_element(candidates.begin(), candidates.end(),
+        [&](const auto* left, const auto* right) { return score(left) < score(right); });
+}
+
+target_board::board_target* target_board::pickForSession(
+    std::vector<board_target*>& candidates, const placement_request& request, instant now) const
+{
+    auto* home = homeOf(candidates, request.session);
+    board_target* best = nullptr;
+    double bestMs = 0;
     for (auto* target : candidates) {
-        if (target->inFlight < bound)
-            return target;
+        double ms = predictedMs(*target, request, target == home, now);
+        if (best && ms >= bestMs)
+            continue;
+        best = target;
+        bestMs = ms;
     }
-    return candidates.front();
+    return best;
 }
 
-void target_board::ended(const std::string& target, attempt_end how, instant now)
+void target_board::ended(const std::string& target, attempt_end how, std::uint64_t tokens, instant now)
 {
     auto found = m_targets.find(target);
     if (found == m_targets.end())
         return;
     auto& each = found->second;
     each.inFlight -= each.inFlight > 0;
+    each.inFlightTokens -= std::min(each.inFlightTokens, tokens);
     bool bad = how == attempt_end::not_reached || how == attempt_end::lost;
     if (how == attempt_end::answered)
         each.nextSuspension = milliseconds(0);
--- a/packages/forwarding/src/plumfold_deployment_follower.cpp
+++ b/packages/forwarding/src/plumfold_deployment_follower.cpp
@@ -126,6 +126,8 @@
     for (auto each : response.getTargets())
         news.targets.push_back(wire::read(each));
     news.targetClock = response.getClock();
+    for (auto each : response.getLoads())
+        news.loads.push_back(wire::read(each));
     for (auto each : response.getStores()) {
         news.stores.push_back(wire::read(each));
         const auto& told = news.stores.back();
--- a/packages/forwarding/src/plumfold_deployment_follower.hpp
+++ b/packages/forwarding/src/plumfold_deployment_follower.hpp
@@ -2,6 +2,7 @@
 
 #include "plumfold/core/plumfold_deployment_state.hpp"
 #include "plumfold/core/plumfold_part_directory.hpp"
+#include "plumfold/core/plumfold_target_board.hpp"
 #include "plumfold/core/plumfold_target_directory.hpp"
 #include "plumfold/runtime/plumfold_settings.hpp"
 #include "plumfold/wire/plumfold_rpc_connection.hpp"
@@ -23,6 +24,7 @@
     bool everything = false; ///< The targets are all that there are.
     std::uint32_t entries = 1; ///< Entries that follow any control VM.
     std::vector<core::store_news> stores;
+    std::vector<core::target_load> loads;
     std::uint64_t targetClock = 0; ///< The targets' clock in milliseconds; 0: not known.
 };
 
--- a/packages/forwarding/src/plumfold_forwarding_role.cpp
+++ b/packages/forwarding/src/plumfold_forwarding_role.cpp
@@ -102,6 +102,7 @@
     {
         auto now = runtime::now();
         m_state.board.take(news.targets, news.everything, now);
+        m_state.board.takeLoads(news.loads, now);
         m_state.board.setEntries(news.entries);
         m_state.repeats.setEntries(news.entries);
         for (const auto& store : news.stores)
--- a/packages/forwarding/src/plumfold_request_forwarder.cpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.cpp
@@ -123,8 +123,19 @@
     out.timeLeft = timeLeft();
     out.excluded = m_tried;
     out.excluded.insert(m_unreachable.begin(), m_unreachable.end());
-    if (m_route->hasSessions)
-        out.session = core::conversationOf(m_head.parts);
+    if (!m_route->hasSessions)
+        return out;
+    out.session = core::conversationOf(m_head.parts);
+    out.promptTokens = m_head.promptTokens;
+    for (std::size_t index = 0; index + 1 < m_head.parts.size(); ++index)
+        out.sharedTokens += m_head.parts[index].tokens;
+    out.sharedTokens = std::min(out.sharedTokens, out.promptTokens);
+    if (knowsStores())
+        out.isStored
+            = m_state.partPlanner.canFetch(m_head.parts, partitionOf(m_state.board.weightsOf(m_head.model)),
+                m_state.parts, m_state.board.speeds().readTokensPerMs, runtime::now());
+    out.outputTokens
+        = std::min(m_head.expectedOutputTokens.value_or(m_head.maxOutputTokens), m_head.maxOutputTokens);
     return out;
 }
 
@@ -141,7 +152,8 @@
     auto waitUntil = m_began + m_route->latencyTarget / placementWaitPart;
     asio::steady_timer timer(m_state.io);
     while (true) {
-        auto answer = m_state.board.choose(placementRequest(), runtime::now());
+        auto wanted = placementRequest();
+        auto answer = m_state.board.choose(wanted, runtime::now());
         if (!answer.chosen) {
             if (runtime::now() < waitUntil && m_sends == 0 && !m_callerGone) {
                 error_code ignored;
@@ -156,7 +168,8 @@
         m_lastWeights = answer.chosen->weights;
         auto end = co_await attempt(*answer.chosen);
         m_connection.reset();
-        m_state.board.ended(answer.chosen->target, end, runtime::now());
+        m_state.board.ended(
+            answer.chosen->target, end, core::target_board::expectedTokens(wanted), runtime::now());
         bool final = end == core::attempt_end::answered || end == core::attempt_end::given_up;
         if (final)
             break;
@@ -198,7 +211,7 @@
         refuse(http::status::service_unavailable, reason.empty() ? "not_run" : reason, retryAfterRefusal);
 }
 
-platform::target_request_head request_forwarder::targetHead(const core::placement& on) const
+platform::target_request_head request_forwarder::targetHead(const core::placement& on)
 {
     platform::target_request_head head;
     head.deadline = std::max(timeLeft(), core::milliseconds(1));
@@ -211,28 +224,44 @@
     head.urgency = std::min(priority, lowestUrgency);
     if (!m_head.model.empty() && !on.weights.empty()) {
         head.weights = on.weights;
-        // KV parts of other weights, and for isolated customers those of others, must not be found.
-        head.partition = "w" + on.weights;
-        if (m_customer && m_customer->isIsolated)
-            head.partition += ":" + m_customer->name;
+        head.partition = partitionOf(on.weights);
         planParts(on, head);
     }
     head.lastEvent = m_events.lastId();
     return head;
 }
 
-void request_forwarder::planParts(const core::placement& on, platform::target_request_head& head) const
+/// KV parts of other weights, and for isolated customers those of others, must not be found.
+std::string request_forwarder::partitionOf(const std::string& weights) const
+{
+    std::string partition = "w" + weights;
+    if (m_customer && m_customer->isIsolated)
+        partition += ":" + m_customer->name;
+    return partition;
+}
+
+/// What we know of the stores may be outdated while no control VM answers.
+bool request_forwarder::knowsStores() const
+{
+    return m_state.targetClock != 0 && runtime::now() - m_state.targetClockAt <= storeSilence;
+}
+
+void request_forwarder::planParts(const core::placement& on, platform::target_request_head& head)
 {
     auto now = runtime::now();
     auto age = std::chrono::duration_cast<core::milliseconds>(now - m_state.targetClockAt);
-    // What we know of the stores may be outdated while no control VM answers.
     m_state.parts.expire(now, storeSilence);
-    if (m_state.targetClock == 0 || age > storeSilence)
+    if (!knowsStores())
         return;
-    head.parts
-        = m_state.partPlanner.plan(m_head.parts, head.partition, on.failureDomain, m_state.parts, now);
-    head.fetchUntil
-        = m_state.targetClock + static_cast<std::uint64_t>(age.count()) + static_cast<std::uint64_t>(fetchBound.count());
+    head.parts = m_state.partPlanner.plan(m_head.parts, head.partition, on.failureDomain, m_state.parts,
+        m_state.board.speeds().readTokensPerMs, now);
+    for (const auto& store : head.parts.fetchFrom) {
+        if (!store.empty()
+            && std::find(m_fetchedFrom.begin(), m_fetchedFrom.end(), store) == m_fetchedFrom.end())
+            m_fetchedFrom.push_back(store);
+    }
+    head.fetchUntil = m_state.targetClock + static_cast<std::uint64_t>(age.count())
+        + static_cast<std::uint64_t>(fetchBound.count());
 }
 
 task<std::unique_ptr<target_connection>> request_forwarder::connectTo(const core::placement& on)
@@ -254,6 +283,9 @@
         co_return core::attempt_end::not_reached;
     }
     m_tried.insert(on.target);
+    m_fetchedFrom.clear();
+    m_sentAt = runtime::now();
+    m_predictedMs = on.predictedMs;
     ++m_sends;
     bool ranBefore = m_mayHaveRun;
     m_mayHaveRun = true;
@@ -416,6 +448,10 @@
 {
     m_streamStarted = true;
     m_firstByteAt = runtime::now();
+    if (m_predictedMs > 0) {
+        double took = std::chrono::duration<double, std::milli>(m_firstByteAt - m_sentAt).count();
+        m_state.partPlanner.delays().record(m_fetchedFrom, took - m_predictedMs, m_firstByteAt);
+    }
     m_streamHead.result(statusOk);
     m_streamHead.version(httpVersion);
     m_streamHead.chunked(true);
--- a/packages/forwarding/src/plumfold_request_forwarder.hpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.hpp
@@ -52,8 +52,10 @@
     void log(bool delivered);
 
     core::placement_request placementRequest() const;
-    platform::target_request_head targetHead(const core::placement& on) const;
-    void planParts(const core::placement& on, platform::target_request_head& head) const;
+    platform::target_request_head targetHead(const core::placement& on);
+    void planParts(const core::placement& on, platform::target_request_head& head);
+    bool knowsStores() const;
+    std::string partitionOf(const std::string& weights) const;
     core::milliseconds timeLeft() const;
 
     forwarding_state& m_state;
@@ -82,6 +84,9 @@
     bool m_streamDone = false;
     http::response<http::empty_body> m_streamHead;
     core::event_cursor m_events;
+    std::vector<std::string> m_fetchedFrom; // stores that the attempt in progress names
+    core::instant m_sentAt {}; // of the attempt in progress
+    double m_predictedMs = 0; // of the attempt in progress
     core::instant m_firstByteAt {};
     std::string m_outcome; // for the log
     std::string m_reason; // for the log
--- a/packages/wire/include/plumfold/wire/plumfold_convert.hpp
+++ b/packages/wire/include/plumfold/wire/plumfold_convert.hpp
@@ -96,6 +96,9 @@
 void write(AnnouncedTarget::Builder out, const core::target_announcement& value);
 core::target_announcement read(AnnouncedTarget::Reader in);
 
+void write(TargetLoad::Builder out, const core::target_load& value);
+core::target_load read(TargetLoad::Reader in);
+
 void write(StoreParts::Builder out, const core::store_news& value);
 core::store_news read(StoreParts::Reader in);
 
--- a/packages/wire/schema/plumfold.capnp
+++ b/packages/wire/schema/plumfold.capnp
@@ -188,7 +188,7 @@
   deliver @0 (message :RaftMessage) -> ();
   # What this control VM heard from targets itself, how many entries follow it, and the entries' suspects.
   share @1 (address :Text, failureDomain :Text, entries :UInt32, targets :List(AnnouncedTarget),
-      stores :List(StoreParts), clock :UInt64) -> ();
+      stores :List(StoreParts), clock :UInt64, loads :List(TargetLoad)) -> ();
 }
 interface Operator {
   form @0 () -> (reply :Reply);
@@ -209,7 +209,8 @@
   follow @2 (knownDeployment :UInt64, feed :UInt64, knownChange :UInt64, waitMs :UInt32, confirmed :Bool,
       stores :List(StoreCursor))
       -> (fresh :Bool, deployment :DeploymentState, feed :UInt64, change :UInt64, everything :Bool,
-          targets :List(AnnouncedTarget), control :List(ControlAddress), entries :UInt32, stores :List(StoreParts), clock :UInt64);
+          targets :List(AnnouncedTarget), control :List(ControlAddress), entries :UInt32, stores :List(StoreParts), clock :UInt64,
+          loads :List(TargetLoad));
 }
 
 # A target as it announced itself, see core::target_announcement.
@@ -230,6 +231,14 @@
 struct StoredPart { key :group { partition @0 :Text; id @1 :Text; } tokens @2 :UInt32; }
 struct StoreParts { store @0 :Text; generation @1 :UInt64; first @2 :UInt32; count @3 :UInt32; parts @4 :List(StoredPart); }
 struct StoreCursor { store @0 :Text; generation @1 :UInt64; count @2 :UInt32; }
+# What a target reported of its work, see core::target_load.
+struct TargetLoad {
+  target @0 :Text;
+  running @1 :UInt32;
+  waiting @2 :UInt32;
+  usedTokens @3 :UInt32;
+  ageMs @4 :UInt32;
+}
 struct ControlAddress { address @0 :Text; failureDomain @1 :Text; }
 
 # ---------------------------------------------------------------- between entries
--- a/packages/wire/src/plumfold_convert_deployment.cpp
+++ b/packages/wire/src/plumfold_convert_deployment.cpp
@@ -83,6 +83,21 @@
     return value;
 }
 
+void write(TargetLoad::Builder out, const core::target_load& value)
+{
+    out.setTarget(value.target);
+    out.setRunning(value.running);
+    out.setWaiting(value.waiting);
+    out.setUsedTokens(value.usedTokens);
+    out.setAgeMs(static_cast<std::uint32_t>(value.age.count()));
+}
+
+core::target_load read(TargetLoad::Reader in)
+{
+    return core::target_load { text(in.getTarget()), in.getRunning(), in.getWaiting(), in.getUsedTokens(),
+        core::milliseconds(in.getAgeMs()) };
+}
+
 void write(StoreParts::Builder out, const core::store_news& value)
 {
     out.setStore(value.store);
--- a/tests/core/plumfold_target_board_tests.cpp
+++ b/tests/core/plumfold_target_board_tests.cpp
@@ -73,7 +73,7 @@
 {
     auto board = boardOf({ engine("t1") });
     REQUIRE(board.choose(requestOf(), start).chosen);
-    board.ended("t1", attempt_end::not_reached, start);
+    board.ended("t1", attempt_end::not_reached, 0, start);
     CHECK_FALSE(board.choose(requestOf(), start + milliseconds(100)).chosen);
     CHECK(board.choose(requestOf(), start + milliseconds(1000)).chosen);
 }
