Process tests of the platform path; a header that never ends is answered 408

Cause: the stream's own timeout closes the socket, so the answer to a header that came too slowly was never sent. Change: a timer of its own cancels the read. Stand-ins: scripted targets, raw callers, control VMs founded by seeds. Tests: tests/forwarding, 16 cases with framing on both sides, at most once, leaving callers, streams that go on elsewhere, SIGTERM under load, SIGHUP, first start in any order; the case of the endless header was seen to fail.

--- a/packages/forwarding/src/plumfold_caller_connection.cpp
+++ b/packages/forwarding/src/plumfold_caller_connection.cpp
@@ -45,6 +45,7 @@
 caller_connection::caller_connection(forwarding_state& state, asio::ip::tcp::socket socket)
     : m_state(state)
     , m_stream(std::move(socket))
+    , m_readTimer(state.io)
 {
     limitSilence(m_stream.socket(), silenceBound);
     m_state.callers.insert(this);
@@ -92,7 +93,8 @@
 {
     error_code error;
     auto limits = limitsOf(m_state);
-    m_stream.expires_after(limits.headerTimeout);
+    m_stream.expires_never();
+    limitRead(limits.headerTimeout);
     co_await http::async_read_header(m_stream, m_buffer, parser, into(error));
     if (!error && !hasKnownTransferCoding(parser.get().base()))
         error = http::error::bad_transfer_encoding;
@@ -101,11 +103,14 @@
             static constexpr std::string_view goOn = "HTTP/1.1 100 Continue\r\n\r\n";
             co_await asio::async_write(m_stream, asio::buffer(goOn.data(), goOn.size()), into(error));
         }
-        m_stream.expires_after(limits.idleTimeout);
+        limitRead(limits.idleTimeout);
         co_await http::async_read(m_stream, m_buffer, parser, into(error));
     }
+    m_readTimer.cancel();
     if (!error)
         co_return true;
+    if (m_readTimedOut)
+        error = beast::error::timeout;
     bool gone = error == http::error::end_of_stream || error == http::error::partial_message
         || error == asio::error::connection_reset;
     if (!gone)
@@ -113,6 +118,17 @@
     co_return false;
 }
 
+void caller_connection::limitRead(core::milliseconds time)
+{
+    m_readTimer.expires_after(time);
+    m_readTimer.async_wait([self = shared_from_this()](const error_code& error) {
+        if (error)
+            return;
+        self->m_readTimedOut = true;
+        self->m_stream.cancel();
+    });
+}
+
 task<void> caller_connection::refuseMalformed(const error_code& error, const request_parser& parser)
 {
     http::response<http::empty_body> answer(statusOf(error), 11);
--- a/packages/forwarding/src/plumfold_caller_connection.hpp
+++ b/packages/forwarding/src/plumfold_caller_connection.hpp
@@ -33,6 +33,7 @@
 
     task<bool> waitForRequest();
     task<bool> readRequest(request_parser& parser);
+    void limitRead(core::milliseconds time);
     task<void> refuseMalformed(const error_code& error, const request_parser& parser);
     task<void> linger();
 
@@ -40,6 +41,8 @@
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer;
     std::function<void()> m_onGone;
+    asio::steady_timer m_readTimer; // the stream's own timeout would close it before an answer can be sent
+    bool m_readTimedOut = false;
     std::uint64_t m_watchRound = 0;
     bool m_busy = false;
 };
--- /dev/null
+++ b/tests/forwarding/plumfold_forwarding_tests.cpp
@@ -0,0 +1,347 @@
+#include "support/plumfold_forwarding_system.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <chrono>
+#include <csignal>
+#include <future>
+#include <thread>
+
+using namespace plumfold::tests;
+
+namespace {
+
+/// Three control VMs, an entry and two targets that serve.
+class serving_system : public forwarding_system {
+public:
+    serving_system()
+    {
+        for (int number = 1; number <= 3; ++number)
+            startControl(number);
+        putDeployment(1, deployment(3));
+        startEntry(1);
+        startTarget("t1");
+        startTarget("t2");
+        waitForTarget(1);
+        eventually(
+            [&] {
+                return requestsTo("t1") > 0 && requestsTo("t2") > 0
+                    && !request(1, "/shop/whole").body.empty();
+            },
+            3);
+    }
+
+    scripted_target& target(const std::string& name) { return *m_started.at(name); }
+    std::size_t requestsTo(const std::string& name) { return target(name).requests().size(); }
+    std::size_t allRequests() { return requestsTo("t1") + requestsTo("t2"); }
+
+    scripted_target& startTarget(const std::string& name)
+    {
+        m_started[name] = &forwarding_system::startTarget(name);
+        return *m_started[name];
+    }
+
+    /// Keeps both targets announced while something runs.
+    void keepAnnounced()
+    {
+        announce("t1");
+        announce("t2");
+    }
+
+private:
+    std::map<std::string, scripted_target*> m_started;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(
+    serving_system, "What callers send with unclear framing is refused and never forwarded", "[forwarding]")
+{
+    auto before = allRequests();
+    auto id = nextId();
+    std::string bytes;
+    std::string start = "POST /shop/whole HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: " + id
+        + "\r\nApi-Key: key-1\r\nRequest-Deadline: 2000\r\n";
+    SECTION("two lengths")
+    {
+        bytes = start + "Content-Length: 4\r\nContent-Length: 5\r\n\r\nabcde";
+    }
+    SECTION("a length and chunks")
+    {
+        bytes = start + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n0\r\n\r\n";
+    }
+    SECTION("another transfer coding")
+    {
+        bytes = start + "Transfer-Encoding: identity\r\n\r\nabcd";
+    }
+    SECTION("a coding that hides chunks")
+    {
+        bytes = start + "Transfer-Encoding: xchunked\r\n\r\n4\r\nabcd\r\n0\r\n\r\n";
+    }
+    SECTION("bare line feeds")
+    {
+        bytes = "POST /shop/whole HTTP/1.1\nHost: shop.example\n\n";
+    }
+    SECTION("a chunk size that is no number")
+    {
+        bytes = start + "Transfer-Encoding: chunked\r\n\r\nzz\r\nabcd\r\n0\r\n\r\n";
+    }
+    SECTION("a body beyond the limit")
+    {
+        bytes = start + "Content-Length: 20000\r\n\r\n";
+    }
+    SECTION("chunks beyond the limit")
+    {
+        bytes = start + "Transfer-Encoding: chunked\r\n\r\n4e20\r\n" + std::string(20000, 'x')
+            + "\r\n0\r\n\r\n";
+    }
+    SECTION("headers beyond the limit")
+    {
+        bytes = start + "Filler: " + std::string(6000, 'x') + "\r\n\r\n";
+    }
+    SECTION("two hosts")
+    {
+        bytes = start + "Host: other.example\r\nContent-Length: 0\r\n\r\n";
+    }
+    raw_caller caller(callerAddress(1));
+    caller.send(bytes);
+    auto answer = caller.receive();
+    CHECK(answer.status >= 400);
+    CHECK(answer.status < 500);
+    CHECK(allRequests() == before);
+    CHECK(request(1, "/shop/whole").status == 200); // others are unaffected
+}
+
+TEST_CASE_METHOD(
+    serving_system, "A header that never ends is answered after the limit's time", "[forwarding]")
+{
+    raw_caller caller(callerAddress(1));
+    caller.send("POST /shop/whole HTTP/1.1\r\nHost: shop.example\r\n");
+    auto answer = caller.receive();
+    CHECK(answer.status == 408);
+    CHECK(caller.isClosedWithin(1500));
+}
+
+TEST_CASE_METHOD(serving_system, "A request inside another's body stays a body", "[forwarding]")
+{
+    auto inner = requestBytes("/shop/whole", "smuggled", "");
+    CHECK(request(1, "/shop/whole", inner).body == "served " + inner);
+    for (const char* name : { "t1", "t2" }) {
+        for (const auto& seen : target(name).requests())
+            CHECK(seen.headers.at("request-id") != "smuggled");
+    }
+}
+
+TEST_CASE_METHOD(
+    serving_system, "Requests on one connection are served one after another, also in chunks", "[forwarding]")
+{
+    raw_caller caller(callerAddress(1));
+    caller.send(requestBytes("/shop/whole", nextId(), "one"));
+    CHECK(caller.receive().body == "served one");
+    caller.send(requestBytes("/shop/whole", nextId(), "3\r\ntwo\r\n0\r\n\r\n",
+        { { "Content-Length", "" }, { "Transfer-Encoding", "chunked" } }));
+    CHECK(caller.receive().body == "served two");
+    caller.send(requestBytes("/shop/whole", nextId(), "3") + requestBytes("/shop/whole", nextId(), "4"));
+    CHECK(caller.receive().body == "served 3");
+    CHECK(caller.receive().body == "served 4");
+}
+
+TEST_CASE_METHOD(
+    serving_system, "An answer that is not the target's whole own one is no success", "[forwarding]")
+{
+    for (const char* way : { "cut", "spoiled", "unsigned", "drop" }) {
+        auto before = allRequests();
+        auto answer = request(1, std::string("/shop/") + way);
+        INFO(way);
+        CHECK(answer.status == 502);
+        CHECK(allRequests() == before + 1); // it may have run, so it is not sent again
+        std::this_thread::sleep_for(std::chrono::milliseconds(900)); // until the target is trusted again
+        keepAnnounced();
+    }
+}
+
+TEST_CASE_METHOD(serving_system,
+    "Whole answers pass with surplus bytes, without a length and after another's answer", "[forwarding]")
+{
+    for (const char* way : { "surplus", "after-another", "whole", "surplus", "whole" }) {
+        INFO(way);
+        auto answer = request(1, std::string("/shop/") + way);
+        CHECK(answer.status == 200);
+        CHECK(answer.body == "served order");
+    }
+    auto answer = request(1, "/shop/unframed");
+    CHECK(answer.status == 200);
+    CHECK(answer.body == "until the end");
+}
+
+TEST_CASE_METHOD(
+    serving_system, "A refusal without execution is told as such, another 503 is not", "[forwarding]")
+{
+    auto refused = request(1, "/shop/not-run");
+    CHECK(refused.status == 503);
+    CHECK(refused.headers.find("retry-after: ") != std::string::npos);
+    auto failed = request(1, "/shop/busy");
+    CHECK(failed.status == 502);
+    CHECK(failed.headers.find("response-signature") == std::string::npos);
+}
+
+TEST_CASE_METHOD(
+    serving_system, "What is idempotent goes to another target, nothing to more than allowed", "[forwarding]")
+{
+    auto before = allRequests();
+    CHECK(request(1, "/stock/drop").status == 502);
+    CHECK(allRequests() == before + 2);
+}
+
+TEST_CASE_METHOD(serving_system, "When the caller leaves, the target's connection is closed", "[forwarding]")
+{
+    raw_caller caller(callerAddress(1));
+    caller.send(requestBytes("/shop/never", nextId(), "order"));
+    auto before = allRequests();
+    eventually([&] { return allRequests() > before; }, 2);
+    caller.close();
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    CHECK(target("t1").abandoned() + target("t2").abandoned() == 1);
+}
+
+TEST_CASE_METHOD(serving_system, "A request that no target answers is ended at its deadline", "[forwarding]")
+{
+    auto began = std::chrono::steady_clock::now();
+    CHECK(request(1, "/shop/never").status == 504);
+    auto took = std::chrono::steady_clock::now() - began;
+    CHECK(took > std::chrono::milliseconds(1900));
+    CHECK(took < std::chrono::milliseconds(2500));
+}
+
+TEST_CASE_METHOD(
+    serving_system, "A stream goes on at another target after its last whole event", "[forwarding]")
+{
+    const std::string all = "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\ndata: e3\n\nid: 4\ndata: e4\n\n"
+                            "id: 5\ndata: e5\n\nid: 6\ndata: e6\n\n";
+    auto plain = request(1, "/words/events");
+    CHECK(plain.body == all);
+    CHECK(plain.whole);
+    auto continued = request(1, "/words/events-cut");
+    CHECK(continued.body == all);
+    CHECK(continued.whole);
+}
+
+TEST_CASE_METHOD(
+    serving_system, "Headers that only the system may set are never the caller's", "[forwarding]")
+{
+    std::map<std::string, std::string> forged { { "Tenant", "other" }, { "Hold", "h" }, { "Pin-Ms", "9" },
+        { "Kv-From", "x" }, { "Kv-Backup", "x" }, { "Kv-Fetch-From", "x" }, { "Cache-Salt", "x" },
+        { "Request-Priority", "0" }, { "Expected-Instance", "x" }, { "Kept", "yes" } };
+    CHECK(request(1, "/shop/whole", "order", forged).status == 200);
+    seen_request seen;
+    for (const char* name : { "t1", "t2" }) {
+        for (const auto& each : target(name).requests()) {
+            if (each.headers.contains("kept"))
+                seen = each;
+        }
+    }
+    CHECK(seen.headers["tenant"] == "espuma");
+    CHECK(seen.headers["request-priority"] == "1");
+    CHECK(std::stoi(seen.headers["request-deadline"]) <= 2000);
+    CHECK((seen.headers["expected-instance"] == "t1" || seen.headers["expected-instance"] == "t2"));
+    for (const char* name :
+        { "api-key", "hold", "pin-ms", "kv-from", "kv-backup", "kv-fetch-from", "cache-salt" })
+        CHECK_FALSE(seen.headers.contains(name));
+    CHECK(request(1, "/shop/whole", "order", { { "Api-Key", "wrong" } }).status == 401);
+    CHECK(request(1, "/nowhere/whole").status == 404);
+}
+
+TEST_CASE_METHOD(
+    serving_system, "A stopping entry answers what it has read and takes no new callers", "[forwarding]")
+{
+    std::vector<std::future<raw_answer>> answers;
+    raw_caller idle(callerAddress(1));
+    idle.send(requestBytes("/shop/whole", nextId(), "one"));
+    CHECK(idle.receive().status == 200);
+    for (int count = 0; count < 20; ++count)
+        answers.push_back(std::async(std::launch::async, [&] { return request(1, "/shop/slow"); }));
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    auto stopped = std::async(std::launch::async, [&] { return process("n1").stop(); });
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    CHECK_FALSE(isReady(1));
+    idle.send(requestBytes("/shop/whole", nextId(), "two"));
+    auto last = idle.receive();
+    CHECK(last.status == 200);
+    CHECK(last.headers.find("connection: close") != std::string::npos);
+    for (auto& answer : answers)
+        CHECK(answer.get().status == 200);
+    CHECK(stopped.get() == 0);
+}
+
+TEST_CASE_METHOD(
+    serving_system, "SIGHUP takes other control VMs to start from and ends nothing", "[forwarding]")
+{
+    rewriteSeeds("n1", { 2, 3 });
+    process("n1").signal(SIGHUP);
+    CHECK(eventually([&] { return logOf("n1").find("event=reloaded") != std::string::npos; }, 5));
+    process("c1").signal(SIGHUP);
+    CHECK(request(1, "/shop/whole").status == 200);
+    CHECK(process("n1").isRunning());
+    CHECK(process("c1").isRunning());
+}
+
+TEST_CASE_METHOD(serving_system,
+    "Changes are in force on entries at once and a taken out failure domain gets nothing", "[forwarding]")
+{
+    auto next = deployment(7);
+    next["tenants"][0]["api-keys"] = { "key-2" };
+    REQUIRE(putDeployment(2, next));
+    CHECK(eventually([&] { return request(1, "/shop/whole").status == 401; }, 2));
+    CHECK(request(1, "/shop/whole", "order", { { "Api-Key", "key-2" } }).status == 200);
+    CHECK(call(3, "POST", "/evacuations/east").first == 200);
+    CHECK(eventually(
+        [&] {
+            return request(1, "/shop/whole", "order", { { "Api-Key", "key-2" } }).status == 503;
+        },
+        2));
+    CHECK(call(3, "DELETE", "/evacuations/east").first == 200);
+    keepAnnounced();
+    CHECK(eventually(
+        [&] {
+            return request(1, "/shop/whole", "order", { { "Api-Key", "key-2" } }).status == 200;
+        },
+        2));
+    announce("t1", "draining");
+    announce("t2", "draining");
+    CHECK(eventually(
+        [&] {
+            return request(1, "/shop/whole", "order", { { "Api-Key", "key-2" } }).status == 503;
+        },
+        2));
+}
+
+TEST_CASE("Control forms itself from its seeds, whatever the order of start, and keeps what it accepted",
+    "[forwarding]")
+{
+    forwarding_system system;
+    system.startControl(3);
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    system.startControl(1);
+    system.startControl(2);
+    auto body = system.deployment(5);
+    REQUIRE(system.putDeployment(2, body));
+    CHECK(system.call(1, "PUT", "/configuration", body.dump()).first == 200);
+    CHECK(system.call(1, "PUT", "/configuration", system.deployment(4).dump()).first == 200);
+    auto bad = system.deployment(9);
+    bad["routes"][0]["service"] = "unknown";
+    CHECK(system.call(1, "PUT", "/configuration", bad.dump()).first == 400);
+    CHECK(system.call(1, "PUT", "/configuration", body.dump().substr(0, 100)).first == 400);
+    for (int number = 1; number <= 3; ++number) {
+        auto [status, text] = system.call(number, "GET", "/configuration");
+        CHECK(status == 200);
+        CHECK(nlohmann::json::parse(text) == body);
+    }
+    for (int number = 1; number <= 3; ++number)
+        system.process("c" + std::to_string(number)).kill();
+    system.startControl(1, false);
+    CHECK(system.call(1, "GET", "/configuration").first != 200); // one of three cannot be sure
+    system.startControl(2, false);
+    CHECK(
+        forwarding_system::eventually([&] { return system.call(1, "GET", "/configuration").first == 200; }));
+    CHECK(nlohmann::json::parse(system.call(2, "GET", "/configuration").second) == body);
+}
--- /dev/null
+++ b/tests/forwarding/support/plumfold_forwarding_system.cpp
@@ -0,0 +1,323 @@
+#include "plumfold_forwarding_system.hpp"
+
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/StreamCopier.h>
+#include <Poco/String.h>
+
+#include <fstream>
+#include <sstream>
+#include <thread>
+#include <unistd.h>
+
+namespace plumfold::tests {
+
+namespace {
+
+using json = nlohmann::json;
+
+constexpr int controlVms = 3;
+constexpr int answerSeconds = 10;
+constexpr int rpcPort = 7000;
+constexpr int platformPort = 7080;
+
+} // namespace
+
+raw_caller::raw_caller(const std::string& address)
+    : m_socket(Poco::Net::SocketAddress(address))
+{
+    m_socket.setReceiveTimeout(Poco::Timespan(answerSeconds, 0));
+}
+
+void raw_caller::send(const std::string& bytes)
+{
+    m_socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+}
+
+void raw_caller::close()
+{
+    m_socket.close();
+}
+
+bool raw_caller::readBytes(std::size_t count)
+{
+    while (m_buffer.size() < count) {
+        char bytes[4096];
+        try {
+            int got = m_socket.receiveBytes(bytes, sizeof(bytes));
+            if (got <= 0)
+                return false;
+            m_buffer.append(bytes, static_cast<std::size_t>(got));
+        } catch (const Poco::Exception&) {
+            return false;
+        }
+    }
+    return true;
+}
+
+std::optional<std::string> raw_caller::readUntil(const std::string& mark)
+{
+    std::size_t end = 0;
+    while ((end = m_buffer.find(mark)) == std::string::npos) {
+        if (!readBytes(m_buffer.size() + 1))
+            return std::nullopt;
+    }
+    std::string text = m_buffer.substr(0, end);
+    m_buffer.erase(0, end + mark.size());
+    return text;
+}
+
+raw_answer raw_caller::receive()
+{
+    raw_answer answer;
+    auto head = readUntil("\r\n\r\n");
+    if (!head)
+        return answer;
+    answer.status = std::atoi(head->substr(9, 3).c_str());
+    answer.headers = Poco::toLower(*head);
+    if (answer.headers.find("transfer-encoding: chunked") == std::string::npos) {
+        auto at = answer.headers.find("content-length: ");
+        std::size_t length
+            = at == std::string::npos ? 0 : std::strtoul(&answer.headers[at + 16], nullptr, 10);
+        answer.whole = readBytes(length);
+        answer.body = m_buffer.substr(0, length);
+        m_buffer.erase(0, length);
+        return answer;
+    }
+    while (auto size = readUntil("\r\n")) {
+        std::size_t length = std::strtoul(size->c_str(), nullptr, 16);
+        if (!readBytes(length + 2))
+            return answer;
+        answer.body += m_buffer.substr(0, length);
+        m_buffer.erase(0, length + 2);
+        answer.whole = length == 0;
+        if (answer.whole)
+            return answer;
+    }
+    return answer;
+}
+
+bool raw_caller::isClosedWithin(int milliseconds)
+{
+    m_socket.setReceiveTimeout(Poco::Timespan(milliseconds * 1000));
+    char byte = 0;
+    try {
+        return m_socket.receiveBytes(&byte, 1) <= 0;
+    } catch (const Poco::TimeoutException&) {
+        return false;
+    } catch (const Poco::Exception&) {
+        return true;
+    }
+}
+
+forwarding_system::forwarding_system()
+{
+    // The process id makes the addresses of test runs at the same time differ.
+    auto id = static_cast<unsigned>(::getpid());
+    m_network = "127." + std::to_string(1 + id / 250 % 250) + '.' + std::to_string(1 + id % 250);
+    std::string shape = (std::filesystem::temp_directory_path() / "plumfold-test-XXXXXX").string();
+    m_folder = ::mkdtemp(shape.data());
+}
+
+forwarding_system::~forwarding_system()
+{
+    m_processes.clear();
+    m_targets.clear();
+    std::filesystem::remove_all(m_folder);
+}
+
+std::string forwarding_system::address(int host, int port) const
+{
+    return m_network + '.' + std::to_string(host) + ':' + std::to_string(port);
+}
+
+std::vector<std::string> forwarding_system::seeds() const
+{
+    std::vector<std::string> all;
+    for (int number = 1; number <= controlVms; ++number)
+        all.push_back(address(10 + number, platformPort));
+    return all;
+}
+
+void forwarding_system::start(const std::string& name, const json& settings)
+{
+    m_settings[name] = settings;
+    auto file = m_folder / (name + ".json");
+    std::ofstream(file) << settings.dump(2);
+    m_processes[name] = test_process(
+        { PLUMFOLD_DAEMON, "--settings", file.string() }, (m_folder / (name + ".out")).string());
+}
+
+void forwarding_system::startControl(int number, bool firstStart)
+{
+    auto name = "c" + std::to_string(number);
+    start(name,
+        { { "process",
+              { { "name", name }, { "failureDomain", "east" }, { "dataFolder", (m_folder / name).string() },
+                  { "clusterSecret", "test" } } },
+            { "control",
+                { { "address", address(10 + number, rpcPort) },
+                    { "platformAddress", address(10 + number, platformPort) }, { "seeds", seeds() },
+                    { "rpcPort", rpcPort }, { "firstStart", firstStart }, { "electionTimeoutMs", 300 } } } });
+}
+
+void forwarding_system::startEntry(int number)
+{
+    auto name = "n" + std::to_string(number);
+    start(name,
+        { { "process",
+              { { "name", name }, { "failureDomain", "east" }, { "clusterSecret", "test" },
+                  { "gracePeriodMs", 6000 } } },
+            { "forwarding",
+                { { "callerAddress", callerAddress(number) },
+                    { "readinessAddress", address(20 + number, 8001) }, { "control", seeds() },
+                    { "controlPort", rpcPort } } } });
+}
+
+scripted_target& forwarding_system::startTarget(const std::string& name, const std::string& service)
+{
+    auto host = 40 + static_cast<int>(m_targets.size());
+    m_targets[name] = { std::make_unique<scripted_target>(name, address(host, 8080)), service };
+    announce(name);
+    return *m_targets[name].first;
+}
+
+std::pair<int, std::string> forwarding_system::call(
+    int control, const std::string& method, const std::string& path, const std::string& body)
+{
+    try {
+        Poco::Net::HTTPClientSession session { Poco::Net::SocketAddress(
+            address(10 + control, platformPort)) };
+        session.setTimeout(Poco::Timespan(3, 0));
+        Poco::Net::HTTPRequest request(method, path, Poco::Net::HTTPMessage::HTTP_1_1);
+        request.setContentLength(static_cast<std::streamsize>(body.size()));
+        session.sendRequest(request) << body;
+        Poco::Net::HTTPResponse response;
+        std::string text;
+        Poco::StreamCopier::copyToString(session.receiveResponse(response), text);
+        return { response.getStatus(), text };
+    } catch (const Poco::Exception&) {
+        return { 0, {} };
+    }
+}
+
+void forwarding_system::announce(const std::string& target, const std::string& state)
+{
+    const auto& [server, service] = m_targets.at(target);
+    json body { { "service", service }, { "address", server->address() }, { "zone", "east" },
+        { "version", "v1" }, { "slots", 8 }, { "state", state }, { "cold-remaining-ms", 0 },
+        { "sequence", ++m_sequence }, { "born", 1000 } };
+    for (int control = 1; control <= controlVms; ++control) {
+        if (call(control, "PUT", "/instances/" + target, body.dump()).first == 200)
+            return;
+    }
+}
+
+json forwarding_system::deployment(int version) const
+{
+    auto route = [](const char* name, const char* prefix, const char* kind, int attempts, bool resumable) {
+        return json { { "name", name }, { "host", "shop.example" }, { "path-prefix", prefix },
+            { "kind", kind }, { "timeout-ms", 2500 }, { "target-latency-ms", 1000 }, { "priority", 1 },
+            { "service", "shop" }, { "max-attempts", attempts }, { "public", false },
+            { "resumable", resumable }, { "target-gap-ms", 800 } };
+    };
+    return { { "version", version },
+        { "routes",
+            { route("orders", "/shop/", "unsafe", 2, false), route("stock", "/stock/", "safe", 2, false),
+                route("words", "/words/", "streaming", 2, true) } },
+        { "services", { { { "name", "shop" }, { "connection-limit", 100 } } } },
+        { "limits",
+            { { "max-header-bytes", 4096 }, { "max-body-bytes", 10000 }, { "header-timeout-ms", 700 },
+                { "idle-timeout-ms", 5000 } } },
+        { "tenants", { { { "name", "espuma" }, { "api-keys", { "key-1" } } } } } };
+}
+
+bool forwarding_system::putDeployment(int control, const json& body)
+{
+    return eventually([&] { return call(control, "PUT", "/configuration", body.dump()).first == 200; });
+}
+
+bool forwarding_system::isReady(int entry)
+{
+    try {
+        Poco::Net::HTTPClientSession session { Poco::Net::SocketAddress(address(20 + entry, 8001)) };
+        Poco::Net::HTTPRequest request("GET", "/readiness", Poco::Net::HTTPMessage::HTTP_1_1);
+        session.sendRequest(request);
+        Poco::Net::HTTPResponse response;
+        session.receiveResponse(response);
+        return response.getStatus() == 200;
+    } catch (const Poco::Exception&) {
+        return false;
+    }
+}
+
+void forwarding_system::waitForTarget(int entry, const std::string& path)
+{
+    eventually([&] { return isReady(entry) && request(entry, path).status == 200; });
+}
+
+std::string forwarding_system::nextId()
+{
+    static std::atomic<int> next { 1 };
+    return "request-" + std::to_string(next++);
+}
+
+std::string forwarding_system::requestBytes(const std::string& path, const std::string& id,
+    const std::string& body, const std::map<std::string, std::string>& headers)
+{
+    std::map<std::string, std::string> all { { "Host", "shop.example" }, { "Request-Id", id },
+        { "Request-Deadline", "2000" }, { "Api-Key", "key-1" },
+        { "Content-Length", std::to_string(body.size()) } };
+    for (const auto& [name, value] : headers)
+        all[name] = value;
+    std::string bytes = "POST " + path + " HTTP/1.1\r\n";
+    for (const auto& [name, value] : all) {
+        if (!value.empty())
+            bytes += name + ": " + value + "\r\n";
+    }
+    return bytes + "\r\n" + body;
+}
+
+raw_answer forwarding_system::request(int entry, const std::string& path, const std::string& body,
+    const std::map<std::string, std::string>& headers)
+{
+    try {
+        raw_caller caller(callerAddress(entry));
+        caller.send(requestBytes(path, nextId(), body, headers));
+        return caller.receive();
+    } catch (const Poco::Exception&) {
+        return {};
+    }
+}
+
+void forwarding_system::rewriteSeeds(const std::string& name, const std::vector<int>& controls)
+{
+    auto settings = m_settings.at(name);
+    std::vector<std::string> addresses;
+    for (int number : controls)
+        addresses.push_back(address(10 + number, platformPort));
+    settings["forwarding"]["control"] = addresses;
+    std::ofstream(m_folder / (name + ".json")) << settings.dump(2);
+}
+
+std::string forwarding_system::logOf(const std::string& name) const
+{
+    std::ifstream in(m_folder / (name + ".out"));
+    std::stringstream text;
+    text << in.rdbuf();
+    return text.str();
+}
+
+bool forwarding_system::eventually(const std::function<bool()>& condition, int seconds)
+{
+    auto until = std::chrono::steady_clock::now() + std::chrono::seconds(seconds);
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() >= until)
+            return false;
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    return true;
+}
+
+} // namespace plumfold::tests
--- /dev/null
+++ b/tests/forwarding/support/plumfold_scripted_target.hpp
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <Poco/Net/ServerSocket.h>
+
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace plumfold::tests {
+
+/// A request as a target saw it.
+struct seen_request {
+    std::string path;
+    std::map<std::string, std::string> headers; ///< Names in lower case.
+    std::string body;
+};
+
+/// A stand-in for a target of the platform. The last word of a request's path says how it behaves; see the
+/// table in the source.
+class scripted_target {
+public:
+    /// @param address ip:port
+    scripted_target(std::string name, std::string address);
+    ~scripted_target();
+
+    const std::string& name() const { return m_name; }
+    const std::string& address() const { return m_address; }
+
+    std::vector<seen_request> requests() const;
+    /// @return connections that were closed by the entry while a request was being served.
+    int abandoned() const { return m_abandoned; }
+
+private:
+    struct exchange;
+    using behaviour = void (scripted_target::*)(exchange&);
+
+    void accept();
+    void serve(Poco::Net::StreamSocket socket);
+    bool readRequest(exchange& now);
+
+    void answerWhole(exchange& now);
+    void answerCut(exchange& now);
+    void answerSurplus(exchange& now);
+    void answerUnframed(exchange& now);
+    void answerAfterAnother(exchange& now);
+    void answerUnsigned(exchange& now);
+    void answerSpoiled(exchange& now);
+    void answerNotRun(exchange& now);
+    void answerBusy(exchange& now);
+    void answerSlowly(exchange& now);
+    void neverAnswer(exchange& now);
+    void dropConnection(exchange& now);
+    void stream(exchange& now);
+    void streamCutInAnEvent(exchange& now);
+
+    std::string m_name;
+    std::string m_address;
+    Poco::Net::ServerSocket m_listener;
+    mutable std::mutex m_mutex;
+    std::vector<seen_request> m_requests;
+    std::atomic<int> m_abandoned { 0 };
+    std::atomic<bool> m_stopping { false };
+    std::vector<std::thread> m_connections;
+    std::thread m_thread;
+};
+
+} // namespace plumfold::tests
