Silent targets are left early; knowledge of a store counts again once confirmed

Cause: (1) a dark target was noticed by the connection's own bound, 5 s after it fell silent. Change: (1) three unanswered reports make a target silent for entries that had no answer of it for 2 s; repeatable requests there are given up after 500 ms and go elsewhere. (2) Silence only suspends what is known; news carry whether they are confirmed. Store delays are learned on quiet targets and unlearned faster than learned.

--- a/packages/control/src/plumfold_control_service.cpp
+++ b/packages/control/src/plumfold_control_service.cpp
@@ -167,7 +167,7 @@
         auto out = call.getResults().initStores(known.size());
         unsigned index = 0;
         for (const auto& [store, cursor] : known)
-            wire::write(out[index++], parts.newsAfter(cursor));
+            wire::write(out[index++], parts.newsAfter(cursor, runtime::now()));
         call.getResults().setClock(m_context.feed.targetClock());
         auto loads = m_context.feed.loads(false);
         auto outLoads = call.getResults().initLoads(loads.size());
--- a/packages/control/src/plumfold_deployment_feed.cpp
+++ b/packages/control/src/plumfold_deployment_feed.cpp
@@ -15,8 +15,6 @@
 constexpr core::milliseconds peerForgetTime { 5'000 };
 constexpr core::milliseconds targetForgetTime { 60'000 };
 constexpr core::milliseconds loadForgetTime { 2'000 };
-/// What is known of a store counts no more when it was not confirmed for so long.
-constexpr core::milliseconds storeSilence { 1'500 };
 
 const char* stateName(core::target_state state)
 {
@@ -79,6 +77,14 @@
     wake();
 }
 
+void deployment_feed::unresponsive(const std::string& target)
+{
+    if (!m_directory.markSilent(target))
+        return;
+    logTarget("target_unresponsive", m_directory.entries().at(target).last);
+    wake();
+}
+
 void deployment_feed::left(const std::string& target)
 {
     if (!m_directory.leave(target, runtime::now()))
@@ -214,7 +220,6 @@
     for (const auto& name : expired)
         logTarget("target_silent", m_directory.entries().at(name).last);
     m_directory.forget(now, targetForgetTime);
-    m_parts.expire(now, storeSilence);
     std::erase_if(m_loads, [&](const auto& each) { return now - each.second.at > loadForgetTime; });
     std::erase_if(m_followers, [&](const auto& each) { return now - each.second > followerForgetTime; });
     if (!expired.empty())
--- a/packages/control/src/plumfold_deployment_feed.hpp
+++ b/packages/control/src/plumfold_deployment_feed.hpp
@@ -35,6 +35,8 @@
 
     /// Takes an announcement of a target to this control VM.
     void heard(const core::target_announcement& target);
+    /// Takes that a target does not answer this control VM.
+    void unresponsive(const std::string& target);
     /// Takes that a target has left.
     void left(const std::string& target);
     /// Takes that a target has loaded a weight version, which its next announcement will tell as well.
--- a/packages/control/src/plumfold_load_reader.cpp
+++ b/packages/control/src/plumfold_load_reader.cpp
@@ -8,8 +8,8 @@
 
 constexpr core::milliseconds readInterval { 250 };
 constexpr core::milliseconds readTimeout { 150 };
-/// A target that did not answer is left alone so long, since it holds the duty up.
-constexpr core::milliseconds failurePause { 2'000 };
+/// A target that failed to answer so often in a row counts as silent until it announces itself again.
+constexpr unsigned failuresUntilSilent = 3;
 
 } // namespace
 
@@ -47,12 +47,14 @@
             target.address = engine.address;
             target.reader = std::make_unique<platform::target_report_reader>(engine.address, engine.name);
         }
-        if (!m_stopping && runtime::now() >= target.notBefore) {
-            auto report = target.reader->read(readTimeout);
-            if (report.ok())
-                loads.push_back({ engine.name, report->running, report->waiting, report->usedTokens, {} });
-            else
-                target.notBefore = runtime::now() + failurePause;
+        if (m_stopping)
+            return;
+        auto report = target.reader->read(readTimeout);
+        if (report.ok()) {
+            loads.push_back({ engine.name, report->running, report->waiting, report->usedTokens, {} });
+            target.failures = 0;
+        } else if (++target.failures >= failuresUntilSilent) {
+            m_rpc.run([&] { m_feed.unresponsive(engine.name); });
         }
         next.emplace(engine.name, std::move(target));
     }
--- a/packages/control/src/plumfold_load_reader.hpp
+++ b/packages/control/src/plumfold_load_reader.hpp
@@ -22,7 +22,7 @@
     struct read_target {
         std::string address;
         std::unique_ptr<platform::target_report_reader> reader;
-        core::instant notBefore {};
+        unsigned failures = 0; // in a row
     };
 
     void run();
--- a/packages/control/src/plumfold_peer_links.cpp
+++ b/packages/control/src/plumfold_peer_links.cpp
@@ -88,7 +88,7 @@
     for (const auto& store : own) {
         auto& cursor = to.sharedParts[store];
         cursor.store = store;
-        stores.push_back(feed.parts().newsAfter(cursor));
+        stores.push_back(feed.parts().newsAfter(cursor, now));
     }
     auto outStores = request.initStores(stores.size());
     for (unsigned index = 0; index < stores.size(); ++index)
--- a/packages/control/src/plumfold_store_readers.cpp
+++ b/packages/control/src/plumfold_store_readers.cpp
@@ -103,7 +103,7 @@
     void add(const platform::part_events& events)
     {
         m_next = events.next;
-        core::store_news news { m_store, m_generation, m_count, 0, {} };
+        core::store_news news { m_store, m_generation, m_count, 0, true, {} };
         for (const auto& each : events.events)
             news.parts.push_back(each.part);
         auto count = m_rpc.run([&] {
@@ -127,7 +127,7 @@
             runtime::log_event("store_lost", runtime::log_level::warning)
                 .with("store", m_store)
                 .with("reason", reason);
-            m_rpc.run([&] { m_feed.readParts({ m_store, 0, 0, 0, {} }, 0); });
+            m_rpc.run([&] { m_feed.readParts({ m_store, 0, 0, 0, false, {} }, 0); });
         }
         m_generation = 0;
         m_next = 0;
--- a/packages/core/include/plumfold/core/plumfold_part_directory.hpp
+++ b/packages/core/include/plumfold/core/plumfold_part_directory.hpp
@@ -33,6 +33,7 @@
     std::uint64_t generation = 0; ///< 0: nothing is known of the store.
     std::uint32_t first = 0; ///< Number of the first of the parts below.
     std::uint32_t count = 0; ///< How many parts are known in all.
+    bool confirmed = false; ///< The store was heard lately; otherwise its parts may be gone.
     std::vector<stored_part> parts;
     bool operator==(const store_news&) const = default;
 };
@@ -70,11 +71,15 @@
     void take(const store_news& news, instant now);
 
     /// @return the news after a reader's cursor.
-    store_news newsAfter(const store_cursor& cursor) const;
+    store_news newsAfter(const store_cursor& cursor, instant now) const;
     std::vector<store_cursor> cursors() const;
 
-    /// Drops stores of which nothing was heard for longer than a bound.
-    void expire(instant now, milliseconds bound);
+    /// What is known of a store counts no more when it was not confirmed for so long. It is kept, and counts
+    /// again once the same generation is confirmed.
+    static constexpr milliseconds silenceBound { 1'500 };
+
+    /// @return what is known of a store, or null when that is nothing or was not confirmed lately.
+    const store_content* find(const std::string& store, instant now) const;
 
     /// @return the stores and what is known of each.
     const std::map<std::string, store_content>& stores() const { return m_stores; }
@@ -139,8 +144,8 @@
 private:
     bool isWorthFetching(
         const part_store& store, std::uint64_t tokens, double readTokensPerMs, instant now) const;
-    const part_store* sourceOf(
-        const part_key& key, const std::string& failureDomain, const part_directory& directory) const;
+    const part_store* sourceOf(const part_key& key, const std::string& failureDomain,
+        const part_directory& directory, instant now) const;
     const part_store* homeOf(const part_key& key, std::uint64_t tokens, const std::string& failureDomain,
         const part_directory& directory, instant now) const;
     bool mayAskAgain(const part_key& key, instant now);
--- a/packages/core/include/plumfold/core/plumfold_target_board.hpp
+++ b/packages/core/include/plumfold/core/plumfold_target_board.hpp
@@ -53,6 +53,7 @@
     std::string weights; ///< The weight version that the target is known to have; empty for plain services.
     std::string failureDomain;
     double predictedMs = 0; ///< Expected time to the first event; 0 for plain services.
+    bool isTargetLoaded = false; ///< Other requests make the time uncertain.
     bool operator==(const placement&) const = default;
 };
 
@@ -97,6 +98,7 @@
     milliseconds suspension { 400 }; ///< A target that failed is left alone so long at first.
     milliseconds longestSuspension { 5'000 };
     engine_speeds speeds {};
+    milliseconds answerTrust { 2'000 }; ///< A silent target that answered so lately still gets requests.
     milliseconds loadBound { 1'500 }; ///< A reported load counts so long.
     milliseconds staleWeightsBound {
         6'000
@@ -144,6 +146,9 @@
     std::string weightsOf(const std::string& model) const;
 
     const engine_speeds& speeds() const { return m_options.speeds; }
+    /// @return whether a target neither announces itself nor has answered this entry lately.
+    bool isSilent(const std::string& target, instant now) const;
+
     std::size_t size() const { return m_targets.size(); }
 
 private:
@@ -152,6 +157,7 @@
         instant coldUntil {};
         std::optional<instant> lastColdStart; ///< When an attempt was last begun while it was cold.
         instant suspendedUntil {};
+        std::optional<instant> answeredAt; ///< The latest answer to this entry.
         milliseconds nextSuspension { 0 };
         std::uint32_t inFlight = 0;
         std::uint64_t inFlightTokens = 0;
@@ -166,6 +172,7 @@
         instant namedAt {};
     };
 
+    bool isTrusted(const board_target& target, instant now) const;
     bool isUsable(const board_target& target, const placement_request& request, instant now) const;
     bool hasNamedWeights(const board_target& target, const std::string& model) const;
     bool mayBeginOnOlder(const std::string& model, instant now) const;
@@ -177,6 +184,7 @@
     double predictedMs(
         const board_target& target, const placement_request& request, bool isHome, instant now) const;
     placement begin(board_target& target, const placement_request& request, instant now);
+    bool isLoaded(const board_target& target, instant now) const;
     board_target* homeOf(const std::vector<board_target*>& candidates, std::uint64_t session) const;
 
     board_options m_options;
--- a/packages/core/include/plumfold/core/plumfold_target_directory.hpp
+++ b/packages/core/include/plumfold/core/plumfold_target_directory.hpp
@@ -61,6 +61,10 @@
     /// @return the names of those that became silent.
     std::vector<std::string> expire(instant now, milliseconds bound);
 
+    /// Takes that a target does not answer.
+    /// @return whether it counted as ready until now.
+    bool markSilent(const std::string& name);
+
     /// Forgets targets that left or fell silent a long time ago.
     void forget(instant now, milliseconds bound);
 
--- a/packages/core/src/plumfold_part_directory.cpp
+++ b/packages/core/src/plumfold_part_directory.cpp
@@ -20,7 +20,8 @@
 constexpr double nearPreference = 4;
 /// The learned delay of a store halves in this time, so that it is tried again.
 constexpr double delayHalfLifeMs = 1'500;
-constexpr double delaySampleWeight = 0.25;
+constexpr double slowSampleWeight = 0.2;
+constexpr double quickSampleWeight = 0.5;
 constexpr double longestDelayMs = 2'000;
 /// Differences of this size come from the targets' own load.
 constexpr double acceptedDelayMs = 40;
@@ -68,10 +69,11 @@
         return;
     for (const auto& part : news.parts)
         add(news.store, part);
-    refresh(news.store, now);
+    if (news.confirmed)
+        refresh(news.store, now);
 }
 
-store_news part_directory::newsAfter(const store_cursor& cursor) const
+store_news part_directory::newsAfter(const store_cursor& cursor, instant now) const
 {
     store_news news;
     news.store = cursor.store;
@@ -80,6 +82,7 @@
         return news;
     const auto& content = found->second;
     news.generation = content.generation;
+    news.confirmed = now - content.refreshedAt <= silenceBound;
     news.count = static_cast<std::uint32_t>(content.parts.size());
     news.first = cursor.generation == content.generation ? std::min(cursor.count, news.count) : 0;
     news.parts.assign(content.parts.begin() + news.first, content.parts.end());
@@ -94,9 +97,11 @@
     return all;
 }
 
-void part_directory::expire(instant now, milliseconds bound)
+const part_directory::store_content* part_directory::find(const std::string& store, instant now) const
 {
-    std::erase_if(m_stores, [&](const auto& each) { return now - each.second.refreshedAt > bound; });
+    auto found = m_stores.find(store);
+    bool counts = found != m_stores.end() && now - found->second.refreshedAt <= silenceBound;
+    return counts ? &found->second : nullptr;
 }
 
 double store_delays::faded(const moving_delay& delay, instant now)
@@ -107,7 +112,10 @@
 
 void store_delays::mix(moving_delay& delay, double sample, instant now)
 {
-    delay.ms = faded(delay, now) * (1 - delaySampleWeight) + sample * delaySampleWeight;
+    double known = faded(delay, now);
+    // A slow store delays every fetch, a loaded target only some: quick answers count for more.
+    double weight = sample < known ? quickSampleWeight : slowSampleWeight;
+    delay.ms = known * (1 - weight) + sample * weight;
     delay.at = now;
 }
 
@@ -141,7 +149,7 @@
     if (parts.size() < 2)
         return false;
     const auto& shared = parts[parts.size() - 2];
-    const auto* source = sourceOf({ partition, shared.id }, {}, directory);
+    const auto* source = sourceOf({ partition, shared.id }, {}, directory, now);
     return source && isWorthFetching(*source, shared.tokens, readTokensPerMs, now);
 }
 
@@ -165,13 +173,13 @@
 }
 
 const part_store* part_planner::sourceOf(
-    const part_key& key, const std::string& failureDomain, const part_directory& directory) const
+    const part_key& key, const std::string& failureDomain, const part_directory& directory, instant now) const
 {
     const part_store* best = nullptr;
     double bestCost = 0;
     for (const auto& store : m_stores) {
-        auto known = directory.stores().find(store.address);
-        if (known == directory.stores().end() || !known->second.tokens.contains(key))
+        const auto* known = directory.find(store.address, now);
+        if (!known || !known->tokens.contains(key))
             continue;
         double cost = (store.failureDomain == failureDomain ? 1.0 : 2.0) / store.linkMegabitsPerSecond;
         if (best && cost >= bestCost)
@@ -188,10 +196,10 @@
     const part_store* best = nullptr;
     double bestScore = 0;
     for (const auto& store : m_stores) {
-        auto known = directory.stores().find(store.address);
-        bool ready = known != directory.stores().end() && now - known->second.since >= quietAfterReset;
+        const auto* known = directory.find(store.address, now);
+        bool ready = known && now - known->since >= quietAfterReset;
         auto room = static_cast<std::uint64_t>(static_cast<double>(store.capacityTokens) * fillShare);
-        if (!ready || known->second.usedTokens + tokens > room)
+        if (!ready || known->usedTokens + tokens > room)
             continue;
         // Weighted rendezvous: every entry comes to the same store without a message.
         double draw = (static_cast<double>(hashBytes(store.address + key.id)) + 1) / hashRange;
@@ -230,7 +238,7 @@
     // The last part is the request's own and does not return.
     for (std::size_t index = 0; index + 1 < parts.size(); ++index) {
         part_key key { partition, parts[index].id };
-        if (const auto* source = sourceOf(key, failureDomain, directory)) {
+        if (const auto* source = sourceOf(key, failureDomain, directory, now)) {
             if (isWorthFetching(*source, parts[index].tokens, readTokensPerMs, now))
                 out.fetchFrom[index] = source->address;
             continue;
--- a/packages/core/src/plumfold_target_board.cpp
+++ b/packages/core/src/plumfold_target_board.cpp
@@ -13,6 +13,7 @@
 constexpr milliseconds retryWhenFull { 300 };
 /// Own attempts that are added to a target's reported load at most.
 constexpr std::size_t maxRemembered = 64;
+constexpr std::uint32_t quietInFlight = 3;
 /// A target that refused the weights it was known to have gets no request so long.
 constexpr milliseconds weightsDoubtTime { 1'500 };
 
@@ -107,9 +108,24 @@
     return named == m_weights.end() || now - named->second.namedAt < m_options.staleWeightsBound;
 }
 
+/// A target that only control cannot hear still serves; its answers show that.
+bool target_board::isTrusted(const board_target& target, instant now) const
+{
+    if (target.last.state == target_state::silent)
+        return target.answeredAt && now - *target.answeredAt < m_options.answerTrust;
+    return target.last.state == target_state::ready;
+}
+
+bool target_board::isSilent(const std::string& target, instant now) const
+{
+    auto found = m_targets.find(target);
+    return found != m_targets.end() && found->second.last.state == target_state::silent
+        && !isTrusted(found->second, now);
+}
+
 bool target_board::isUsable(const board_target& target, const placement_request& request, instant now) const
 {
-    if (target.last.service != request.service || target.last.state != target_state::ready)
+    if (target.last.service != request.service || !isTrusted(target, now))
         return false;
     if (m_outOfService.contains(target.last.failureDomain) || request.excluded.contains(target.last.name))
         return false;
@@ -156,6 +172,7 @@
             : predictedMs(*chosen, request, chosen == homeOf(candidates, request.session), now);
         answer.chosen = begin(*chosen, request, now);
         answer.chosen->predictedMs = predicted;
+        answer.chosen->isTargetLoaded = isLoaded(*chosen, now);
         return answer;
     }
     answer.reason = coldOnly ? placement_refusal::cold : placement_refusal::no_target;
@@ -172,7 +189,7 @@
         target.begun.pop_front();
     if (now < target.coldUntil)
         target.lastColdStart = now;
-    placement out { target.last.name, target.last.address, {}, target.last.failureDomain, 0 };
+    placement out { target.last.name, target.last.address, {}, target.last.failureDomain, 0, false };
     for (const auto& loaded : target.last.models) {
         if (loaded.model == request.model)
             out.weights = loaded.version;
@@ -180,6 +197,14 @@
     return out;
 }
 
+/// @return whether more than a few requests are ahead of a new one.
+bool target_board::isLoaded(const board_target& target, instant now) const
+{
+    if (!target.load || now - target.loadAt > m_options.loadBound)
+        return true;
+    return target.load->waiting > 0 || target.inFlight > quietInFlight;
+}
+
 target_board::board_target* target_board::pick(
     std::vector<board_target*>& candidates, const placement_request& request, instant now) const
 {
@@ -261,8 +286,10 @@
     each.inFlight -= each.inFlight > 0;
     each.inFlightTokens -= std::min(each.inFlightTokens, tokens);
     bool bad = how == attempt_end::not_reached || how == attempt_end::lost;
-    if (how == attempt_end::answered)
+    if (how == attempt_end::answered) {
         each.nextSuspension = milliseconds(0);
+        each.answeredAt = now;
+    }
     if (!bad)
         return;
     each.nextSuspension
--- a/packages/core/src/plumfold_target_directory.cpp
+++ b/packages/core/src/plumfold_target_directory.cpp
@@ -89,6 +89,17 @@
     return expired;
 }
 
+bool target_directory::markSilent(const std::string& name)
+{
+    auto found = m_entries.find(name);
+    if (found == m_entries.end() || found->second.last.state != target_state::ready)
+        return false;
+    found->second.last.state = target_state::silent;
+    found->second.own = true;
+    found->second.change = ++m_latestChange;
+    return true;
+}
+
 void target_directory::forget(instant now, milliseconds bound)
 {
     std::erase_if(m_entries, [&](const auto& each) {
--- a/packages/forwarding/src/plumfold_request_forwarder.cpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.cpp
@@ -16,10 +16,11 @@
 constexpr core::milliseconds retryAfterRefusal { 500 };
 constexpr core::milliseconds defaultDeadline { 30'000 };
 constexpr core::milliseconds placementWait { 25 };
+constexpr core::milliseconds watchdogInterval { 200 };
+/// A silent target from which nothing came for so long is given up.
+constexpr core::milliseconds silentTargetBound { 500 };
 /// A request without a target waits for one for this part of its latency target before it is refused.
 constexpr int placementWaitPart = 8;
-/// What is known of the stores is used while it was confirmed within this time.
-constexpr core::milliseconds storeSilence { 1'500 };
 /// A fetch that has not ended by then is thrown away and the prompt is read.
 constexpr core::milliseconds fetchBound { 2'500 };
 constexpr std::size_t pieceBytes = 16 << 10;
@@ -52,6 +53,7 @@
     , m_head(platform::decodeCallerRequest(m_request.base()))
     , m_deployment(state.deployment)
     , m_began(runtime::now())
+    , m_watchdog(state.io)
 {
 }
 
@@ -168,6 +170,7 @@
         m_lastWeights = answer.chosen->weights;
         auto end = co_await attempt(*answer.chosen);
         m_connection.reset();
+        m_watchdog.cancel();
         m_state.board.ended(
             answer.chosen->target, end, core::target_board::expectedTokens(wanted), runtime::now());
         bool final = end == core::attempt_end::answered || end == core::attempt_end::given_up;
@@ -243,18 +246,24 @@
 /// What we know of the stores may be outdated while no control VM answers.
 bool request_forwarder::knowsStores() const
 {
-    return m_state.targetClock != 0 && runtime::now() - m_state.targetClockAt <= storeSilence;
+    return m_state.targetClock != 0
+        && runtime::now() - m_state.targetClockAt <= core::part_directory::silenceBound;
 }
 
 void request_forwarder::planParts(const core::placement& on, platform::target_request_head& head)
 {
     auto now = runtime::now();
     auto age = std::chrono::duration_cast<core::milliseconds>(now - m_state.targetClockAt);
-    m_state.parts.expire(now, storeSilence);
     if (!knowsStores())
         return;
     head.parts = m_state.partPlanner.plan(m_head.parts, head.partition, on.failureDomain, m_state.parts,
         m_state.board.speeds().readTokensPerMs, now);
+    auto named = [](const auto& addresses) {
+        return static_cast<std::size_t>(std::count_if(
+            addresses.begin(), addresses.end(), [](const auto& each) { return !each.empty(); }));
+    };
+    m_fetches = named(head.parts.fetchFrom);
+    m_saves = named(head.parts.saveTo);
     for (const auto& store : head.parts.fetchFrom) {
         if (!store.empty()
             && std::find(m_fetchedFrom.begin(), m_fetchedFrom.end(), store) == m_fetchedFrom.end())
@@ -284,8 +293,13 @@
     }
     m_tried.insert(on.target);
     m_fetchedFrom.clear();
+    m_fetches = m_saves = 0;
     m_sentAt = runtime::now();
     m_predictedMs = on.predictedMs;
+    m_predictionCounts = on.predictedMs > 0 && !on.isTargetLoaded;
+    m_lastByteAt = m_sentAt;
+    m_targetSilent = false;
+    watchTarget();
     ++m_sends;
     bool ranBefore = m_mayHaveRun;
     m_mayHaveRun = true;
@@ -321,6 +335,10 @@
 {
     if (m_callerGone)
         return core::attempt_end::given_up;
+    if (m_targetSilent) {
+        m_reason = "target_silent";
+        return core::attempt_end::lost;
+    }
     if (error == beast::error::timeout || runtime::now() >= m_deadline) {
         m_timedOut = true;
         m_reason = "timeout";
@@ -373,6 +391,7 @@
     co_await http::async_read_some(m_connection->stream, m_connection->buffer, parser, into(error));
     if (error == http::error::need_buffer)
         error = {};
+    m_lastByteAt = runtime::now();
     piece.assign(buffer.data(), buffer.size() - body.size);
     if (error)
         m_reason = error.message();
@@ -448,7 +467,7 @@
 {
     m_streamStarted = true;
     m_firstByteAt = runtime::now();
-    if (m_predictedMs > 0) {
+    if (m_predictionCounts) {
         double took = std::chrono::duration<double, std::milli>(m_firstByteAt - m_sentAt).count();
         m_state.partPlanner.delays().record(m_fetchedFrom, took - m_predictedMs, m_firstByteAt);
     }
@@ -505,6 +524,33 @@
     co_return !error;
 }
 
+/// A run on a target that has fallen silent is given up early where another may take its place.
+void request_forwarder::watchTarget()
+{
+    bool replaceable = m_route->kind == core::request_kind::idempotent || m_route->isResumable;
+    if (!replaceable)
+        return;
+    m_watchdog.expires_after(watchdogInterval);
+    m_watchdog.async_wait([this, alive = std::weak_ptr<bool>(m_alive)](const error_code& error) {
+        if (!error && !alive.expired())
+            checkTarget();
+    });
+}
+
+void request_forwarder::checkTarget()
+{
+    if (!m_connection)
+        return;
+    auto now = runtime::now();
+    bool quiet = now - m_lastByteAt >= silentTargetBound;
+    if (quiet && m_tried.size() < m_route->maxAttempts && m_state.board.isSilent(m_lastTarget, now)) {
+        m_targetSilent = true;
+        m_connection->stream.close();
+        return;
+    }
+    watchTarget();
+}
+
 void request_forwarder::onCallerGone()
 {
     m_callerGone = true;
@@ -534,6 +580,11 @@
         .with("sends", m_sends)
         .with("target", m_lastTarget.empty() ? std::string("none") : m_lastTarget)
         .with("weights", m_lastWeights.empty() ? std::string("none") : m_lastWeights)
+        .with("parts", m_head.parts.size())
+        .with("fetches", m_fetches)
+        .with("saves", m_saves)
+        .with("predicted_ms", static_cast<std::int64_t>(m_predictedMs))
+        .with("stores_known", m_state.parts.stores().size())
         .with("deployment", m_deployment ? m_deployment->version() : 0)
         .with("first_ms", m_firstByteAt == core::instant {} ? -1 : since(m_firstByteAt))
         .with("total_ms", since(now))
--- a/packages/forwarding/src/plumfold_request_forwarder.hpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.hpp
@@ -49,6 +49,8 @@
     task<bool> writeAnswer();
     task<bool> endStream();
     void onCallerGone();
+    void watchTarget();
+    void checkTarget();
     void log(bool delivered);
 
     core::placement_request placementRequest() const;
@@ -76,6 +78,8 @@
     unsigned m_sends = 0;
     bool m_mayHaveRun = false;
     bool m_timedOut = false;
+    bool m_targetSilent = false; // the attempt in progress was ended for it
+    bool m_predictionCounts = false;
     bool m_callerGone = false;
     std::unique_ptr<target_connection> m_connection; // of the attempt in progress
 
@@ -85,7 +89,12 @@
     http::response<http::empty_body> m_streamHead;
     core::event_cursor m_events;
     std::vector<std::string> m_fetchedFrom; // stores that the attempt in progress names
+    asio::steady_timer m_watchdog;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); // for handlers that outlive this object
+    core::instant m_lastByteAt {}; // of the attempt in progress
     core::instant m_sentAt {}; // of the attempt in progress
+    std::size_t m_fetches = 0; // parts that the attempt in progress names a source for
+    std::size_t m_saves = 0;
     double m_predictedMs = 0; // of the attempt in progress
     core::instant m_firstByteAt {};
     std::string m_outcome; // for the log
--- a/packages/wire/schema/plumfold.capnp
+++ b/packages/wire/schema/plumfold.capnp
@@ -229,7 +229,7 @@
 # KV parts that a store holds whole. They are numbered in the order in which they were learned; another generation
 # numbers anew.
 struct StoredPart { key :group { partition @0 :Text; id @1 :Text; } tokens @2 :UInt32; }
-struct StoreParts { store @0 :Text; generation @1 :UInt64; first @2 :UInt32; count @3 :UInt32; parts @4 :List(StoredPart); }
+struct StoreParts { store @0 :Text; generation @1 :UInt64; first @2 :UInt32; count @3 :UInt32; parts @4 :List(StoredPart); confirmed @5 :Bool; }
 struct StoreCursor { store @0 :Text; generation @1 :UInt64; count @2 :UInt32; }
 # What a target reported of its work, see core::target_load.
 struct TargetLoad {
--- a/packages/wire/src/plumfold_convert_deployment.cpp
+++ b/packages/wire/src/plumfold_convert_deployment.cpp
@@ -104,6 +104,7 @@
     out.setGeneration(value.generation);
     out.setFirst(value.first);
     out.setCount(value.count);
+    out.setConfirmed(value.confirmed);
     auto parts = out.initParts(value.parts.size());
     for (unsigned index = 0; index < value.parts.size(); ++index) {
         auto key = parts[index].getKey();
@@ -120,6 +121,7 @@
     value.generation = in.getGeneration();
     value.first = in.getFirst();
     value.count = in.getCount();
+    value.confirmed = in.getConfirmed();
     for (auto each : in.getParts())
         value.parts.push_back(
             { { text(each.getKey().getPartition()), text(each.getKey().getId()) }, each.getTokens() });
