Refuse at once what would wait beyond its latency target

Ruled out: placement; the predicted wait was above a second on the best target. Change: the wait that others cause on the best target, corrected by what was learned, is held against a share of the route's latency target by priority: the least urgent are refused first, whatever their size, and told to come back in 1 to 3 s. A test plays twice the capacity: 1400 of 1500 possible in time against under 200.

--- a/packages/core/include/plumfold/core/plumfold_target_board.hpp
+++ b/packages/core/include/plumfold/core/plumfold_target_board.hpp
@@ -53,6 +53,7 @@
     std::string weights; ///< The weight version that the target is known to have; empty for plain services.
     std::string failureDomain;
     double predictedMs = 0; ///< Expected time to the first event; 0 for plain services.
+    double waitMs = 0; ///< Of the prediction, what others in front of the request cause.
     bool isTargetLoaded = false; ///< Other requests make the time uncertain.
     bool operator==(const placement&) const = default;
 };
@@ -181,6 +182,7 @@
         std::vector<board_target*>& candidates, const placement_request& request, instant now) const;
     board_target* pickForSession(
         std::vector<board_target*>& candidates, const placement_request& request, instant now) const;
+    double waitMs(const board_target& target, const placement_request& request, instant now) const;
     double predictedMs(
         const board_target& target, const placement_request& request, bool isHome, instant now) const;
     placement begin(board_target& target, const placement_request& request, instant now);
--- a/packages/core/src/plumfold_part_directory.cpp
+++ b/packages/core/src/plumfold_part_directory.cpp
@@ -23,7 +23,8 @@
 constexpr double slowSampleWeight = 0.2;
 constexpr double quickSampleWeight = 0.5;
 constexpr double longestDelayMs = 2'000;
-/// A fetch may delay its own caller by this much, since reading takes the target's time from all its requests.
+/// A fetch may delay its own caller by this much, since reading takes the target's time from all its
+/// requests.
 constexpr double acceptedDelayMs = 250;
 constexpr double hashRange = 18446744073709551616.0; // 2^64
 
--- a/packages/core/src/plumfold_target_board.cpp
+++ b/packages/core/src/plumfold_target_board.cpp
@@ -170,7 +170,9 @@
         double predicted = request.session == 0
             ? 0
             : predictedMs(*chosen, request, chosen == homeOf(candidates, request.session), now);
+        double wait = request.session == 0 ? 0 : waitMs(*chosen, request, now);
         answer.chosen = begin(*chosen, request, now);
+        answer.chosen->waitMs = wait;
         answer.chosen->predictedMs = predicted;
         answer.chosen->isTargetLoaded = isLoaded(*chosen, now);
         return answer;
@@ -189,7 +191,7 @@
         target.begun.pop_front();
     if (now < target.coldUntil)
         target.lastColdStart = now;
-    placement out { target.last.name, target.last.address, {}, target.last.failureDomain, 0, false };
+    placement out { target.last.name, target.last.address, {}, target.last.failureDomain, 0, 0, false };
     for (const auto& loaded : target.last.models) {
         if (loaded.model == request.model)
             out.weights = loaded.version;
@@ -222,8 +224,8 @@
         [&](const auto* left, const auto* right) { return cost(left) < cost(right); });
 }
 
-double target_board::predictedMs(
-    const board_target& target, const placement_request& request, bool isHome, instant now) const
+/// @return how long the requests that a target has delay another one.
+double target_board::waitMs(const board_target& target, const placement_request& request, instant now) const
 {
     const auto& speeds = m_options.speeds;
     auto limits = m_services.find(target.last.service);
@@ -243,13 +245,19 @@
             used += static_cast<double>(tokens);
         }
     }
+    double share = capacity > 0 ? (used + static_cast<double>(expectedTokens(request))) / capacity : 0;
+    double overflowMs = std::max(0.0, share - speeds.memoryShare) * speeds.overflowMs;
+    return waiting * speeds.waitingMs + running * speeds.runningMs + overflowMs;
+}
+
+double target_board::predictedMs(
+    const board_target& target, const placement_request& request, bool isHome, instant now) const
+{
+    const auto& speeds = m_options.speeds;
     double shared = isHome ? 0 : static_cast<double>(request.sharedTokens);
     double own = static_cast<double>(request.promptTokens - request.sharedTokens);
     double missMs = shared / (request.isStored ? speeds.fetchTokensPerMs : speeds.readTokensPerMs);
-    double readMs = own / speeds.readTokensPerMs;
-    double share = capacity > 0 ? (used + static_cast<double>(expectedTokens(request))) / capacity : 0;
-    double overflowMs = std::max(0.0, share - speeds.memoryShare) * speeds.overflowMs;
-    return readMs + missMs + waiting * speeds.waitingMs + running * speeds.runningMs + overflowMs;
+    return own / speeds.readTokensPerMs + missMs + waitMs(target, request, now);
 }
 
 /// @return the target with the highest score, which is the conversation's home on every entry.
--- a/packages/forwarding/src/plumfold_forwarding_state.hpp
+++ b/packages/forwarding/src/plumfold_forwarding_state.hpp
@@ -3,6 +3,7 @@
 #include "plumfold_asio.hpp"
 #include "plumfold_target_connections.hpp"
 
+#include "plumfold/core/plumfold_admission.hpp"
 #include "plumfold/core/plumfold_deployment.hpp"
 #include "plumfold/core/plumfold_part_directory.hpp"
 #include "plumfold/core/plumfold_target_board.hpp"
@@ -26,6 +27,7 @@
     core::target_board board;
     core::repeat_budget repeats;
     target_connections connections;
+    core::admission admission {};
     core::part_directory parts {};
     core::part_planner partPlanner {};
     std::uint64_t targetClock = 0; ///< The targets' clock when it was last told; 0: not known.
--- a/packages/forwarding/src/plumfold_request_forwarder.cpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.cpp
@@ -166,6 +166,11 @@
             refuseWithoutTarget(answer);
             co_return;
         }
+        if (m_sends == 0 && refuseOverload(*answer.chosen)) {
+            m_state.board.ended(answer.chosen->target, core::attempt_end::given_up,
+                core::target_board::expectedTokens(wanted), runtime::now());
+            co_return;
+        }
         m_lastTarget = answer.chosen->target;
         m_lastWeights = answer.chosen->weights;
         auto end = co_await attempt(*answer.chosen);
@@ -187,6 +192,21 @@
         finishUnanswered();
 }
 
+std::uint32_t request_forwarder::priority() const
+{
+    return m_customer ? m_customer->priority.value_or(m_route->priority) : m_route->priority;
+}
+
+bool request_forwarder::refuseOverload(const core::placement& on)
+{
+    auto comeBack = m_state.admission.refusal(*m_route, priority(), on.waitMs);
+    if (!comeBack)
+        return false;
+    m_waitMs = on.waitMs;
+    refuse(http::status::service_unavailable, "overloaded", comeBack);
+    return true;
+}
+
 bool request_forwarder::refuseWithoutTarget(const core::placement_answer& answer)
 {
     static constexpr const char* reasons[] = { "no_target", "targets_cold", "targets_full" };
@@ -219,12 +239,9 @@
     platform::target_request_head head;
     head.deadline = std::max(timeLeft(), core::milliseconds(1));
     head.target = on.target;
-    std::uint32_t priority = m_route->priority;
-    if (m_customer) {
+    if (m_customer)
         head.customer = m_customer->name;
-        priority = m_customer->priority.value_or(priority);
-    }
-    head.urgency = std::min(priority, lowestUrgency);
+    head.urgency = std::min(priority(), lowestUrgency);
     if (!m_head.model.empty() && !on.weights.empty()) {
         head.weights = on.weights;
         head.partition = partitionOf(on.weights);
@@ -296,6 +313,7 @@
     m_fetches = m_saves = 0;
     m_sentAt = runtime::now();
     m_predictedMs = on.predictedMs;
+    m_waitMs = on.waitMs;
     m_predictionCounts = on.predictedMs > 0 && !on.isTargetLoaded;
     m_lastByteAt = m_sentAt;
     m_targetSilent = false;
@@ -467,8 +485,10 @@
 {
     m_streamStarted = true;
     m_firstByteAt = runtime::now();
+    double took = std::chrono::duration<double, std::milli>(m_firstByteAt - m_sentAt).count();
+    if (m_predictedMs > 0)
+        m_state.admission.record(m_waitMs, took - (m_predictedMs - m_waitMs));
     if (m_predictionCounts) {
-        double took = std::chrono::duration<double, std::milli>(m_firstByteAt - m_sentAt).count();
         m_state.partPlanner.delays().record(m_fetchedFrom, took - m_predictedMs, m_firstByteAt);
     }
     m_streamHead.result(statusOk);
@@ -584,6 +604,7 @@
         .with("fetches", m_fetches)
         .with("saves", m_saves)
         .with("predicted_ms", static_cast<std::int64_t>(m_predictedMs))
+        .with("wait_ms", static_cast<std::int64_t>(m_waitMs))
         .with("stores_known", m_state.parts.stores().size())
         .with("deployment", m_deployment ? m_deployment->version() : 0)
         .with("first_ms", m_firstByteAt == core::instant {} ? -1 : since(m_firstByteAt))
--- a/packages/forwarding/src/plumfold_request_forwarder.hpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.hpp
@@ -34,6 +34,8 @@
     void refuse(http::status status, std::string reason, std::optional<core::milliseconds> retryAfter = {});
     task<void> runAttempts();
     bool mayRepeat() const;
+    bool refuseOverload(const core::placement& on);
+    std::uint32_t priority() const;
     bool refuseWithoutTarget(const core::placement_answer& answer);
     void finishUnanswered();
     task<core::attempt_end> attempt(const core::placement& on);
@@ -95,6 +97,7 @@
     core::instant m_sentAt {}; // of the attempt in progress
     std::size_t m_fetches = 0; // parts that the attempt in progress names a source for
     std::size_t m_saves = 0;
+    double m_waitMs = 0; // predicted, of the attempt in progress
     double m_predictedMs = 0; // of the attempt in progress
     core::instant m_firstByteAt {};
     std::string m_outcome; // for the log
--- /dev/null
+++ b/tests/core/plumfold_admission_tests.cpp
@@ -0,0 +1,82 @@
+#include "plumfold/core/plumfold_admission.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <deque>
+
+using namespace plumfold::core;
+
+namespace {
+
+route routeOf(int targetMs)
+{
+    route out;
+    out.latencyTarget = milliseconds(targetMs);
+    return out;
+}
+
+/// One engine that takes a fixed time for each prompt, with more prompts than it can serve.
+struct overload_play {
+    int inTime = 0;
+    int refused = 0;
+    int urgentInTime = 0;
+
+    overload_play(bool admits, int prompts, double serviceMs, double gapMs)
+    {
+        admission gate;
+        double freeAt = 0;
+        for (int count = 0; count < prompts; ++count) {
+            double now = count * gapMs;
+            std::uint32_t priority = count % 3;
+            double waitMs = std::max(0.0, freeAt - now);
+            if (admits && gate.refusal(routeOf(800), priority, waitMs)) {
+                ++refused;
+                continue;
+            }
+            gate.record(waitMs, waitMs);
+            freeAt = std::max(freeAt, now) + serviceMs;
+            bool good = freeAt - now <= 800 + serviceMs;
+            inTime += good;
+            urgentInTime += good && priority == 0;
+        }
+    }
+};
+
+} // namespace
+
+TEST_CASE("Without load every prompt is admitted", "[admission]")
+{
+    admission gate;
+    for (std::uint32_t priority = 0; priority < 9; ++priority)
+        CHECK_FALSE(gate.refusal(routeOf(600), priority, 20));
+}
+
+TEST_CASE("The least urgent are refused first and told when to come back", "[admission]")
+{
+    admission gate;
+    CHECK_FALSE(gate.refusal(routeOf(800), 0, 700));
+    auto refusal = gate.refusal(routeOf(800), 2, 700);
+    REQUIRE(refusal);
+    CHECK(*refusal >= milliseconds(1000));
+}
+
+TEST_CASE("Waits that were longer than predicted are learned", "[admission]")
+{
+    admission gate;
+    REQUIRE_FALSE(gate.refusal(routeOf(800), 1, 400));
+    for (int count = 0; count < 100; ++count)
+        gate.record(100, 300);
+    CHECK(gate.refusal(routeOf(800), 1, 400));
+}
+
+TEST_CASE("At twice the capacity more callers are served in time than without refusals", "[admission]")
+{
+    constexpr double serviceMs = 20;
+    overload_play without(false, 3000, serviceMs, serviceMs / 2);
+    overload_play with(true, 3000, serviceMs, serviceMs / 2);
+    CHECK(with.inTime > 1400); // nearly all that can be served
+    CHECK(without.inTime < 200);
+    CHECK(with.urgentInTime > 900);
+    overload_play calm(true, 3000, serviceMs, serviceMs * 1.2);
+    CHECK(calm.refused == 0);
+}
