--- a/packages/forwarding/src/plumfold_request_forwarder.cpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.cpp
@@ -12,7 +12,7 @@
 
 constexpr core::milliseconds connectTimeout { 300 };
 constexpr core::milliseconds callerWriteBound { 3'000 };
-constexpr core::milliseconds retryWithoutDeployment { 1'000 };
+constexpr core::milliseconds retryWithoutDeployment { 400 };
 constexpr core::milliseconds retryAfterRefusal { 500 };
 constexpr core::milliseconds defaultDeadline { 30'000 };
 constexpr core::milliseconds placementWait { 25 };
