A control VM that lost its disk can answer a leader that it does not know; only who is caught up counts as current

The leader was no seed, so the joined VM had no link to it, dropped all its answers and never got the log; yet it heard the leader, so it told its entries that it was in touch, and an entry that followed it stayed at version 68 for 14 s (CONFIG, 404 and 401). Ruled out: the entry's own reconnecting (it followed within 0.1 s), a lost change (it was in force elsewhere at once). Found by: control_followed fresh=true deployment=10, then no deployment_applied on that control VM. Change: answers go to the address that a founded group's member is named by; a follower counts as current only when it votes and has just followed an append up to the leader's commit index. Besides: a control VM that stood still does not mark targets silent for what it could not hear, and an entry leaves a control VM that does not answer within 0.9 s.

--- a/packages/control/src/plumfold_control_node.cpp
+++ b/packages/control/src/plumfold_control_node.cpp
@@ -139,7 +139,7 @@
 
 void control_node::tellView()
 {
-    bool fresh = m_raft.isFresh(runtime::now());
+    bool fresh = m_raft.isCurrent(runtime::now());
     bool leads = m_raft.role() == core::raft_role::leader;
     std::string leader = m_raft.leaderAddress();
     bool sameDeployment = m_view.deployment && m_view.deployment->revision == m_state.deployment().revision;
@@ -220,7 +220,7 @@
         answer.update.deltas = std::move(*deltas);
     else
         answer.update.full = config.records();
-    answer.fresh = m_raft.isFresh(runtime::now());
+    answer.fresh = m_raft.isCurrent(runtime::now());
     answer.verdicts = m_state.verdicts();
     return answer;
 }
--- a/packages/control/src/plumfold_deployment_feed.cpp
+++ b/packages/control/src/plumfold_deployment_feed.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+/// A longer pause between ticks means that this process or its machine stood still.
+constexpr core::milliseconds longestTickGap { 1'000 };
 constexpr core::milliseconds followerForgetTime { 5'000 };
 constexpr core::milliseconds peerForgetTime { 5'000 };
 constexpr core::milliseconds targetForgetTime { 60'000 };
@@ -215,6 +217,10 @@
 void deployment_feed::tick()
 {
     auto now = runtime::now();
+    // A machine that stood still has heard nothing, which tells nothing of the targets.
+    if (now - m_lastTick > longestTickGap)
+        m_directory.excuseSilence(now);
+    m_lastTick = now;
     auto silence = core::milliseconds(m_settings.control->targetSilenceMs);
     auto expired = m_directory.expire(now, silence);
     for (const auto& name : expired)
--- a/packages/control/src/plumfold_deployment_feed.hpp
+++ b/packages/control/src/plumfold_deployment_feed.hpp
@@ -100,6 +100,7 @@
     const runtime::settings& m_settings;
     std::uint64_t m_id;
     control_view m_view;
+    core::instant m_lastTick {};
     core::target_directory m_directory;
     core::part_directory m_parts;
     std::vector<core::part_store> m_stores; // of the deployment in force
--- a/packages/control/src/plumfold_peer_links.cpp
+++ b/packages/control/src/plumfold_peer_links.cpp
@@ -40,6 +40,12 @@
         return;
     }
     auto found = m_links.find(message.to);
+    // A VM that has just joined is called by a leader that it knows nothing of. Members that seeds have
+    // founded are named by their addresses.
+    if (found == m_links.end() && message.to.find(':') != std::string::npos) {
+        found = m_links.emplace(message.to, link {}).first;
+        found->second.address = message.to;
+    }
     if (found != m_links.end())
         sendOn(found->second, message);
 }
--- a/packages/core/include/plumfold/core/plumfold_raft_node.hpp
+++ b/packages/core/include/plumfold/core/plumfold_raft_node.hpp
@@ -91,6 +91,10 @@
     /// leader that it has heard from within the election timeout.
     bool isFresh(instant now) const;
 
+    /// @return whether what this node has applied was all that was committed within the election timeout: it
+    /// leads with a quorum, or votes and has just followed an append up to the leader's commit index.
+    bool isCurrent(instant now) const;
+
     /// @return the term of the entry at an index, or 0 when it is not held.
     std::uint64_t termAt(std::uint64_t index) const;
 
@@ -152,6 +156,7 @@
     std::uint64_t m_persistedIndex = 0;
     instant m_electionDeadline {};
     instant m_lastLeaderContact {};
+    std::optional<instant> m_caughtUpAt; // when an append was last followed up to the leader's commit index
     instant m_nextHeartbeat {};
     instant m_nextJoin {};
     std::set<node_name> m_votes;
--- a/packages/core/include/plumfold/core/plumfold_target_directory.hpp
+++ b/packages/core/include/plumfold/core/plumfold_target_directory.hpp
@@ -65,6 +65,9 @@
     /// @return whether it counted as ready until now.
     bool markSilent(const std::string& name);
 
+    /// Starts the silence of all targets anew, after this control VM itself could hear nothing for a while.
+    void excuseSilence(instant now);
+
     /// Forgets targets that left or fell silent a long time ago.
     void forget(instant now, milliseconds bound);
 
--- a/packages/core/src/plumfold_raft_messages.cpp
+++ b/packages/core/src/plumfold_raft_messages.cpp
@@ -133,6 +133,8 @@
     }
     std::uint64_t held = message.logIndex + message.entries.size();
     m_commitIndex = std::max(m_commitIndex, std::min(message.commitIndex, held));
+    if (held >= message.commitIndex)
+        m_caughtUpAt = now;
     answerAppend(message, true, held);
 }
 
--- a/packages/core/src/plumfold_raft_node.cpp
+++ b/packages/core/src/plumfold_raft_node.cpp
@@ -227,6 +227,13 @@
     return isQuorum(answering);
 }
 
+bool raft_node::isCurrent(instant now) const
+{
+    if (m_role == raft_role::leader)
+        return isFresh(now);
+    return isVoter() && isFresh(now) && m_caughtUpAt && now - *m_caughtUpAt < m_options.electionTimeout;
+}
+
 // ---------------------------------------------------------------- roles
 
 void raft_node::becomeFollower(std::uint64_t term, const node_name& leader, instant now)
--- a/packages/core/src/plumfold_target_directory.cpp
+++ b/packages/core/src/plumfold_target_directory.cpp
@@ -100,6 +100,12 @@
     return true;
 }
 
+void target_directory::excuseSilence(instant now)
+{
+    for (auto& [name, each] : m_entries)
+        each.heardAt = now;
+}
+
 void target_directory::forget(instant now, milliseconds bound)
 {
     std::erase_if(m_entries, [&](const auto& each) {
--- a/packages/forwarding/src/plumfold_deployment_follower.cpp
+++ b/packages/forwarding/src/plumfold_deployment_follower.cpp
@@ -10,9 +10,14 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds connectTimeout { 400 };
+constexpr std::chrono::milliseconds connectTimeout { 250 };
 constexpr std::uint32_t waitMs = 400;
-constexpr std::chrono::milliseconds answerTimeout { 2'000 };
+/// A control VM that does not answer in time is left: a change must be in force within two seconds even when
+/// two of them have just fallen silent.
+constexpr std::chrono::milliseconds answerTimeout { 900 };
+constexpr std::chrono::milliseconds firstAnswerTimeout { 400 };
+/// The first answer of all waits for a quorum.
+constexpr std::chrono::milliseconds confirmedTimeout { 2'000 };
 constexpr auto retryPause = 100 * kj::MILLISECONDS;
 
 std::vector<std::string> callAddresses(const runtime::settings& settings)
@@ -98,6 +103,7 @@
             request.setFailureDomain(m_settings.process.failureDomain);
             m_session = request.send().getSession();
             m_connection = kj::mv(connection);
+            m_justConnected = true;
         });
 }
 
@@ -107,19 +113,22 @@
     request.setKnownDeployment(m_knownDeployment);
     request.setFeed(m_feed);
     request.setKnownChange(m_knownChange);
-    request.setWaitMs(m_feed == 0 ? 0 : waitMs);
+    request.setWaitMs(m_justConnected ? 0 : waitMs);
+    auto timeout = !m_confirmed ? confirmedTimeout : m_justConnected ? firstAnswerTimeout : answerTimeout;
     request.setConfirmed(!m_confirmed);
     auto cursors = request.initStores(m_stores.size());
     unsigned index = 0;
     for (const auto& [store, cursor] : m_stores)
         wire::write(cursors[index++], cursor);
-    return wire::withTimeout(m_rpc, request.send().dropPipeline(), answerTimeout)
-        .then([this](auto&& response) { take(kj::mv(response)); });
+    return wire::withTimeout(m_rpc, request.send().dropPipeline(), timeout).then([this](auto&& response) {
+        take(kj::mv(response));
+    });
 }
 
 void deployment_follower::take(capnp::Response<wire::EntrySession::FollowResults> response)
 {
     bool fresh = response.getFresh();
+    m_justConnected = false;
     follow_news news;
     news.everything = response.getEverything();
     news.entries = response.getEntries();
--- a/packages/forwarding/src/plumfold_deployment_follower.hpp
+++ b/packages/forwarding/src/plumfold_deployment_follower.hpp
@@ -61,6 +61,7 @@
     std::uint64_t m_feed = 0;
     std::uint64_t m_knownChange = 0;
     bool m_confirmed = false; // a quorum confirmed what we know once
+    bool m_justConnected = true;
     bool m_wantsNear = false; // a nearer control VM is known than the one that we follow
     std::map<std::string, core::store_cursor> m_stores; // what is known of each store
     unsigned m_failures = 0;
--- a/tests/forwarding/plumfold_forwarding_tests.cpp
+++ b/tests/forwarding/plumfold_forwarding_tests.cpp
@@ -344,6 +344,37 @@
     CHECK(served == requests);
 }
 
+TEST_CASE("A control VM that lost its disk is taken back by a leader that it does not know", "[forwarding]")
+{
+    forwarding_system system;
+    constexpr int outsider = 4; // not among the seeds
+    for (int number = 1; number <= outsider; ++number)
+        system.startControl(number);
+    REQUIRE(system.putDeployment(1, system.deployment(5)));
+    auto leads = [&](int number) {
+        auto log = system.logOf("c" + std::to_string(number));
+        auto role = log.rfind("event=role_changed role=");
+        return role != std::string::npos && log.compare(role, 30, "event=role_changed role=leader") == 0;
+    };
+    // The lead is handed over until the outsider has it.
+    for (int tries = 0; tries < 20 && !leads(outsider); ++tries) {
+        for (int number = 1; number < outsider; ++number) {
+            if (!leads(number))
+                continue;
+            system.process("c" + std::to_string(number)).stop();
+            system.startControl(number, false);
+        }
+        forwarding_system::eventually([&] { return system.call(1, "GET", "/configuration").first == 200; });
+    }
+    REQUIRE(leads(outsider));
+    system.process("c1").kill();
+    system.removeFolder("c1");
+    system.startControl(1, false);
+    CHECK(forwarding_system::eventually(
+        [&] { return system.call(1, "GET", "/configuration").first == 200; }, 10));
+    CHECK(system.putDeployment(1, system.deployment(6)));
+}
+
 TEST_CASE("Control forms itself from its seeds, whatever the order of start, and keeps what it accepted",
     "[forwarding]")
 {
