--- a/packages/runtime/src/plumfold_log.cpp
+++ b/packages/runtime/src/plumfold_log.cpp
@@ -54,6 +54,7 @@
 /// A reader of standard output that does not keep up costs lines, never requests.
 class count_and_drop {
 public:
+    // The library calls these by its own names. NOLINTBEGIN(readability-identifier-naming)
     template <class Lock> bool on_overflow(const boost::log::record_view&, Lock&)
     {
         ++droppedLines;
@@ -61,6 +62,7 @@
     }
     void on_queue_space_available() { }
     void interrupt() { }
+    // NOLINTEND(readability-identifier-naming)
 };
 
 using console_sink = boost::log::sinks::asynchronous_sink<boost::log::sinks::text_ostream_backend,
