--- a/packages/forwarding/src/plumfold_request_forwarder.hpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.hpp
@@ -10,6 +10,11 @@
 
 namespace plumfold::forwarding {
 
+/// How long a caller may take to accept a piece of its answer.
+inline constexpr core::milliseconds callerWriteBound { 3'000 };
+inline constexpr unsigned httpVersion = 11;
+inline constexpr unsigned statusOk = 200;
+
 /// Forwards one request of a caller to targets until it has its final answer.
 class request_forwarder {
 public:
--- a/tests/forwarding/plumfold_forwarding_tests.cpp
+++ b/tests/forwarding/plumfold_forwarding_tests.cpp
@@ -163,7 +163,7 @@
 TEST_CASE_METHOD(serving_system,
     "Whole answers pass with surplus bytes, without a length and after another's answer", "[forwarding]")
 {
-    for (const char* way : { "surplus", "after-another", "whole", "surplus", "whole" }) {
+    for (const char* way : { "surplus", "after-another", "interim", "whole", "surplus", "whole" }) {
         INFO(way);
         auto answer = request(1, std::string("/shop/") + way);
         CHECK(answer.status == 200);
--- a/tests/forwarding/support/plumfold_scripted_target.cpp
+++ b/tests/forwarding/support/plumfold_scripted_target.cpp
@@ -81,6 +81,7 @@
         { "surplus", &scripted_target::answerSurplus },
         { "unframed", &scripted_target::answerUnframed },
         { "after-another", &scripted_target::answerAfterAnother },
+        { "interim", &scripted_target::answerAfterAnInterimOne },
         { "unsigned", &scripted_target::answerUnsigned },
         { "spoiled", &scripted_target::answerSpoiled },
         { "not-run", &scripted_target::answerNotRun },
@@ -176,6 +177,12 @@
     answerWhole(now);
 }
 
+void scripted_target::answerAfterAnInterimOne(exchange& now)
+{
+    now.send("HTTP/1.1 102 Processing\r\n\r\n");
+    answerWhole(now);
+}
+
 void scripted_target::answerUnsigned(exchange& now)
 {
     now.sendWhole("200 OK", "", "unsigned");
--- a/tests/forwarding/support/plumfold_scripted_target.hpp
+++ b/tests/forwarding/support/plumfold_scripted_target.hpp
@@ -46,6 +46,7 @@
     void answerSurplus(exchange& now);
     void answerUnframed(exchange& now);
     void answerAfterAnother(exchange& now);
+    void answerAfterAnInterimOne(exchange& now);
     void answerUnsigned(exchange& now);
     void answerSpoiled(exchange& now);
     void answerNotRun(exchange& now);
