--- a/packages/control/src/plumfold_control_role.cpp
+++ b/packages/control/src/plumfold_control_role.cpp
@@ -2,9 +2,9 @@
 
 #include "plumfold_control_service.hpp"
 #include "plumfold_load_reader.hpp"
+#include "plumfold_part_readers.hpp"
 #include "plumfold_peer_links.hpp"
 #include "plumfold_platform_front.hpp"
-#include "plumfold_store_readers.hpp"
 #include "plumfold_weights_duty.hpp"
 
 #include "plumfold/runtime/plumfold_secrets.hpp"
@@ -67,7 +67,7 @@
         m_front = std::make_unique<platform_front>(
             platform_front_context { m_rpc, m_settings, *m_feed, *m_leader });
         m_weights = std::make_unique<weights_duty>(m_rpc, m_settings, *m_feed, *m_leader);
-        m_stores = std::make_unique<store_readers>(m_rpc, *m_feed);
+        m_parts = std::make_unique<part_readers>(m_rpc, *m_feed);
         m_loads = std::make_unique<load_reader>(m_rpc, *m_feed);
     }
 
@@ -76,7 +76,7 @@
         // First no new calls, then the duty, then what the duty sends through.
         m_front.reset();
         m_weights.reset();
-        m_stores.reset();
+        m_parts.reset();
         m_loads.reset();
         m_rpc.run([&] { m_listener.reset(); });
         m_node.reset();
@@ -110,7 +110,7 @@
     std::unique_ptr<wire::rpc_listener> m_listener;
     std::unique_ptr<platform_front> m_front;
     std::unique_ptr<weights_duty> m_weights;
-    std::unique_ptr<store_readers> m_stores;
+    std::unique_ptr<part_readers> m_parts;
     std::unique_ptr<load_reader> m_loads;
 };
 
--- a/packages/control/src/plumfold_control_service.cpp
+++ b/packages/control/src/plumfold_control_service.cpp
@@ -52,10 +52,10 @@
             targets.push_back(wire::read(each));
         control_peer_state state { params.getFailureDomain().cStr(), params.getEntries(), {} };
         m_context.feed.shared(params.getAddress().cStr(), std::move(state), targets);
-        std::vector<core::store_news> stores;
-        for (auto each : params.getStores())
-            stores.push_back(wire::read(each));
-        m_context.feed.sharedParts(stores, params.getClock());
+        std::vector<core::part_news> parts;
+        for (auto each : params.getParts())
+            parts.push_back(wire::read(each));
+        m_context.feed.sharedParts(parts, params.getClock());
         std::vector<core::target_load> loads;
         for (auto each : params.getLoads())
             loads.push_back(wire::read(each));
@@ -157,16 +157,16 @@
     void writeParts(FollowContext& call)
     {
         const auto& parts = m_context.feed.parts();
-        std::map<std::string, core::store_cursor> known;
-        for (auto each : call.getParams().getStores()) {
+        std::map<std::string, core::part_cursor> known;
+        for (auto each : call.getParams().getParts()) {
             auto cursor = wire::read(each);
-            known[cursor.store] = cursor;
+            known[cursor.holder] = cursor;
         }
-        for (const auto& [store, content] : parts.stores())
-            known.emplace(store, core::store_cursor { store, 0, 0 });
-        auto out = call.getResults().initStores(known.size());
+        for (const auto& [holder, content] : parts.holders())
+            known.emplace(holder, core::part_cursor { holder, 0, 0 });
+        auto out = call.getResults().initParts(known.size());
         unsigned index = 0;
-        for (const auto& [store, cursor] : known)
+        for (const auto& [holder, cursor] : known)
             wire::write(out[index++], parts.newsAfter(cursor, runtime::now()));
         call.getResults().setClock(m_context.feed.targetClock());
         auto loads = m_context.feed.loads(false);
--- a/packages/control/src/plumfold_deployment_feed.cpp
+++ b/packages/control/src/plumfold_deployment_feed.cpp
@@ -17,6 +17,7 @@
 constexpr core::milliseconds peerForgetTime { 5'000 };
 constexpr core::milliseconds targetForgetTime { 60'000 };
 constexpr core::milliseconds loadForgetTime { 2'000 };
+constexpr core::milliseconds partsForgetTime { 10'000 };
 
 const char* stateName(core::target_state state)
 {
@@ -139,6 +140,14 @@
     return own;
 }
 
+std::vector<std::string> deployment_feed::ownHolders() const
+{
+    auto own = ownStores();
+    for (const auto& engine : ownEngines())
+        own.push_back(engine.address);
+    return own;
+}
+
 /// @return whether this control VM is the first by address among those nearest to a failure domain.
 bool deployment_feed::isNearest(const std::string& failureDomain) const
 {
@@ -196,17 +205,37 @@
     return m_clock + static_cast<std::uint64_t>(age.count());
 }
 
-void deployment_feed::sharedParts(const std::vector<core::store_news>& stores, std::uint64_t clock)
+void deployment_feed::sharedParts(const std::vector<core::part_news>& parts, std::uint64_t clock)
 {
-    for (const auto& news : stores)
+    for (const auto& news : parts)
         m_parts.take(news, runtime::now());
     takeClock(clock);
 }
 
-void deployment_feed::readParts(const core::store_news& news, std::uint64_t clock)
+void deployment_feed::beginParts(const std::string& holder, std::uint64_t generation)
+{
+    m_parts.reset(holder, generation, runtime::now());
+}
+
+bool deployment_feed::readParts(const std::string& holder, std::uint64_t generation,
+    const std::vector<core::part_change>& changes, std::uint64_t clock)
 {
-    m_parts.take(news, runtime::now());
     takeClock(clock);
+    auto known = m_parts.holders().find(holder);
+    // Another control VM may read the holder as well, and its news may have replaced ours.
+    if (known == m_parts.holders().end() || known->second.generation != generation)
+        return false;
+    for (const auto& change : changes)
+        m_parts.apply(holder, change);
+    m_parts.refresh(holder, runtime::now());
+    return true;
+}
+
+void deployment_feed::loseParts(const std::string& holder, std::uint64_t generation)
+{
+    auto known = m_parts.holders().find(holder);
+    if (known != m_parts.holders().end() && known->second.generation == generation)
+        m_parts.take({ holder, 0, 0, 0, false, {} }, runtime::now());
 }
 
 void deployment_feed::followedBy(const std::string& entry)
@@ -226,6 +255,7 @@
     for (const auto& name : expired)
         logTarget("target_silent", m_directory.entries().at(name).last);
     m_directory.forget(now, targetForgetTime);
+    m_parts.forget(now, partsForgetTime);
     std::erase_if(m_loads, [&](const auto& each) { return now - each.second.at > loadForgetTime; });
     std::erase_if(m_followers, [&](const auto& each) { return now - each.second > followerForgetTime; });
     if (!expired.empty())
--- a/packages/control/src/plumfold_deployment_feed.hpp
+++ b/packages/control/src/plumfold_deployment_feed.hpp
@@ -2,6 +2,7 @@
 
 #include "plumfold/control/plumfold_control_node.hpp"
 #include "plumfold/core/plumfold_part_directory.hpp"
+#include "plumfold/core/plumfold_target_board.hpp"
 #include "plumfold/core/plumfold_target_directory.hpp"
 #include "plumfold/runtime/plumfold_settings.hpp"
 #include "plumfold/wire/plumfold_rpc_connection.hpp"
@@ -44,10 +45,16 @@
     /// Takes what another control VM heard.
     void shared(const std::string& from, control_peer_state state,
         const std::vector<core::target_announcement>& targets);
-    /// Takes what another control VM knows of stores and the targets' clock.
-    void sharedParts(const std::vector<core::store_news>& stores, std::uint64_t clock);
-    /// Takes news that this control VM read from a store itself.
-    void readParts(const core::store_news& news, std::uint64_t clock);
+    /// Takes what another control VM knows of stores, engines and the targets' clock.
+    void sharedParts(const std::vector<core::part_news>& parts, std::uint64_t clock);
+    /// Takes that this control VM starts to read a holder's parts, none of which are known yet.
+    void beginParts(const std::string& holder, std::uint64_t generation);
+    /// Takes changes that this control VM read from a holder itself.
+    /// @return whether the generation is still the one in force.
+    bool readParts(const std::string& holder, std::uint64_t generation,
+        const std::vector<core::part_change>& changes, std::uint64_t clock);
+    /// Takes that a holder does not answer this control VM.
+    void loseParts(const std::string& holder, std::uint64_t generation);
     /// Takes loads that targets reported, to this control VM or another.
     void takeLoads(const std::vector<core::target_load>& loads, bool own);
     /// Takes that an entry follows this control VM.
@@ -65,6 +72,8 @@
     std::vector<core::target_announcement> ownEngines() const;
     /// @return the stores that this control VM reads itself.
     std::vector<std::string> ownStores() const;
+    /// @return the stores and engines whose parts this control VM reads itself.
+    std::vector<std::string> ownHolders() const;
     /// @return the targets' clock, or 0 while it is not known.
     std::uint64_t targetClock() const;
     /// @return a number that another life of this process does not have.
--- a/packages/control/src/plumfold_store_readers.cpp
+++ b/packages/control/src/plumfold_part_readers.cpp
@@ -1,4 +1,4 @@
-#include "plumfold_store_readers.hpp"
+#include "plumfold_part_readers.hpp"
 
 #include "plumfold/runtime/plumfold_clock.hpp"
 #include "plumfold/runtime/plumfold_log.hpp"
@@ -11,20 +11,22 @@
 namespace {
 
 constexpr core::milliseconds assignInterval { 300 };
-/// How long a store keeps a call waiting for events; it bounds how old our knowledge may be.
+/// How long a holder keeps a call waiting for events; it bounds how old our knowledge may be.
 constexpr core::milliseconds eventWait { 500 };
+/// Events that follow each other closely are read together.
+constexpr core::milliseconds gatherPause { 100 };
 constexpr core::milliseconds retryPause { 200 };
 
 } // namespace
 
-/// The duty that reads one store.
-class store_readers::reader {
+/// The duty that reads one holder.
+class part_readers::reader {
 public:
-    reader(wire::rpc_thread& rpc, deployment_feed& feed, std::string store)
+    reader(wire::rpc_thread& rpc, deployment_feed& feed, std::string holder)
         : m_rpc(rpc)
         , m_feed(feed)
-        , m_store(std::move(store))
-        , m_client(m_store)
+        , m_holder(std::move(holder))
+        , m_client(m_holder)
         , m_thread([this] { run(); })
     {
     }
@@ -42,10 +44,13 @@
             auto events = m_client.read(m_next, eventWait);
             if (m_stopping)
                 return;
-            if (!events.ok())
+            if (!events.ok()) {
                 lose(std::string(events.status().message()));
-            else
-                take(*events);
+                continue;
+            }
+            take(*events);
+            if (!events->events.empty())
+                std::this_thread::sleep_for(gatherPause);
         }
     }
 
@@ -53,27 +58,26 @@
     {
         bool startsAnew = m_generation == 0 || events.epoch != m_epoch;
         if (startsAnew && m_next != 0) {
-            // The numbers belong to the store's former life.
+            // The numbers belong to the holder's former life.
             restart(events.epoch);
             return;
         }
         if (startsAnew)
             restart(events.epoch);
-        if (events.hasGap) {
+        if (events.hasGap)
             readAll();
-            return;
-        }
-        apply(events);
+        else
+            apply(events);
     }
 
     void restart(std::uint64_t epoch)
     {
         m_epoch = epoch;
         m_next = 0;
-        m_count = 0;
         m_generation = runtime::randomNumber() | 1;
-        runtime::log_event("store_read_anew")
-            .with("store", m_store)
+        m_rpc.run([&] { m_feed.beginParts(m_holder, m_generation); });
+        runtime::log_event("parts_read_anew")
+            .with("holder", m_holder)
             .with("epoch", epoch)
             .with("generation", m_generation);
     }
@@ -86,48 +90,30 @@
             return;
         }
         restart(all->epoch);
-        add(*all);
+        apply(*all);
     }
 
-    /// Within a generation parts are only added, so a part that is gone starts another one.
     void apply(const platform::part_events& events)
-    {
-        bool lost = std::any_of(
-            events.events.begin(), events.events.end(), [](const auto& each) { return !each.added; });
-        if (lost)
-            readAll();
-        else
-            add(events);
-    }
-
-    void add(const platform::part_events& events)
     {
         m_next = events.next;
-        core::store_news news { m_store, m_generation, m_count, 0, true, {} };
+        std::vector<core::part_change> changes;
         for (const auto& each : events.events)
-            news.parts.push_back(each.part);
-        auto count = m_rpc.run([&] {
-            m_feed.readParts(news, events.clockMs);
-            auto known = m_feed.parts().stores().find(m_store);
-            bool held = known != m_feed.parts().stores().end() && known->second.generation == m_generation;
-            return held ? static_cast<std::uint32_t>(known->second.parts.size()) : 0u;
-        });
-        // The feed forgets a store of which it heard nothing for a while; then all is read anew.
-        bool forgotten = count < m_count;
-        m_count = count;
-        if (forgotten) {
-            m_generation = 0;
-            m_next = 0;
-        }
+            changes.push_back({ core::hashOf(each.part), each.added ? each.tokens : 0 });
+        bool held
+            = m_rpc.run([&] { return m_feed.readParts(m_holder, m_generation, changes, events.clockMs); });
+        if (held)
+            return;
+        m_generation = 0;
+        m_next = 0;
     }
 
     void lose(const std::string& reason)
     {
         if (m_generation != 0) {
-            runtime::log_event("store_lost", runtime::log_level::warning)
-                .with("store", m_store)
+            runtime::log_event("parts_lost", runtime::log_level::warning)
+                .with("holder", m_holder)
                 .with("reason", reason);
-            m_rpc.run([&] { m_feed.readParts({ m_store, 0, 0, 0, false, {} }, 0); });
+            m_rpc.run([&] { m_feed.loseParts(m_holder, m_generation); });
         }
         m_generation = 0;
         m_next = 0;
@@ -136,38 +122,37 @@
 
     wire::rpc_thread& m_rpc;
     deployment_feed& m_feed;
-    std::string m_store;
+    std::string m_holder;
     platform::part_event_reader m_client;
     std::uint64_t m_epoch = 0;
     std::uint64_t m_next = 0;
-    std::uint64_t m_generation = 0; // 0: the store is not known
-    std::uint32_t m_count = 0;
+    std::uint64_t m_generation = 0; // 0: the holder is not known
     std::atomic<bool> m_stopping { false };
     std::thread m_thread;
 };
 
-store_readers::store_readers(wire::rpc_thread& rpc, deployment_feed& feed)
+part_readers::part_readers(wire::rpc_thread& rpc, deployment_feed& feed)
     : m_rpc(rpc)
     , m_feed(feed)
     , m_thread([this] { run(); })
 {
 }
 
-store_readers::~store_readers()
+part_readers::~part_readers()
 {
     m_stopping = true;
     m_thread.join();
 }
 
-void store_readers::run()
+void part_readers::run()
 {
     while (!m_stopping) {
-        auto own = m_rpc.run([this] { return m_feed.ownStores(); });
+        auto own = m_rpc.run([this] { return m_feed.ownHolders(); });
         std::erase_if(m_readers,
             [&](const auto& each) { return std::find(own.begin(), own.end(), each.first) == own.end(); });
-        for (const auto& store : own) {
-            if (!m_readers.contains(store))
-                m_readers.emplace(store, std::make_unique<reader>(m_rpc, m_feed, store));
+        for (const auto& holder : own) {
+            if (!m_readers.contains(holder))
+                m_readers.emplace(holder, std::make_unique<reader>(m_rpc, m_feed, holder));
         }
         std::this_thread::sleep_for(assignInterval);
     }
--- a/packages/control/src/plumfold_store_readers.hpp
+++ b/packages/control/src/plumfold_part_readers.hpp
@@ -11,12 +11,12 @@
 
 namespace plumfold::control {
 
-/// Reads the events of the stores that this control VM is the nearest to, a thread for each store, and tells
-/// the feed which parts each holds whole.
-class store_readers {
+/// Reads the events of the stores and engines that this control VM is the nearest to, a thread for each, and
+/// tells the feed which parts each holds whole.
+class part_readers {
 public:
-    store_readers(wire::rpc_thread& rpc, deployment_feed& feed);
-    ~store_readers();
+    part_readers(wire::rpc_thread& rpc, deployment_feed& feed);
+    ~part_readers();
 
 private:
     class reader;
@@ -25,7 +25,7 @@
 
     wire::rpc_thread& m_rpc;
     deployment_feed& m_feed;
-    std::map<std::string, std::unique_ptr<reader>> m_readers; // by address of the store
+    std::map<std::string, std::unique_ptr<reader>> m_readers; // by address of the holder
     std::atomic<bool> m_stopping { false };
     std::thread m_thread;
 };
--- a/packages/control/src/plumfold_peer_links.cpp
+++ b/packages/control/src/plumfold_peer_links.cpp
@@ -9,7 +9,7 @@
 
 /// How often a peer is told everything again, so that it knows which targets are still heard.
 constexpr core::milliseconds shareAllInterval { 1500 };
-/// How often a peer is told of the stores that this control VM reads.
+/// How often a peer is told of the stores and engines that this control VM reads.
 constexpr core::milliseconds sharePartsInterval { 300 };
 constexpr unsigned maxInFlight = 64;
 constexpr std::chrono::milliseconds connectTimeout { 500 };
@@ -78,10 +78,10 @@
         if (entry.own && (all || entry.change > to.sharedChange))
             told.push_back(&entry.last);
     }
-    auto own = feed.ownStores();
+    auto own = feed.ownHolders();
     auto loads = feed.loads(true);
-    bool parts = !(own.empty() && loads.empty()) && now - to.sharedPartsAt > sharePartsInterval;
-    if (to.sharing || (told.empty() && !all && !parts))
+    bool partsDue = !(own.empty() && loads.empty()) && now - to.sharedPartsAt > sharePartsInterval;
+    if (to.sharing || (told.empty() && !all && !partsDue))
         return;
     auto request = KJ_ASSERT_NONNULL(to.peer).shareRequest();
     request.setAddress(m_self);
@@ -90,15 +90,15 @@
     auto targets = request.initTargets(told.size());
     for (unsigned index = 0; index < told.size(); ++index)
         wire::write(targets[index], *told[index]);
-    std::vector<core::store_news> stores;
-    for (const auto& store : own) {
-        auto& cursor = to.sharedParts[store];
-        cursor.store = store;
-        stores.push_back(feed.parts().newsAfter(cursor, now));
+    std::vector<core::part_news> parts;
+    for (const auto& holder : own) {
+        auto& cursor = to.sharedParts[holder];
+        cursor.holder = holder;
+        parts.push_back(feed.parts().newsAfter(cursor, now));
     }
-    auto outStores = request.initStores(stores.size());
-    for (unsigned index = 0; index < stores.size(); ++index)
-        wire::write(outStores[index], stores[index]);
+    auto outParts = request.initParts(parts.size());
+    for (unsigned index = 0; index < parts.size(); ++index)
+        wire::write(outParts[index], parts[index]);
     auto outLoads = request.initLoads(loads.size());
     for (unsigned index = 0; index < loads.size(); ++index)
         wire::write(outLoads[index], loads[index]);
@@ -109,11 +109,11 @@
     std::uint64_t generation = to.generation;
     auto sent = wire::withTimeout(m_rpc, request.send().ignoreResult(), callTimeout);
     m_tasks.add(sent.then(
-        [&to, change, all, now, stores = std::move(stores)] {
+        [&to, change, all, now, parts = std::move(parts)] {
             to.sharing = false;
             to.sharedPartsAt = now;
-            for (const auto& news : stores)
-                to.sharedParts[news.store] = { news.store, news.generation, news.count };
+            for (const auto& news : parts)
+                to.sharedParts[news.holder] = { news.holder, news.generation, news.count };
             to.sharedChange = change;
             if (all)
                 to.sharedAllAt = now;
--- a/packages/control/src/plumfold_peer_links.hpp
+++ b/packages/control/src/plumfold_peer_links.hpp
@@ -40,7 +40,7 @@
         std::uint64_t sharedChange = 0; // latest change that the peer was told
         core::instant sharedAllAt {};
         core::instant sharedPartsAt {};
-        std::map<std::string, core::store_cursor> sharedParts; // what the peer was told of stores
+        std::map<std::string, core::part_cursor> sharedParts; // what the peer was told of holders
     };
 
     void shareOn(link& to, const deployment_feed& feed);
--- a/packages/core/include/plumfold/core/plumfold_part_directory.hpp
+++ b/packages/core/include/plumfold/core/plumfold_part_directory.hpp
@@ -1,93 +1,118 @@
 #pragma once
 
 #include "plumfold/core/plumfold_deployment.hpp"
-#include "plumfold/core/plumfold_target_board.hpp"
+#include "plumfold/core/plumfold_prompt_parts.hpp"
 #include "plumfold/core/plumfold_time.hpp"
 
 #include <compare>
 #include <cstdint>
+#include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace plumfold::core {
 
-/// Names KV parts: parts of another partition are never found.
+/// Names a KV part as its holders do: parts of another partition are never found.
 struct part_key {
     std::string partition;
     std::string id;
     auto operator<=>(const part_key&) const = default;
 };
 
-/// A KV part that a store holds whole.
-struct stored_part {
-    part_key key;
-    std::uint32_t tokens = 0;
-    auto operator<=>(const stored_part&) const = default;
+/// @return the number under which directories know a part; two parts with one number cost a fetch that finds
+/// nothing, since holders compare the whole key.
+std::uint64_t hashOf(const part_key& key);
+
+/// A KV part that a holder gained or lost.
+struct part_change {
+    std::uint64_t part = 0; ///< hashOf() its key.
+    std::uint32_t tokens = 0; ///< 0: it is no longer held.
+    auto operator<=>(const part_change&) const = default;
 };
 
-/// News of one store's parts. Within a generation parts are only added, in a fixed order.
-struct store_news {
-    std::string store; ///< ip:port
-    std::uint64_t generation = 0; ///< 0: nothing is known of the store.
-    std::uint32_t first = 0; ///< Number of the first of the parts below.
-    std::uint32_t count = 0; ///< How many parts are known in all.
-    bool confirmed = false; ///< The store was heard lately; otherwise its parts may be gone.
-    std::vector<stored_part> parts;
-    bool operator==(const store_news&) const = default;
+/// News of the parts of one holder, a store or a model engine. Changes are numbered within a generation.
+struct part_news {
+    std::string holder; ///< ip:port
+    std::uint64_t generation = 0; ///< 0: nothing is known of the holder.
+    std::uint32_t first = 0; ///< Number of the first change below; 0: all parts held now stand below.
+    std::uint32_t count = 0; ///< How many changes are known in all.
+    bool confirmed = false; ///< The holder was heard lately; otherwise its parts may be gone.
+    std::vector<part_change> changes;
+    bool operator==(const part_news&) const = default;
 };
 
-/// How far a reader knows a store's parts.
-struct store_cursor {
-    std::string store;
+/// How far a reader knows a holder's parts.
+struct part_cursor {
+    std::string holder;
     std::uint64_t generation = 0;
     std::uint32_t count = 0;
-    auto operator<=>(const store_cursor&) const = default;
+    auto operator<=>(const part_cursor&) const = default;
 };
 
-/// Which stores hold which KV parts whole. Every control VM and every entry has one.
+/// Which stores and model engines hold which KV parts whole. Every control VM and every entry has one.
 class part_directory {
 public:
-    /// What is known of one store.
-    struct store_content {
+    /// What is known of one holder.
+    struct holder_content {
         std::uint64_t generation = 0;
-        std::vector<stored_part> parts;
-        std::map<part_key, std::uint32_t> tokens;
+        std::uint32_t count = 0; ///< Changes up to now.
+        std::deque<part_change> latest; ///< The last of those changes.
+        std::unordered_map<std::uint64_t, std::uint32_t> tokens; ///< Of each part held.
         std::uint64_t usedTokens = 0;
         instant refreshedAt {}; ///< When it was last told that this is still so.
         instant since {}; ///< When this generation was first heard of.
     };
 
-    /// Starts a generation of a store with no parts; everything known before is dropped.
-    void reset(const std::string& store, std::uint64_t generation, instant now);
-    /// Adds a part to a store's present generation.
-    void add(const std::string& store, const stored_part& part);
-    /// Tells that what is known of a store is still so.
-    void refresh(const std::string& store, instant now);
+    /// Starts a generation of a holder with no parts; everything known before is dropped.
+    void reset(const std::string& holder, std::uint64_t generation, instant now);
+    /// Adds a change to a holder's present generation.
+    void apply(const std::string& holder, const part_change& change);
+    /// Tells that what is known of a holder is still so.
+    void refresh(const std::string& holder, instant now);
+    /// Drops holders that were not confirmed for so long.
+    void forget(instant now, milliseconds bound);
 
     /// Takes news of another directory. News that do not follow what is known are dropped; the next ones
     /// start from the cursor.
-    void take(const store_news& news, instant now);
+    void take(const part_news& news, instant now);
 
     /// @return the news after a reader's cursor.
-    store_news newsAfter(const store_cursor& cursor, instant now) const;
-    std::vector<store_cursor> cursors() const;
+    part_news newsAfter(const part_cursor& cursor, instant now) const;
+    std::vector<part_cursor> cursors() const;
 
-    /// What is known of a store counts no more when it was not confirmed for so long. It is kept, and counts
+    /// What is known of a holder counts no more when it was not confirmed for so long. It is kept, and counts
     /// again once the same generation is confirmed.
     static constexpr milliseconds silenceBound { 1'500 };
 
-    /// @return what is known of a store, or null when that is nothing or was not confirmed lately.
-    const store_content* find(const std::string& store, instant now) const;
+    /// @return what is known of a holder, or null when that is nothing or was not confirmed lately.
+    const holder_content* find(const std::string& holder, instant now) const;
+
+    /// @return the addresses of those that hold a part, as far as confirmed lately.
+    std::vector<std::string> holdersOf(std::uint64_t part, instant now) const;
 
-    /// @return the stores and what is known of each.
-    const std::map<std::string, store_content>& stores() const { return m_stores; }
+    /// @return the holders and what is known of each.
+    const std::map<std::string, holder_content>& holders() const { return m_holders; }
 
 private:
-    std::map<std::string, store_content> m_stores;
+    using holder_map = std::map<std::string, holder_content>;
+
+    holder_content& begin(const std::string& holder, std::uint64_t generation, instant now);
+    void apply(const std::string& holder, holder_content& content, const part_change& change);
+    void unlink(const std::string& holder, const holder_content& content);
+    void erase(holder_map::iterator place);
+
+    holder_map m_holders;
+    std::unordered_map<std::uint64_t, std::vector<std::string>> m_holdersOf; // by part
 };
 
+/// Finds a model engine that is thought to answer.
+/// @param address ip:port
+using engine_finder = std::function<std::optional<part_source>(const std::string& address)>;
+
 /// Where the parts of one prompt are fetched from and saved to: an address for each part, empty for none.
 struct part_plan {
     std::vector<std::string> fetchFrom;
@@ -121,21 +146,21 @@
     std::map<std::string, moving_delay> m_stores;
 };
 
-/// Plans the fetches and saves of prompts on one entry. Load it answers: conversations that return after
-/// their target has evicted them, whose memory comes from a store in a tenth of the time that reading them
-/// again takes.
+/// Plans the fetches and saves of prompts on one entry. Load it answers: conversations that return to a
+/// target that does not hold them, whose memory comes from a store in a tenth of the time that reading them
+/// again takes, or from another engine in a fiftieth.
 class part_planner {
 public:
     /// Takes the stores of a deployment.
     void setStores(const std::vector<service_limits>& services);
 
     /// @param readTokensPerMs how fast a target reads a prompt that is not fetched.
-    /// @param failureDomain of the target that will run the prompt.
+    /// @param target the engine that will run the prompt.
     part_plan plan(const std::vector<prompt_part>& parts, const std::string& partition,
-        const std::string& failureDomain, const part_directory& directory, double readTokensPerMs,
-        instant now);
+        const part_source& target, const part_directory& directory, const engine_finder& engines,
+        double readTokensPerMs, instant now);
 
-    /// @return whether the conversation's part can be fetched faster than it is read.
+    /// @return whether the conversation's part can be fetched from a store faster than it is read.
     bool canFetch(const std::vector<prompt_part>& parts, const std::string& partition,
         const part_directory& directory, double readTokensPerMs, instant now) const;
 
@@ -143,16 +168,19 @@
 
 private:
     bool isWorthFetching(
-        const part_store& store, std::uint64_t tokens, double readTokensPerMs, instant now) const;
-    const part_store* sourceOf(const part_key& key, const std::string& failureDomain,
+        const std::string& source, std::uint64_t tokens, double readTokensPerMs, instant now) const;
+    const part_store* storeAt(const std::string& address) const;
+    const part_store* storeOf(std::uint64_t part, const std::string& failureDomain,
         const part_directory& directory, instant now) const;
-    const part_store* homeOf(const part_key& key, std::uint64_t tokens, const std::string& failureDomain,
+    std::optional<part_source> sourceOf(std::uint64_t part, const part_source& target,
+        const part_directory& directory, const engine_finder& engines, instant now) const;
+    const part_store* homeOf(std::uint64_t part, std::uint64_t tokens, const std::string& failureDomain,
         const part_directory& directory, instant now) const;
-    bool mayAskAgain(const part_key& key, instant now);
+    bool mayAskAgain(std::uint64_t part, instant now);
 
     std::vector<part_store> m_stores;
     store_delays m_delays;
-    std::map<part_key, instant> m_asked; // saves that were asked for lately
+    std::unordered_map<std::uint64_t, instant> m_asked; // saves that were asked for lately
     instant m_nextClean {};
 };
 
--- a/packages/core/include/plumfold/core/plumfold_target_board.hpp
+++ b/packages/core/include/plumfold/core/plumfold_target_board.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "plumfold/core/plumfold_deployment.hpp"
+#include "plumfold/core/plumfold_prompt_parts.hpp"
 #include "plumfold/core/plumfold_target_directory.hpp"
 
 #include <deque>
@@ -11,18 +12,6 @@
 
 namespace plumfold::core {
 
-/// A piece of a prompt that requests may share.
-struct prompt_part {
-    std::string id;
-    std::uint64_t tokens = 0;
-    auto operator<=>(const prompt_part&) const = default;
-};
-
-/// Names the conversation that a prompt returns to. The last part is the request's own; those before it are
-/// shared by all requests of the conversation.
-/// @return a number that is the same for all its requests, or 0 when the prompt has no parts.
-std::uint64_t conversationOf(const std::vector<prompt_part>& parts);
-
 /// What a target reported of its work.
 struct target_load {
     std::string target;
@@ -42,6 +31,7 @@
     std::uint64_t sharedTokens = 0; ///< Of the prompt, those that other requests of the conversation share.
     std::uint64_t outputTokens = 0; ///< As far as expected.
     bool isStored = false; ///< Whether a store holds the shared part.
+    std::vector<std::string> holders; ///< Addresses of the targets that hold the shared part.
     std::set<std::string> excluded; ///< Targets that were tried already.
     milliseconds timeLeft { 0 }; ///< Until the caller's deadline.
 };
@@ -147,6 +137,12 @@
     std::string weightsOf(const std::string& model) const;
 
     const engine_speeds& speeds() const { return m_options.speeds; }
+
+    /// @param address ip:port
+    /// @return the engine at an address as a source of KV parts, or nothing when none there is thought to
+    /// answer.
+    std::optional<part_source> findSource(const std::string& address, instant now) const;
+
     /// @return whether a target neither announces itself nor has answered this entry lately.
     bool isSilent(const std::string& target, instant now) const;
 
@@ -183,6 +179,7 @@
     board_target* pickForSession(
         std::vector<board_target*>& candidates, const placement_request& request, instant now) const;
     double waitMs(const board_target& target, const placement_request& request, instant now) const;
+    double missMs(const board_target& target, const placement_request& request, bool isHome) const;
     double predictedMs(
         const board_target& target, const placement_request& request, bool isHome, instant now) const;
     placement begin(board_target& target, const placement_request& request, instant now);
--- a/packages/core/src/plumfold_part_directory.cpp
+++ b/packages/core/src/plumfold_part_directory.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+/// Changes of a holder that readers may lag behind before they are told all its parts again.
+constexpr std::size_t maxLatestChanges = 2'000;
 /// A save that was asked for is not asked for again so soon: its event comes late.
 constexpr milliseconds saveAgainAfter { 3'000 };
 /// A store that has just started anew gets no saves until every entry knows that its former parts are gone;
@@ -26,85 +28,179 @@
 /// A fetch may delay its own caller by this much, since reading takes the target's time from all its
 /// requests.
 constexpr double acceptedDelayMs = 250;
+/// A transfer between failure domains takes so many times as long.
+constexpr double farTransferFactor = 2;
 constexpr double hashRange = 18446744073709551616.0; // 2^64
 
+/// @return a number that grows with the time that a transfer takes.
+double transferCost(bool isNear, double linkMegabitsPerSecond)
+{
+    return (isNear ? 1.0 : farTransferFactor) / linkMegabitsPerSecond;
+}
+
 } // namespace
 
-void part_directory::reset(const std::string& store, std::uint64_t generation, instant now)
+std::uint64_t hashOf(const part_key& key)
 {
-    m_stores[store] = { generation, {}, {}, 0, now, now };
+    return hashBytes(key.id, hashBytes(key.partition));
 }
 
-void part_directory::add(const std::string& store, const stored_part& part)
+part_directory::holder_content& part_directory::begin(
+    const std::string& holder, std::uint64_t generation, instant now)
 {
-    auto& content = m_stores[store];
-    auto [place, isNew] = content.tokens.emplace(part.key, part.tokens);
+    auto [place, isNew] = m_holders.try_emplace(holder);
+    auto& content = place->second;
     if (!isNew)
+        unlink(holder, content);
+    auto since = content.generation == generation ? content.since : now;
+    content = { generation, 0, {}, {}, 0, content.refreshedAt, since };
+    return content;
+}
+
+void part_directory::reset(const std::string& holder, std::uint64_t generation, instant now)
+{
+    begin(holder, generation, now).refreshedAt = now;
+}
+
+void part_directory::unlink(const std::string& holder, const holder_content& content)
+{
+    for (const auto& [part, tokens] : content.tokens) {
+        auto found = m_holdersOf.find(part);
+        if (found != m_holdersOf.end() && std::erase(found->second, holder) && found->second.empty())
+            m_holdersOf.erase(found);
+    }
+}
+
+void part_directory::erase(holder_map::iterator place)
+{
+    unlink(place->first, place->second);
+    m_holders.erase(place);
+}
+
+void part_directory::apply(const std::string& holder, holder_content& content, const part_change& change)
+{
+    auto known = content.tokens.find(change.part);
+    auto before = known == content.tokens.end() ? 0 : known->second;
+    content.usedTokens += change.tokens;
+    content.usedTokens -= before;
+    if (change.tokens == 0 && before != 0) {
+        content.tokens.erase(known);
+        auto& others = m_holdersOf[change.part];
+        std::erase(others, holder);
+        if (others.empty())
+            m_holdersOf.erase(change.part);
+    } else if (change.tokens != 0) {
+        content.tokens[change.part] = change.tokens;
+        if (before == 0)
+            m_holdersOf[change.part].push_back(holder);
+    }
+}
+
+void part_directory::apply(const std::string& holder, const part_change& change)
+{
+    auto found = m_holders.find(holder);
+    if (found == m_holders.end())
         return;
-    content.parts.push_back(part);
-    content.usedTokens += part.tokens;
+    auto& content = found->second;
+    apply(holder, content, change);
+    ++content.count;
+    content.latest.push_back(change);
+    if (content.latest.size() > maxLatestChanges)
+        content.latest.pop_front();
 }
 
-void part_directory::refresh(const std::string& store, instant now)
+void part_directory::refresh(const std::string& holder, instant now)
 {
-    auto found = m_stores.find(store);
-    if (found != m_stores.end())
+    auto found = m_holders.find(holder);
+    if (found != m_holders.end())
         found->second.refreshedAt = now;
 }
 
-void part_directory::take(const store_news& news, instant now)
+void part_directory::forget(instant now, milliseconds bound)
+{
+    for (auto place = m_holders.begin(); place != m_holders.end();) {
+        auto next = std::next(place);
+        if (now - place->second.refreshedAt > bound)
+            erase(place);
+        place = next;
+    }
+}
+
+void part_directory::take(const part_news& news, instant now)
 {
-    auto found = m_stores.find(news.store);
+    auto found = m_holders.find(news.holder);
     if (news.generation == 0) {
-        if (found != m_stores.end())
-            m_stores.erase(found);
+        if (found != m_holders.end())
+            erase(found);
         return;
     }
-    bool isNew = found == m_stores.end() || found->second.generation != news.generation;
-    if (isNew) {
-        if (news.first != 0)
-            return;
-        reset(news.store, news.generation, now);
-    }
-    if (news.first > m_stores[news.store].parts.size())
+    bool isNew = found == m_holders.end() || found->second.generation != news.generation;
+    bool isWhole = news.first == 0 && (isNew || news.count > found->second.count);
+    if (isWhole) {
+        auto& content = begin(news.holder, news.generation, now);
+        for (const auto& each : news.changes)
+            apply(news.holder, content, each);
+        content.count = news.count;
+    } else if (isNew || news.first > found->second.count) {
         return;
-    for (const auto& part : news.parts)
-        add(news.store, part);
+    } else if (news.first != 0) {
+        std::size_t known = found->second.count - news.first;
+        for (std::size_t index = known; index < news.changes.size(); ++index)
+            apply(news.holder, news.changes[index]);
+    }
     if (news.confirmed)
-        refresh(news.store, now);
+        refresh(news.holder, now);
 }
 
-store_news part_directory::newsAfter(const store_cursor& cursor, instant now) const
+part_news part_directory::newsAfter(const part_cursor& cursor, instant now) const
 {
-    store_news news;
-    news.store = cursor.store;
-    auto found = m_stores.find(cursor.store);
-    if (found == m_stores.end())
+    part_news news;
+    news.holder = cursor.holder;
+    auto found = m_holders.find(cursor.holder);
+    if (found == m_holders.end())
         return news;
     const auto& content = found->second;
     news.generation = content.generation;
     news.confirmed = now - content.refreshedAt <= silenceBound;
-    news.count = static_cast<std::uint32_t>(content.parts.size());
-    news.first = cursor.generation == content.generation ? std::min(cursor.count, news.count) : 0;
-    news.parts.assign(content.parts.begin() + news.first, content.parts.end());
+    news.count = content.count;
+    auto oldest = content.count - static_cast<std::uint32_t>(content.latest.size());
+    bool follows = cursor.generation == content.generation && cursor.count > 0 && cursor.count >= oldest;
+    if (follows) {
+        news.first = std::min(cursor.count, content.count);
+        news.changes.assign(content.latest.begin() + (news.first - oldest), content.latest.end());
+        return news;
+    }
+    for (const auto& [part, tokens] : content.tokens)
+        news.changes.push_back({ part, tokens });
     return news;
 }
 
-std::vector<store_cursor> part_directory::cursors() const
+std::vector<part_cursor> part_directory::cursors() const
 {
-    std::vector<store_cursor> all;
-    for (const auto& [store, content] : m_stores)
-        all.push_back({ store, content.generation, static_cast<std::uint32_t>(content.parts.size()) });
+    std::vector<part_cursor> all;
+    for (const auto& [holder, content] : m_holders)
+        all.push_back({ holder, content.generation, content.count });
     return all;
 }
 
-const part_directory::store_content* part_directory::find(const std::string& store, instant now) const
+const part_directory::holder_content* part_directory::find(const std::string& holder, instant now) const
 {
-    auto found = m_stores.find(store);
-    bool counts = found != m_stores.end() && now - found->second.refreshedAt <= silenceBound;
+    auto found = m_holders.find(holder);
+    bool counts = found != m_holders.end() && now - found->second.refreshedAt <= silenceBound;
     return counts ? &found->second : nullptr;
 }
 
+std::vector<std::string> part_directory::holdersOf(std::uint64_t part, instant now) const
+{
+    std::vector<std::string> holders;
+    auto found = m_holdersOf.find(part);
+    if (found == m_holdersOf.end())
+        return holders;
+    std::copy_if(found->second.begin(), found->second.end(), std::back_inserter(holders),
+        [&](const auto& holder) { return find(holder, now) != nullptr; });
+    return holders;
+}
+
 double store_delays::faded(const moving_delay& delay, instant now)
 {
     double halves = std::chrono::duration<double, std::milli>(now - delay.at).count() / delayHalfLifeMs;
@@ -138,10 +234,10 @@
 }
 
 bool part_planner::isWorthFetching(
-    const part_store& store, std::uint64_t tokens, double readTokensPerMs, instant now) const
+    const std::string& source, std::uint64_t tokens, double readTokensPerMs, instant now) const
 {
     double readMs = static_cast<double>(tokens) / readTokensPerMs;
-    return m_delays.delayMs(store.address, now) < readMs + acceptedDelayMs;
+    return m_delays.delayMs(source, now) < readMs + acceptedDelayMs;
 }
 
 bool part_planner::canFetch(const std::vector<prompt_part>& parts, const std::string& partition,
@@ -150,8 +246,8 @@
     if (parts.size() < 2)
         return false;
     const auto& shared = parts[parts.size() - 2];
-    const auto* source = sourceOf({ partition, shared.id }, {}, directory, now);
-    return source && isWorthFetching(*source, shared.tokens, readTokensPerMs, now);
+    const auto* source = storeOf(hashOf({ partition, shared.id }), {}, directory, now);
+    return source && isWorthFetching(source->address, shared.tokens, readTokensPerMs, now);
 }
 
 bool part_plan::fetches() const
@@ -173,25 +269,60 @@
     }
 }
 
-const part_store* part_planner::sourceOf(
-    const part_key& key, const std::string& failureDomain, const part_directory& directory, instant now) const
+const part_store* part_planner::storeAt(const std::string& address) const
+{
+    auto found = std::find_if(
+        m_stores.begin(), m_stores.end(), [&](const auto& each) { return each.address == address; });
+    return found == m_stores.end() ? nullptr : &*found;
+}
+
+const part_store* part_planner::storeOf(
+    std::uint64_t part, const std::string& failureDomain, const part_directory& directory, instant now) const
 {
     const part_store* best = nullptr;
     double bestCost = 0;
-    for (const auto& store : m_stores) {
-        const auto* known = directory.find(store.address, now);
-        if (!known || !known->tokens.contains(key))
+    for (const auto& holder : directory.holdersOf(part, now)) {
+        const auto* store = storeAt(holder);
+        if (!store)
             continue;
-        double cost = (store.failureDomain == failureDomain ? 1.0 : 2.0) / store.linkMegabitsPerSecond;
+        double cost = transferCost(store->failureDomain == failureDomain, store->linkMegabitsPerSecond);
         if (best && cost >= bestCost)
             continue;
-        best = &store;
+        best = store;
+        bestCost = cost;
+    }
+    return best;
+}
+
+std::optional<part_source> part_planner::sourceOf(std::uint64_t part, const part_source& target,
+    const part_directory& directory, const engine_finder& engines, instant now) const
+{
+    std::optional<part_source> best;
+    double bestCost = 0;
+    if (const auto* store = storeOf(part, target.failureDomain, directory, now)) {
+        best = part_source { store->address, store->failureDomain, store->linkMegabitsPerSecond };
+        bestCost = transferCost(store->failureDomain == target.failureDomain, store->linkMegabitsPerSecond);
+    }
+    auto holders = directory.holdersOf(part, now);
+    // What the target is thought to hold may be gone by now; a store is the surer source then.
+    bool isHeld = std::find(holders.begin(), holders.end(), target.address) != holders.end();
+    if (best && isHeld)
+        return best;
+    for (const auto& holder : holders) {
+        auto engine = holder == target.address ? std::nullopt : engines(holder);
+        if (!engine)
+            continue;
+        double cost
+            = transferCost(engine->failureDomain == target.failureDomain, engine->linkMegabitsPerSecond);
+        if (best && cost >= bestCost)
+            continue;
+        best = std::move(engine);
         bestCost = cost;
     }
     return best;
 }
 
-const part_store* part_planner::homeOf(const part_key& key, std::uint64_t tokens,
+const part_store* part_planner::homeOf(std::uint64_t part, std::uint64_t tokens,
     const std::string& failureDomain, const part_directory& directory, instant now) const
 {
     const part_store* best = nullptr;
@@ -203,7 +334,7 @@
         if (!ready || known->usedTokens + tokens > room)
             continue;
         // Weighted rendezvous: every entry comes to the same store without a message.
-        double draw = (static_cast<double>(hashBytes(store.address + key.id)) + 1) / hashRange;
+        double draw = (static_cast<double>(hashBytes(store.address, part)) + 1) / hashRange;
         double weight = static_cast<double>(store.capacityTokens)
             * (store.failureDomain == failureDomain ? nearPreference : 1.0);
         double score = -weight / std::log(std::min(draw, 1 - 1e-12));
@@ -215,13 +346,13 @@
     return best;
 }
 
-bool part_planner::mayAskAgain(const part_key& key, instant now)
+bool part_planner::mayAskAgain(std::uint64_t part, instant now)
 {
     if (now >= m_nextClean) {
         std::erase_if(m_asked, [&](const auto& each) { return now - each.second >= saveAgainAfter; });
         m_nextClean = now + saveAgainAfter;
     }
-    auto [place, isNew] = m_asked.emplace(key, now);
+    auto [place, isNew] = m_asked.emplace(part, now);
     if (isNew)
         return true;
     if (now - place->second < saveAgainAfter)
@@ -231,21 +362,22 @@
 }
 
 part_plan part_planner::plan(const std::vector<prompt_part>& parts, const std::string& partition,
-    const std::string& failureDomain, const part_directory& directory, double readTokensPerMs, instant now)
+    const part_source& target, const part_directory& directory, const engine_finder& engines,
+    double readTokensPerMs, instant now)
 {
     part_plan out;
     out.fetchFrom.resize(parts.size());
     out.saveTo.resize(parts.size());
     // The last part is the request's own and does not return.
     for (std::size_t index = 0; index + 1 < parts.size(); ++index) {
-        part_key key { partition, parts[index].id };
-        if (const auto* source = sourceOf(key, failureDomain, directory, now)) {
-            if (isWorthFetching(*source, parts[index].tokens, readTokensPerMs, now))
-                out.fetchFrom[index] = source->address;
+        auto part = hashOf({ partition, parts[index].id });
+        auto source = sourceOf(part, target, directory, engines, now);
+        if (source && isWorthFetching(source->address, parts[index].tokens, readTokensPerMs, now))
+            out.fetchFrom[index] = source->address;
+        if (storeOf(part, target.failureDomain, directory, now))
             continue;
-        }
-        const auto* home = homeOf(key, parts[index].tokens, failureDomain, directory, now);
-        if (home && mayAskAgain(key, now))
+        const auto* home = homeOf(part, parts[index].tokens, target.failureDomain, directory, now);
+        if (home && mayAskAgain(part, now))
             out.saveTo[index] = home->address;
     }
     return out;
--- a/packages/core/src/plumfold_target_board.cpp
+++ b/packages/core/src/plumfold_target_board.cpp
@@ -19,14 +19,6 @@
 
 } // namespace
 
-std::uint64_t conversationOf(const std::vector<prompt_part>& parts)
-{
-    if (parts.empty())
-        return 0;
-    const auto& shared = parts.size() > 1 ? parts[parts.size() - 2] : parts.front();
-    return hashBytes(shared.id) | 1;
-}
-
 void target_board::take(const std::vector<target_announcement>& targets, bool everything, instant now)
 {
     std::set<std::string> told;
@@ -254,10 +246,37 @@
     const board_target& target, const placement_request& request, bool isHome, instant now) const
 {
     const auto& speeds = m_options.speeds;
-    double shared = isHome ? 0 : static_cast<double>(request.sharedTokens);
     double own = static_cast<double>(request.promptTokens - request.sharedTokens);
-    double missMs = shared / (request.isStored ? speeds.fetchTokensPerMs : speeds.readTokensPerMs);
-    return own / speeds.readTokensPerMs + missMs + waitMs(target, request, now);
+    return own / speeds.readTokensPerMs + missMs(target, request, isHome) + waitMs(target, request, now);
+}
+
+/// @return the time to get the shared part where a target does not hold it.
+double target_board::missMs(const board_target& target, const placement_request& request, bool isHome) const
+{
+    const auto& holders = request.holders;
+    bool holds = std::find(holders.begin(), holders.end(), target.last.address) != holders.end();
+    // Where nobody is known to hold it, its home may.
+    if (holds || (holders.empty() && isHome))
+        return 0;
+    bool canFetch = request.isStored || !holders.empty();
+    const auto& speeds = m_options.speeds;
+    return static_cast<double>(request.sharedTokens)
+        / (canFetch ? speeds.fetchTokensPerMs : speeds.readTokensPerMs);
+}
+
+std::optional<part_source> target_board::findSource(const std::string& address, instant now) const
+{
+    auto found = std::find_if(m_targets.begin(), m_targets.end(), [&](const auto& each) {
+        return each.second.last.address == address && each.second.last.state != target_state::leaving;
+    });
+    if (found == m_targets.end())
+        return std::nullopt;
+    const auto& [name, target] = *found;
+    auto limits = m_services.find(target.last.service);
+    bool isEngine = limits != m_services.end() && limits->second.engine;
+    if (!isEngine || !isTrusted(target, now) || now < target.suspendedUntil)
+        return std::nullopt;
+    return part_source { address, target.last.failureDomain, limits->second.engine->linkMegabitsPerSecond };
 }
 
 /// @return the target with the highest score, which is the conversation's home on every entry.
--- a/packages/forwarding/src/plumfold_deployment_follower.cpp
+++ b/packages/forwarding/src/plumfold_deployment_follower.cpp
@@ -116,9 +116,9 @@
     request.setWaitMs(m_justConnected ? 0 : waitMs);
     auto timeout = !m_confirmed ? confirmedTimeout : m_justConnected ? firstAnswerTimeout : answerTimeout;
     request.setConfirmed(!m_confirmed);
-    auto cursors = request.initStores(m_stores.size());
+    auto cursors = request.initParts(m_parts.size());
     unsigned index = 0;
-    for (const auto& [store, cursor] : m_stores)
+    for (const auto& [holder, cursor] : m_parts)
         wire::write(cursors[index++], cursor);
     return wire::withTimeout(m_rpc, request.send().dropPipeline(), timeout).then([this](auto&& response) {
         take(kj::mv(response));
@@ -137,12 +137,12 @@
     news.targetClock = response.getClock();
     for (auto each : response.getLoads())
         news.loads.push_back(wire::read(each));
-    for (auto each : response.getStores()) {
-        news.stores.push_back(wire::read(each));
-        const auto& told = news.stores.back();
-        m_stores[told.store] = { told.store, told.generation, told.count };
+    for (auto each : response.getParts()) {
+        news.parts.push_back(wire::read(each));
+        const auto& told = news.parts.back();
+        m_parts[told.holder] = { told.holder, told.generation, told.count };
         if (told.generation == 0)
-            m_stores.erase(told.store);
+            m_parts.erase(told.holder);
     }
     // An older revision comes from a control VM that lags; what is in force never goes back.
     if (response.hasDeployment() && response.getDeployment().getRevision() > m_knownDeployment) {
--- a/packages/forwarding/src/plumfold_deployment_follower.hpp
+++ b/packages/forwarding/src/plumfold_deployment_follower.hpp
@@ -23,7 +23,7 @@
     std::vector<core::target_announcement> targets; ///< Those that changed.
     bool everything = false; ///< The targets are all that there are.
     std::uint32_t entries = 1; ///< Entries that follow any control VM.
-    std::vector<core::store_news> stores;
+    std::vector<core::part_news> parts;
     std::vector<core::target_load> loads;
     std::uint64_t targetClock = 0; ///< The targets' clock in milliseconds; 0: not known.
 };
@@ -63,7 +63,7 @@
     bool m_confirmed = false; // a quorum confirmed what we know once
     bool m_justConnected = true;
     bool m_wantsNear = false; // a nearer control VM is known than the one that we follow
-    std::map<std::string, core::store_cursor> m_stores; // what is known of each store
+    std::map<std::string, core::part_cursor> m_parts; // what is known of each holder
     unsigned m_failures = 0;
     kj::Own<wire::task_group> m_tasks;
 };
--- a/packages/forwarding/src/plumfold_forwarding_role.cpp
+++ b/packages/forwarding/src/plumfold_forwarding_role.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr core::milliseconds housekeepingInterval { 500 };
+constexpr core::milliseconds partsForgetTime { 10'000 };
 constexpr core::milliseconds drainCheckInterval { 20 };
 /// The balancer asks every second and stops sending callers after two refusals.
 constexpr core::milliseconds balancerNoticeTime { 3'000 };
@@ -105,8 +106,8 @@
         m_state.board.takeLoads(news.loads, now);
         m_state.board.setEntries(news.entries);
         m_state.repeats.setEntries(news.entries);
-        for (const auto& store : news.stores)
-            m_state.parts.take(store, now);
+        for (const auto& holder : news.parts)
+            m_state.parts.take(holder, now);
         m_state.targetClock = news.targetClock;
         m_state.targetClockAt = now;
         if (news.deployment)
@@ -166,6 +167,7 @@
         while (true) {
             co_await pause(housekeepingInterval);
             m_state.connections.closeIdle();
+            m_state.parts.forget(runtime::now(), partsForgetTime);
         }
     }
 
--- a/packages/forwarding/src/plumfold_request_attempt.cpp
+++ b/packages/forwarding/src/plumfold_request_attempt.cpp
@@ -49,8 +49,8 @@
     return partition;
 }
 
-/// What we know of the stores may be outdated while no control VM answers.
-bool request_forwarder::knowsStores() const
+/// What we know of stores and engines may be outdated while no control VM answers.
+bool request_forwarder::knowsParts() const
 {
     return m_state.targetClock != 0
         && runtime::now() - m_state.targetClockAt <= core::part_directory::silenceBound;
@@ -60,9 +60,11 @@
 {
     auto now = runtime::now();
     auto age = std::chrono::duration_cast<core::milliseconds>(now - m_state.targetClockAt);
-    if (!knowsStores())
+    if (!knowsParts())
         return;
-    head.parts = m_state.partPlanner.plan(m_head.parts, head.partition, on.failureDomain, m_state.parts,
+    head.parts = m_state.partPlanner.plan(
+        m_head.parts, head.partition, { on.address, on.failureDomain, 0 }, m_state.parts,
+        [this, now](const std::string& address) { return m_state.board.findSource(address, now); },
         m_state.board.speeds().readTokensPerMs, now);
     auto named = [](const auto& addresses) {
         return static_cast<std::size_t>(std::count_if(
@@ -70,10 +72,13 @@
     };
     m_fetches = named(head.parts.fetchFrom);
     m_saves = named(head.parts.saveTo);
-    for (const auto& store : head.parts.fetchFrom) {
-        if (!store.empty()
-            && std::find(m_fetchedFrom.begin(), m_fetchedFrom.end(), store) == m_fetchedFrom.end())
-            m_fetchedFrom.push_back(store);
+    for (std::size_t index = 0; index < head.parts.fetchFrom.size(); ++index) {
+        const auto& source = head.parts.fetchFrom[index];
+        if (source.empty())
+            continue;
+        m_fetchTokens += m_head.parts[index].tokens;
+        if (std::find(m_fetchedFrom.begin(), m_fetchedFrom.end(), source) == m_fetchedFrom.end())
+            m_fetchedFrom.push_back(source);
     }
     head.fetchUntil = m_state.targetClock + static_cast<std::uint64_t>(age.count())
         + static_cast<std::uint64_t>(fetchBound.count());
@@ -99,7 +104,7 @@
     }
     m_tried.insert(on.target);
     m_fetchedFrom.clear();
-    m_fetches = m_saves = 0;
+    m_fetches = m_saves = m_fetchTokens = 0;
     m_sentAt = runtime::now();
     m_predictedMs = on.predictedMs;
     m_waitMs = on.waitMs;
--- a/packages/forwarding/src/plumfold_request_forwarder.cpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.cpp
@@ -116,13 +116,16 @@
         return out;
     out.session = core::conversationOf(m_head.parts);
     out.promptTokens = m_head.promptTokens;
-    for (std::size_t index = 0; index + 1 < m_head.parts.size(); ++index)
-        out.sharedTokens += m_head.parts[index].tokens;
-    out.sharedTokens = std::min(out.sharedTokens, out.promptTokens);
-    if (knowsStores())
-        out.isStored
-            = m_state.partPlanner.canFetch(m_head.parts, partitionOf(m_state.board.weightsOf(m_head.model)),
-                m_state.parts, m_state.board.speeds().readTokensPerMs, runtime::now());
+    out.sharedTokens = std::min(core::sharedTokensOf(m_head.parts), out.promptTokens);
+    if (knowsParts()) {
+        auto partition = partitionOf(m_state.board.weightsOf(m_head.model));
+        auto now = runtime::now();
+        out.isStored = m_state.partPlanner.canFetch(
+            m_head.parts, partition, m_state.parts, m_state.board.speeds().readTokensPerMs, now);
+        if (m_head.parts.size() > 1)
+            out.holders = m_state.parts.holdersOf(
+                core::hashOf({ partition, m_head.parts[m_head.parts.size() - 2].id }), now);
+    }
     out.outputTokens
         = std::min(m_head.expectedOutputTokens.value_or(m_head.maxOutputTokens), m_head.maxOutputTokens);
     return out;
@@ -280,12 +283,15 @@
         .with("sends", m_sends)
         .with("target", m_lastTarget.empty() ? std::string("none") : m_lastTarget)
         .with("weights", m_lastWeights.empty() ? std::string("none") : m_lastWeights)
+        .with("conversation", core::conversationOf(m_head.parts))
         .with("parts", m_head.parts.size())
+        .with("shared_tokens", core::sharedTokensOf(m_head.parts))
+        .with("fetch_tokens", m_fetchTokens)
         .with("fetches", m_fetches)
         .with("saves", m_saves)
         .with("predicted_ms", static_cast<std::int64_t>(m_predictedMs))
         .with("wait_ms", static_cast<std::int64_t>(m_waitMs))
-        .with("stores_known", m_state.parts.stores().size())
+        .with("holders_known", m_state.parts.holders().size())
         .with("deployment", m_deployment ? m_deployment->version() : 0)
         .with("first_ms", m_firstByteAt == core::instant {} ? -1 : since(m_firstByteAt))
         .with("total_ms", since(now))
--- a/packages/forwarding/src/plumfold_request_forwarder.hpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.hpp
@@ -63,7 +63,7 @@
     core::placement_request placementRequest() const;
     platform::target_request_head targetHead(const core::placement& on);
     void planParts(const core::placement& on, platform::target_request_head& head);
-    bool knowsStores() const;
+    bool knowsParts() const;
     std::string partitionOf(const std::string& weights) const;
     core::milliseconds timeLeft() const;
 
@@ -95,12 +95,13 @@
     bool m_streamDone = false;
     http::response<http::empty_body> m_streamHead;
     core::event_cursor m_events;
-    std::vector<std::string> m_fetchedFrom; // stores that the attempt in progress names
+    std::vector<std::string> m_fetchedFrom; // stores and engines that the attempt in progress names
     asio::steady_timer m_watchdog;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); // for handlers that outlive this object
     core::instant m_lastByteAt {}; // of the attempt in progress
     core::instant m_sentAt {}; // of the attempt in progress
     std::size_t m_fetches = 0; // parts that the attempt in progress names a source for
+    std::uint64_t m_fetchTokens = 0; // of those parts
     std::size_t m_saves = 0;
     double m_waitMs = 0; // predicted, of the attempt in progress
     double m_predictedMs = 0; // of the attempt in progress
--- a/packages/wire/include/plumfold/wire/plumfold_convert.hpp
+++ b/packages/wire/include/plumfold/wire/plumfold_convert.hpp
@@ -6,6 +6,7 @@
 #include "plumfold/core/plumfold_part_directory.hpp"
 #include "plumfold/core/plumfold_raft_types.hpp"
 #include "plumfold/core/plumfold_suspect_registry.hpp"
+#include "plumfold/core/plumfold_target_board.hpp"
 #include "plumfold/core/plumfold_target_directory.hpp"
 #include "plumfold/core/plumfold_target_report.hpp"
 
@@ -99,11 +100,11 @@
 void write(TargetLoad::Builder out, const core::target_load& value);
 core::target_load read(TargetLoad::Reader in);
 
-void write(StoreParts::Builder out, const core::store_news& value);
-core::store_news read(StoreParts::Reader in);
+void write(PartNews::Builder out, const core::part_news& value);
+core::part_news read(PartNews::Reader in);
 
-void write(StoreCursor::Builder out, const core::store_cursor& value);
-core::store_cursor read(StoreCursor::Reader in);
+void write(PartCursor::Builder out, const core::part_cursor& value);
+core::part_cursor read(PartCursor::Reader in);
 
 void write(HardState::Builder out, const core::hard_state& value);
 core::hard_state read(HardState::Reader in);
--- a/packages/wire/schema/plumfold.capnp
+++ b/packages/wire/schema/plumfold.capnp
@@ -188,7 +188,7 @@
   deliver @0 (message :RaftMessage) -> ();
   # What this control VM heard from targets itself, how many entries follow it, and the entries' suspects.
   share @1 (address :Text, failureDomain :Text, entries :UInt32, targets :List(AnnouncedTarget),
-      stores :List(StoreParts), clock :UInt64, loads :List(TargetLoad)) -> ();
+      parts :List(PartNews), clock :UInt64, loads :List(TargetLoad)) -> ();
 }
 interface Operator {
   form @0 () -> (reply :Reply);
@@ -207,9 +207,9 @@
   # Answers as soon as the deployment or a target differs from what is known, or after waitMs. With confirmed,
   # a quorum has shown first that nothing newer is in force.
   follow @2 (knownDeployment :UInt64, feed :UInt64, knownChange :UInt64, waitMs :UInt32, confirmed :Bool,
-      stores :List(StoreCursor))
+      parts :List(PartCursor))
       -> (fresh :Bool, deployment :DeploymentState, feed :UInt64, change :UInt64, everything :Bool,
-          targets :List(AnnouncedTarget), control :List(ControlAddress), entries :UInt32, stores :List(StoreParts), clock :UInt64,
+          targets :List(AnnouncedTarget), control :List(ControlAddress), entries :UInt32, parts :List(PartNews), clock :UInt64,
           loads :List(TargetLoad));
 }
 
@@ -226,11 +226,10 @@
   sequence @8 :UInt64;
   models @9 :List(LoadedModel);
 }
-# KV parts that a store holds whole. They are numbered in the order in which they were learned; another generation
-# numbers anew.
-struct StoredPart { key :group { partition @0 :Text; id @1 :Text; } tokens @2 :UInt32; }
-struct StoreParts { store @0 :Text; generation @1 :UInt64; first @2 :UInt32; count @3 :UInt32; parts @4 :List(StoredPart); confirmed @5 :Bool; }
-struct StoreCursor { store @0 :Text; generation @1 :UInt64; count @2 :UInt32; }
+# KV parts that a store or an engine holds whole, see core::part_news.
+struct PartChange { part @0 :UInt64; tokens @1 :UInt32; }
+struct PartNews { holder @0 :Text; generation @1 :UInt64; first @2 :UInt32; count @3 :UInt32; changes @4 :List(PartChange); confirmed @5 :Bool; }
+struct PartCursor { holder @0 :Text; generation @1 :UInt64; count @2 :UInt32; }
 # What a target reported of its work, see core::target_load.
 struct TargetLoad {
   target @0 :Text;
--- a/packages/wire/src/plumfold_convert_deployment.cpp
+++ b/packages/wire/src/plumfold_convert_deployment.cpp
@@ -98,46 +98,43 @@
         core::milliseconds(in.getAgeMs()) };
 }
 
-void write(StoreParts::Builder out, const core::store_news& value)
+void write(PartNews::Builder out, const core::part_news& value)
 {
-    out.setStore(value.store);
+    out.setHolder(value.holder);
     out.setGeneration(value.generation);
     out.setFirst(value.first);
     out.setCount(value.count);
     out.setConfirmed(value.confirmed);
-    auto parts = out.initParts(value.parts.size());
-    for (unsigned index = 0; index < value.parts.size(); ++index) {
-        auto key = parts[index].getKey();
-        key.setPartition(value.parts[index].key.partition);
-        key.setId(value.parts[index].key.id);
-        parts[index].setTokens(value.parts[index].tokens);
+    auto changes = out.initChanges(value.changes.size());
+    for (unsigned index = 0; index < value.changes.size(); ++index) {
+        changes[index].setPart(value.changes[index].part);
+        changes[index].setTokens(value.changes[index].tokens);
     }
 }
 
-core::store_news read(StoreParts::Reader in)
+core::part_news read(PartNews::Reader in)
 {
-    core::store_news value;
-    value.store = text(in.getStore());
+    core::part_news value;
+    value.holder = text(in.getHolder());
     value.generation = in.getGeneration();
     value.first = in.getFirst();
     value.count = in.getCount();
     value.confirmed = in.getConfirmed();
-    for (auto each : in.getParts())
-        value.parts.push_back(
-            { { text(each.getKey().getPartition()), text(each.getKey().getId()) }, each.getTokens() });
+    for (auto each : in.getChanges())
+        value.changes.push_back({ each.getPart(), each.getTokens() });
     return value;
 }
 
-void write(StoreCursor::Builder out, const core::store_cursor& value)
+void write(PartCursor::Builder out, const core::part_cursor& value)
 {
-    out.setStore(value.store);
+    out.setHolder(value.holder);
     out.setGeneration(value.generation);
     out.setCount(value.count);
 }
 
-core::store_cursor read(StoreCursor::Reader in)
+core::part_cursor read(PartCursor::Reader in)
 {
-    return core::store_cursor { text(in.getStore()), in.getGeneration(), in.getCount() };
+    return core::part_cursor { text(in.getHolder()), in.getGeneration(), in.getCount() };
 }
 
 } // namespace plumfold::wire
--- a/tests/core/plumfold_part_directory_tests.cpp
+++ b/tests/core/plumfold_part_directory_tests.cpp
@@ -9,15 +9,15 @@
 const instant start {};
 const std::string store = "10.0.0.1:80";
 
-stored_part part(const std::string& id)
+part_change part(const std::string& id, std::uint32_t tokens = 100)
 {
-    return { { "w1", id }, 100 };
+    return { hashOf({ "w1", id }), tokens };
 }
 
 /// Brings a reader up to date, as control does for entries.
 void relay(const part_directory& from, part_directory& to, instant now)
 {
-    store_cursor cursor { store, 0, 0 };
+    part_cursor cursor { store, 0, 0 };
     for (const auto& each : to.cursors())
         cursor = each;
     to.take(from.newsAfter(cursor, now), now);
@@ -33,6 +33,12 @@
 
 const std::vector<prompt_part> prompt { { "system", 100 }, { "session", 2000 }, { "own", 50 } };
 constexpr double readRate = 48;
+const part_source target { "10.0.1.1:80", "a", 740'000 };
+
+std::optional<part_source> noEngines(const std::string&)
+{
+    return std::nullopt;
+}
 
 } // namespace
 
@@ -42,7 +48,7 @@
     part_directory control;
     part_directory entry;
     control.reset(store, 7, start);
-    control.add(store, part("a"));
+    control.apply(store, part("a"));
     relay(control, entry, start);
     REQUIRE(entry.find(store, start));
     auto later = start + milliseconds(5'000);
@@ -50,7 +56,7 @@
     relay(control, entry, later); // control itself heard nothing of the store
     CHECK_FALSE(entry.find(store, later));
     control.refresh(store, later);
-    control.add(store, part("b"));
+    control.apply(store, part("b"));
     relay(control, entry, later);
     REQUIRE(entry.find(store, later));
     CHECK(entry.find(store, later)->tokens.size() == 2);
@@ -61,7 +67,7 @@
     part_directory control;
     part_directory entry;
     control.reset(store, 7, start);
-    control.add(store, part("a"));
+    control.apply(store, part("a"));
     relay(control, entry, start);
     control.reset(store, 8, start);
     relay(control, entry, start);
@@ -78,15 +84,15 @@
     directory.reset(store, 7, start);
     auto later = start + milliseconds(10'000);
     directory.refresh(store, later);
-    auto first = planner.plan(prompt, "w1", "a", directory, readRate, later);
+    auto first = planner.plan(prompt, "w1", target, directory, noEngines, readRate, later);
     CHECK(first.saveTo == std::vector<std::string> { store, store, "" });
     CHECK_FALSE(first.fetches());
-    CHECK_FALSE(planner.plan(prompt, "w1", "a", directory, readRate, later).saves());
-    directory.add(store, { { "w1", "session" }, 2000 });
-    auto next = planner.plan(prompt, "w1", "a", directory, readRate, later);
+    CHECK_FALSE(planner.plan(prompt, "w1", target, directory, noEngines, readRate, later).saves());
+    directory.apply(store, part("session", 2000));
+    auto next = planner.plan(prompt, "w1", target, directory, noEngines, readRate, later);
     CHECK(next.fetchFrom == std::vector<std::string> { "", store, "" });
     // Other weights find nothing.
-    CHECK_FALSE(planner.plan(prompt, "w2", "a", directory, readRate, later).fetches());
+    CHECK_FALSE(planner.plan(prompt, "w2", target, directory, noEngines, readRate, later).fetches());
 }
 
 TEST_CASE(
@@ -96,7 +102,9 @@
     part_planner planner;
     planner.setStores(oneStore());
     directory.reset(store, 7, start);
-    CHECK_FALSE(planner.plan(prompt, "w1", "a", directory, readRate, start + milliseconds(1'000)).saves());
+    CHECK_FALSE(
+        planner.plan(prompt, "w1", target, directory, noEngines, readRate, start + milliseconds(1'000))
+            .saves());
 }
 
 TEST_CASE("A store that is slower than reading again is left alone until it has recovered", "[part_planner]")
@@ -105,11 +113,104 @@
     part_planner planner;
     planner.setStores(oneStore());
     directory.reset(store, 7, start);
-    directory.add(store, { { "w1", "session" }, 2000 });
+    directory.apply(store, part("session", 2000));
     for (int count = 0; count < 20; ++count)
         planner.delays().record({ store }, 400, start);
-    CHECK_FALSE(planner.plan(prompt, "w1", "a", directory, readRate, start).fetches());
+    CHECK_FALSE(planner.plan(prompt, "w1", target, directory, noEngines, readRate, start).fetches());
     auto later = start + milliseconds(10'000);
     directory.refresh(store, later);
-    CHECK(planner.plan(prompt, "w1", "a", directory, readRate, later).fetches());
+    CHECK(planner.plan(prompt, "w1", target, directory, noEngines, readRate, later).fetches());
+}
+
+TEST_CASE("A part that its holder lost is not found by any reader", "[part_directory]")
+{
+    part_directory control;
+    part_directory entry;
+    control.reset(store, 7, start);
+    control.apply(store, part("a"));
+    control.apply(store, part("b"));
+    relay(control, entry, start);
+    REQUIRE(entry.holdersOf(part("a").part, start) == std::vector<std::string> { store });
+    control.apply(store, part("a", 0));
+    relay(control, entry, start);
+    CHECK(entry.holdersOf(part("a").part, start).empty());
+    CHECK(entry.holdersOf(part("b").part, start) == std::vector<std::string> { store });
+    CHECK(entry.find(store, start)->usedTokens == 100);
+}
+
+TEST_CASE("A reader that lags behind the kept changes is told all parts again", "[part_directory]")
+{
+    part_directory control;
+    part_directory entry;
+    control.reset(store, 7, start);
+    control.apply(store, part("first"));
+    relay(control, entry, start);
+    for (int count = 0; count < 5'000; ++count) {
+        auto id = std::to_string(count);
+        control.apply(store, part(id));
+        control.apply(store, part(id, 0));
+    }
+    control.apply(store, part("first", 0));
+    control.apply(store, part("last"));
+    relay(control, entry, start);
+    CHECK(entry.holdersOf(part("first").part, start).empty());
+    CHECK(entry.holdersOf(part("last").part, start) == std::vector<std::string> { store });
+    CHECK(entry.cursors() == control.cursors());
+}
+
+TEST_CASE(
+    "News that a reader knows already change nothing, and older ones take nothing back", "[part_directory]")
+{
+    part_directory lagging;
+    part_directory entry;
+    lagging.reset(store, 7, start);
+    lagging.apply(store, part("a"));
+    relay(lagging, entry, start);
+    auto before = lagging.newsAfter({ store, 7, 0 }, start);
+    entry.apply(store, part("a", 0));
+    entry.take(before, start);
+    relay(lagging, entry, start);
+    CHECK(entry.holdersOf(part("a").part, start).empty());
+}
+
+TEST_CASE(
+    "A part that only another engine holds is fetched from there while that engine answers", "[part_planner]")
+{
+    const std::string other = "10.0.1.2:80";
+    part_directory directory;
+    part_planner planner;
+    planner.setStores(oneStore());
+    directory.reset(other, 7, start);
+    directory.apply(other, part("session", 2000));
+    auto answers = [&](const std::string& address) {
+        return std::optional(part_source { address, "b", 740'000 });
+    };
+    auto planned = planner.plan(prompt, "w1", target, directory, answers, readRate, start);
+    CHECK(planned.fetchFrom == std::vector<std::string> { "", other, "" });
+    CHECK_FALSE(planner.plan(prompt, "w1", target, directory, noEngines, readRate, start).fetches());
+    // What the target holds itself needs no source.
+    directory.reset(target.address, 8, start);
+    directory.apply(target.address, part("session", 2000));
+    directory.forget(start + milliseconds(10), milliseconds(5));
+    CHECK_FALSE(planner.plan(prompt, "w1", target, directory, answers, readRate, start).fetches());
+}
+
+TEST_CASE("An engine's fast link is preferred to a store's, and a store to what the target may have lost",
+    "[part_planner]")
+{
+    const std::string other = "10.0.1.2:80";
+    part_directory directory;
+    part_planner planner;
+    planner.setStores(oneStore());
+    for (const auto& holder : { store, other }) {
+        directory.reset(holder, 7, start);
+        directory.apply(holder, part("session", 2000));
+    }
+    auto answers = [&](const std::string& address) {
+        return address == other ? std::optional(part_source { address, "a", 740'000 }) : std::nullopt;
+    };
+    CHECK(planner.plan(prompt, "w1", target, directory, answers, readRate, start).fetchFrom[1] == other);
+    directory.reset(target.address, 9, start);
+    directory.apply(target.address, part("session", 2000));
+    CHECK(planner.plan(prompt, "w1", target, directory, answers, readRate, start).fetchFrom[1] == store);
 }
--- a/tests/core/plumfold_target_board_tests.cpp
+++ b/tests/core/plumfold_target_board_tests.cpp
@@ -58,6 +58,36 @@
             == second.choose(requestOf(session), start).chosen->target);
 }
 
+TEST_CASE("A conversation goes to the target that holds its shared part while that one is not loaded",
+    "[target_board]")
+{
+    auto board = boardOf({ engine("t1"), engine("t2"), engine("t3") });
+    for (std::uint64_t session = 1; session < 30; ++session) {
+        auto request = requestOf(session);
+        request.promptTokens = 9'000;
+        request.sharedTokens = 8'000;
+        request.holders = { engine("t2").address };
+        auto answer = board.choose(request, start);
+        CHECK(answer.chosen->target == "t2");
+        board.ended("t2", attempt_end::answered, target_board::expectedTokens(request), start);
+    }
+}
+
+TEST_CASE("Only engines that are thought to answer are sources of KV parts", "[target_board]")
+{
+    auto board = boardOf({ engine("t1") });
+    service_limits pool;
+    pool.name = "pool";
+    CHECK_FALSE(board.findSource(engine("t1").address, start)); // the service has no engines
+    pool.engine = engine_limits { 64, 93'000, 18'432, 740'000 };
+    board.setServices({ pool });
+    REQUIRE(board.findSource(engine("t1").address, start));
+    CHECK(board.findSource(engine("t1").address, start)->linkMegabitsPerSecond == 740'000);
+    board.ended("t1", attempt_end::lost, 0, start);
+    CHECK_FALSE(board.findSource(engine("t1").address, start));
+    CHECK_FALSE(board.findSource("10.9.9.9:80", start));
+}
+
 TEST_CASE("Leaving targets and failure domains out of service get nothing", "[target_board]")
 {
     auto board = boardOf({ engine("t1"), engine("t2", "b") });
