Requests compete at targets by customer, then by route

Cause: all customers of the standard sites have priority 1, which goes before the route's, so every request reached the engines with the same urgency, and label checks and short questions waited behind contracts of 12,000 tokens.

Change: urgencyOf() ranks by the customer's priority and, where it is equal, by the route's. A test plays the load: eight of eight in time against four.

--- a/packages/core/include/plumfold/core/plumfold_deployment.hpp
+++ b/packages/core/include/plumfold/core/plumfold_deployment.hpp
@@ -129,6 +129,16 @@
     std::map<std::string, std::size_t, std::less<>> m_servicesByName;
 };
 
+/// The least urgent rank that a request can have.
+inline constexpr std::uint32_t leastUrgent = 9;
+
+/// Ranks a request among those that compete for a target. The customer's priority goes first; the route's
+/// decides between requests of customers with the same one. Load it answers: customers that all have one
+/// priority, whose urgent small requests would wait behind large ones.
+/// @param customer null for public routes.
+/// @return 0 (first) to leastUrgent.
+std::uint32_t urgencyOf(const route& on, const customer_access* customer);
+
 /// Chooses one of a route's services for a request, in proportion to the weights.
 /// @param draw a number that is evenly distributed over its range, for instance a hash of the request's id.
 /// @return the service, or null when the route has none.
--- a/packages/core/src/plumfold_deployment.cpp
+++ b/packages/core/src/plumfold_deployment.cpp
@@ -1,11 +1,15 @@
 #include "plumfold/core/plumfold_deployment.hpp"
 
 #include <absl/strings/str_cat.h>
+#include <algorithm>
 
 namespace plumfold::core {
 
 namespace {
 
+/// Ranks that the route gives among requests of customers with one priority.
+constexpr std::uint32_t routeRanks = 3;
+
 absl::Status checkRoute(const route& checked, const deployment& whole)
 {
     if (checked.host.empty())
@@ -100,6 +104,12 @@
     return found == m_servicesByName.end() ? nullptr : &m_services[found->second];
 }
 
+std::uint32_t urgencyOf(const route& on, const customer_access* customer)
+{
+    auto first = customer ? customer->priority.value_or(on.priority) : on.priority;
+    return std::min(first * routeRanks + std::min(on.priority, routeRanks - 1), leastUrgent);
+}
+
 const std::string* chooseService(const route& on, std::uint64_t draw)
 {
     std::uint64_t total = 0;
--- a/packages/forwarding/src/plumfold_request_attempt.cpp
+++ b/packages/forwarding/src/plumfold_request_attempt.cpp
@@ -19,7 +19,6 @@
 constexpr std::size_t pieceBytes = 16 << 10;
 constexpr std::uint64_t maxWholeAnswerBytes = 64 << 20;
 constexpr unsigned statusServerError = 500;
-constexpr std::uint32_t lowestUrgency = 9;
 
 } // namespace
 
@@ -30,7 +29,7 @@
     head.target = on.target;
     if (m_customer)
         head.customer = m_customer->name;
-    head.urgency = std::min(priority(), lowestUrgency);
+    head.urgency = core::urgencyOf(*m_route, m_customer);
     if (!m_head.model.empty() && !on.weights.empty()) {
         head.weights = on.weights;
         head.partition = partitionOf(on.weights);
--- /dev/null
+++ b/tests/core/plumfold_deployment_tests.cpp
@@ -0,0 +1,84 @@
+#include "plumfold/core/plumfold_deployment.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <vector>
+
+using namespace plumfold::core;
+
+namespace {
+
+route routeOf(std::uint32_t priority)
+{
+    route out;
+    out.priority = priority;
+    return out;
+}
+
+customer_access customerOf(std::uint32_t priority)
+{
+    customer_access out;
+    out.priority = priority;
+    return out;
+}
+
+struct waiting_request {
+    std::uint32_t urgency = 0;
+    double serviceMs = 0;
+    double targetMs = 0;
+};
+
+/// Serves what waits at one target, the more urgent first.
+/// @return how many are served within their latency target.
+int servedInTime(std::vector<waiting_request> waiting)
+{
+    std::stable_sort(waiting.begin(), waiting.end(),
+        [](const auto& left, const auto& right) { return left.urgency < right.urgency; });
+    double now = 0;
+    int inTime = 0;
+    for (const auto& each : waiting) {
+        now += each.serviceMs;
+        inTime += now <= each.targetMs;
+    }
+    return inTime;
+}
+
+} // namespace
+
+TEST_CASE("A customer's priority goes before any route's", "[deployment]")
+{
+    auto first = customerOf(0);
+    auto second = customerOf(1);
+    for (std::uint32_t left = 0; left < 5; ++left) {
+        for (std::uint32_t right = 0; right < 5; ++right)
+            CHECK(urgencyOf(routeOf(left), &first) < urgencyOf(routeOf(right), &second));
+    }
+}
+
+TEST_CASE("Routes rank the requests of customers with one priority", "[deployment]")
+{
+    auto customer = customerOf(1);
+    CHECK(urgencyOf(routeOf(0), &customer) < urgencyOf(routeOf(1), &customer));
+    CHECK(urgencyOf(routeOf(1), &customer) < urgencyOf(routeOf(2), &customer));
+    CHECK(urgencyOf(routeOf(7), nullptr) == leastUrgent);
+}
+
+TEST_CASE("Small urgent requests are not late behind large ones of customers with the same priority",
+    "[deployment]")
+{
+    // Large prompts that are less urgent arrived first.
+    auto customer = customerOf(1);
+    std::vector<waiting_request> ranked;
+    std::vector<waiting_request> unranked;
+    for (int count = 0; count < 8; ++count) {
+        bool isLarge = count < 4;
+        auto urgency = urgencyOf(routeOf(isLarge ? 2 : 0), &customer);
+        waiting_request one { urgency, isLarge ? 250.0 : 20.0, isLarge ? 1'200.0 : 800.0 };
+        ranked.push_back(one);
+        one.urgency = *customer.priority;
+        unranked.push_back(one);
+    }
+    CHECK(servedInTime(ranked) == 8);
+    CHECK(servedInTime(unranked) == 4);
+}
