Loads and part news reach entries every 150 ms

Cause: an entry chose by loads up to 0.9 s old (read every 250 ms, shared every 300 ms, told every 400 ms), in which several entries sent their requests to the same engine.

Change: shared and told every 150 ms. Reports are read as often as before, since they are priced as probes.

--- a/packages/control/src/plumfold_peer_links.cpp
+++ b/packages/control/src/plumfold_peer_links.cpp
@@ -10,7 +10,7 @@
 /// How often a peer is told everything again, so that it knows which targets are still heard.
 constexpr core::milliseconds shareAllInterval { 1500 };
 /// How often a peer is told of the stores and engines that this control VM reads.
-constexpr core::milliseconds sharePartsInterval { 300 };
+constexpr core::milliseconds sharePartsInterval { 150 };
 constexpr unsigned maxInFlight = 64;
 constexpr std::chrono::milliseconds connectTimeout { 500 };
 constexpr std::chrono::milliseconds callTimeout { 2000 };
--- a/packages/forwarding/src/plumfold_deployment_follower.cpp
+++ b/packages/forwarding/src/plumfold_deployment_follower.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds connectTimeout { 250 };
-constexpr std::uint32_t waitMs = 400;
+constexpr std::uint32_t waitMs = 150;
 /// A control VM that does not answer in time is left: a change must be in force within two seconds even when
 /// two of them have just fallen silent.
 constexpr std::chrono::milliseconds answerTimeout { 900 };
