--- a/packages/core/include/plumfold/core/plumfold_target_board.hpp
+++ b/packages/core/include/plumfold/core/plumfold_target_board.hpp
@@ -44,6 +44,7 @@
     std::string failureDomain;
     double predictedMs = 0; ///< Expected time to the first event; 0 for plain services.
     double waitMs = 0; ///< Of the prediction, what others in front of the request cause.
+    bool isHolder = false; ///< The target is thought to hold the conversation's shared part.
     bool isTargetLoaded = false; ///< Other requests make the time uncertain.
     bool operator==(const placement&) const = default;
 };
@@ -76,7 +77,8 @@
 struct engine_speeds {
     double readTokensPerMs = 48; ///< Prompt tokens that an engine reads, from the users' sheet.
     double fetchTokensPerMs = 200; ///< Tokens that come from a store, over its link.
-    double waitingMs = 25; ///< Each request that waits before this one.
+    double waitingMs = 150; ///< Each request that waits before this one.
+    double begunMs = 60; ///< Each own request that the report does not show yet.
     double runningMs = 3; ///< Each request in the same batch slows the steps.
     double memoryShare = 0.75; ///< From this share of memory on, running requests may be put back.
     double overflowMs = 4'000; ///< For each whole memory beyond that share.
@@ -179,6 +181,7 @@
     board_target* pickForSession(
         std::vector<board_target*>& candidates, const placement_request& request, instant now) const;
     double waitMs(const board_target& target, const placement_request& request, instant now) const;
+    static bool isHolder(const board_target& target, const placement_request& request);
     double missMs(const board_target& target, const placement_request& request, bool isHome) const;
     double predictedMs(
         const board_target& target, const placement_request& request, bool isHome, instant now) const;
--- a/packages/core/src/plumfold_target_board.cpp
+++ b/packages/core/src/plumfold_target_board.cpp
@@ -183,7 +183,8 @@
         target.begun.pop_front();
     if (now < target.coldUntil)
         target.lastColdStart = now;
-    placement out { target.last.name, target.last.address, {}, target.last.failureDomain, 0, 0, false };
+    placement out { target.last.name, target.last.address, {}, target.last.failureDomain, 0, 0,
+        isHolder(target, request), false };
     for (const auto& loaded : target.last.models) {
         if (loaded.model == request.model)
             out.weights = loaded.version;
@@ -224,6 +225,7 @@
     bool hasEngine = limits != m_services.end() && limits->second.engine.has_value();
     double capacity = hasEngine ? static_cast<double>(limits->second.engine->memoryTokens) : 0;
     double waiting = 0;
+    double begun = 0;
     double running = static_cast<double>(target.inFlight) * m_entries;
     double used = static_cast<double>(target.inFlightTokens) * m_entries;
     if (target.load && now - target.loadAt < m_options.loadBound) {
@@ -233,13 +235,13 @@
         for (const auto& [at, tokens] : target.begun) {
             if (at < target.loadAt)
                 continue;
-            waiting += 1;
+            ++begun;
             used += static_cast<double>(tokens);
         }
     }
     double share = capacity > 0 ? (used + static_cast<double>(expectedTokens(request))) / capacity : 0;
     double overflowMs = std::max(0.0, share - speeds.memoryShare) * speeds.overflowMs;
-    return waiting * speeds.waitingMs + running * speeds.runningMs + overflowMs;
+    return waiting * speeds.waitingMs + begun * speeds.begunMs + running * speeds.runningMs + overflowMs;
 }
 
 double target_board::predictedMs(
@@ -250,15 +252,19 @@
     return own / speeds.readTokensPerMs + missMs(target, request, isHome) + waitMs(target, request, now);
 }
 
+bool target_board::isHolder(const board_target& target, const placement_request& request)
+{
+    const auto& holders = request.holders;
+    return std::find(holders.begin(), holders.end(), target.last.address) != holders.end();
+}
+
 /// @return the time to get the shared part where a target does not hold it.
 double target_board::missMs(const board_target& target, const placement_request& request, bool isHome) const
 {
-    const auto& holders = request.holders;
-    bool holds = std::find(holders.begin(), holders.end(), target.last.address) != holders.end();
     // Where nobody is known to hold it, its home may.
-    if (holds || (holders.empty() && isHome))
+    if (isHolder(target, request) || (request.holders.empty() && isHome))
         return 0;
-    bool canFetch = request.isStored || !holders.empty();
+    bool canFetch = request.isStored || !request.holders.empty();
     const auto& speeds = m_options.speeds;
     return static_cast<double>(request.sharedTokens)
         / (canFetch ? speeds.fetchTokensPerMs : speeds.readTokensPerMs);
--- a/packages/forwarding/src/plumfold_request_attempt.cpp
+++ b/packages/forwarding/src/plumfold_request_attempt.cpp
@@ -105,6 +105,7 @@
     m_fetchedFrom.clear();
     m_fetches = m_saves = m_fetchTokens = 0;
     m_sentAt = runtime::now();
+    m_targetHolds = on.isHolder;
     m_predictedMs = on.predictedMs;
     m_waitMs = on.waitMs;
     m_predictionCounts = on.predictedMs > 0 && !on.isTargetLoaded;
--- a/packages/forwarding/src/plumfold_request_forwarder.hpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.hpp
@@ -103,6 +103,7 @@
     std::size_t m_fetches = 0; // parts that the attempt in progress names a source for
     std::uint64_t m_fetchTokens = 0; // of those parts
     std::size_t m_saves = 0;
+    bool m_targetHolds = false; // as far as known, the conversation's shared part
     double m_waitMs = 0; // predicted, of the attempt in progress
     double m_predictedMs = 0; // of the attempt in progress
     core::instant m_firstByteAt {};
