KV parts come from a store where one holds them, from an engine only otherwise

Cause: an engine keeps an idle part for about two seconds under load, and what entries know of it is up to half a second old. A fetch that finds nothing costs reading the prompt again; the store's slower link costs 40 ms.

--- a/packages/core/src/plumfold_part_directory.cpp
+++ b/packages/core/src/plumfold_part_directory.cpp
@@ -297,18 +297,12 @@
 std::optional<part_source> part_planner::sourceOf(std::uint64_t part, const part_source& target,
     const part_directory& directory, const engine_finder& engines, instant now) const
 {
+    // What an engine is thought to hold may be gone by now, which costs reading the part; a store is surer.
+    if (const auto* store = storeOf(part, target.failureDomain, directory, now))
+        return part_source { store->address, store->failureDomain, store->linkMegabitsPerSecond };
     std::optional<part_source> best;
     double bestCost = 0;
-    if (const auto* store = storeOf(part, target.failureDomain, directory, now)) {
-        best = part_source { store->address, store->failureDomain, store->linkMegabitsPerSecond };
-        bestCost = transferCost(store->failureDomain == target.failureDomain, store->linkMegabitsPerSecond);
-    }
-    auto holders = directory.holdersOf(part, now);
-    // What the target is thought to hold may be gone by now; a store is the surer source then.
-    bool isHeld = std::find(holders.begin(), holders.end(), target.address) != holders.end();
-    if (best && isHeld)
-        return best;
-    for (const auto& holder : holders) {
+    for (const auto& holder : directory.holdersOf(part, now)) {
         auto engine = holder == target.address ? std::nullopt : engines(holder);
         if (!engine)
             continue;
