A request waits a moment for an entry's first deployment

Change: such a request waits for up to half its deadline, 750 ms at most, then it is refused as before. Both are process tests; the first fails on the former code (503).

--- a/packages/forwarding/src/plumfold_request_forwarder.cpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.cpp
@@ -14,6 +14,9 @@
 constexpr core::milliseconds retryAfterRefusal { 500 };
 constexpr core::milliseconds defaultDeadline { 30'000 };
 constexpr core::milliseconds placementWait { 25 };
+/// A request waits for the entry's first deployment for this part of its deadline.
+constexpr int firstDeploymentPart = 2;
+constexpr core::milliseconds longestDeploymentWait { 750 };
 /// A request without a target waits for one for this part of its latency target before it is refused.
 constexpr int placementWaitPart = 8;
 
@@ -51,6 +54,8 @@
 
 task<bool> request_forwarder::run()
 {
+    if (!m_deployment)
+        co_await waitForDeployment();
     if (admit()) {
         m_caller.watch([this] { onCallerGone(); });
         co_await runAttempts();
@@ -63,6 +68,21 @@
     co_return delivered&& m_request.keep_alive() && !m_state.stopping;
 }
 
+/// After a start of the whole system a deployment is confirmed within a second. A refusal would use up the
+/// retry of callers whose first attempt was lost with the former process.
+task<void> request_forwarder::waitForDeployment()
+{
+    auto part = m_head.deadline.value_or(defaultDeadline) / firstDeploymentPart;
+    auto until = m_began + std::min(part, longestDeploymentWait);
+    asio::steady_timer timer(m_state.io);
+    while (!m_state.deployment && !m_state.stopping && runtime::now() < until) {
+        error_code ignored;
+        timer.expires_after(placementWait);
+        co_await timer.async_wait(into(ignored));
+    }
+    m_deployment = m_state.deployment;
+}
+
 bool request_forwarder::admit()
 {
     if (m_head.id.empty() || m_request.count(http::field::host) != 1) {
--- a/packages/forwarding/src/plumfold_request_forwarder.hpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.hpp
@@ -35,6 +35,7 @@
         std::string body;
     };
 
+    task<void> waitForDeployment();
     bool admit();
     void refuse(http::status status, std::string reason, std::optional<core::milliseconds> retryAfter = {});
     task<void> runAttempts();
--- a/tests/forwarding/plumfold_forwarding_tests.cpp
+++ b/tests/forwarding/plumfold_forwarding_tests.cpp
@@ -405,3 +405,40 @@
         forwarding_system::eventually([&] { return system.call(1, "GET", "/configuration").first == 200; }));
     CHECK(nlohmann::json::parse(system.call(2, "GET", "/configuration").second) == body);
 }
+
+TEST_CASE_METHOD(serving_system,
+    "A request that reaches an entry just before its first deployment is served, not refused", "[forwarding]")
+{
+    for (int number = 1; number <= 3; ++number)
+        process("c" + std::to_string(number)).signal(SIGSTOP);
+    startEntry(2);
+    raw_answer answer;
+    REQUIRE(eventually([&] {
+        try {
+            raw_caller caller(callerAddress(2));
+            return true;
+        } catch (const Poco::Exception&) {
+            return false; // the entry does not listen yet
+        }
+    }));
+    auto asked = std::async(std::launch::async, [&] { return request(2, "/shop/whole"); });
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    for (int number = 1; number <= 3; ++number)
+        process("c" + std::to_string(number)).signal(SIGCONT);
+    CHECK(asked.get().status == 200);
+}
+
+TEST_CASE(
+    "A request to an entry that gets no deployment is refused and told when to come back", "[forwarding]")
+{
+    forwarding_system system;
+    system.startEntry(1); // without any control VM
+    raw_answer answer;
+    REQUIRE(forwarding_system::eventually([&] {
+        auto began = std::chrono::steady_clock::now();
+        answer = system.request(1, "/shop/whole");
+        auto took = std::chrono::steady_clock::now() - began;
+        return answer.status == 503 && took < std::chrono::milliseconds(1'200);
+    }));
+    CHECK(answer.headers.find("retry-after: ") != std::string::npos);
+}
