Readers of parts are assigned every 100 ms

Cause: after a restart of all processes the stores were known 0.4 to 0.7 s after the deployment; what is served before is read again.

--- a/packages/control/src/plumfold_part_readers.cpp
+++ b/packages/control/src/plumfold_part_readers.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr core::milliseconds assignInterval { 300 };
+constexpr core::milliseconds assignInterval { 100 };
 /// How long a holder keeps a call waiting for events; it bounds how old our knowledge may be.
 constexpr core::milliseconds eventWait { 500 };
 /// Events that follow each other closely are read together.
