make demo serves through the forwarding path; make bench measures it alone

The demo starts three control VMs that form themselves, two entries and three scripted targets: orders through both entries, a stream that goes on at another target, an order whose answer is lost and that runs once, a killed control VM, the next configuration, clean stops.

--- a/tests/forwarding/support/plumfold_forwarding_system.cpp
+++ b/tests/forwarding/support/plumfold_forwarding_system.cpp
@@ -21,6 +21,7 @@
 
 constexpr int controlVms = 3;
 constexpr int answerSeconds = 10;
+constexpr std::chrono::milliseconds announceInterval { 500 };
 constexpr int rpcPort = 7000;
 constexpr int platformPort = 7080;
 
@@ -124,6 +125,9 @@
 
 forwarding_system::~forwarding_system()
 {
+    m_stopping = true;
+    if (m_announcing.joinable())
+        m_announcing.join();
     m_processes.clear();
     m_targets.clear();
     for (int pipe : m_pipes)
@@ -225,6 +229,17 @@
     }
 }
 
+void forwarding_system::keepAnnouncing()
+{
+    m_announcing = std::thread([this] {
+        while (!m_stopping) {
+            for (const auto& [name, target] : m_targets)
+                announce(name);
+            std::this_thread::sleep_for(announceInterval);
+        }
+    });
+}
+
 json forwarding_system::deployment(int version) const
 {
     auto route = [](const char* name, const char* prefix, const char* kind, int attempts, bool resumable) {
--- a/tests/forwarding/support/plumfold_forwarding_system.hpp
+++ b/tests/forwarding/support/plumfold_forwarding_system.hpp
@@ -6,12 +6,14 @@
 
 #include <nlohmann/json.hpp>
 
+#include <atomic>
 #include <filesystem>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <thread>
 
 namespace plumfold::tests {
 
@@ -58,6 +60,8 @@
     std::pair<int, std::string> call(
         int control, const std::string& method, const std::string& path, const std::string& body = {});
     void announce(const std::string& target, const std::string& state = "ready");
+    /// Announces all targets again until the system ends, as real ones do.
+    void keepAnnouncing();
 
     /// @return the configuration that the tests use, under a version.
     nlohmann::json deployment(int version) const;
@@ -66,6 +70,7 @@
     void waitForTarget(int entry, const std::string& path = "/shop/whole");
 
     std::string callerAddress(int entry) const { return address(20 + entry, 8000); }
+    std::string targetAddress(const std::string& name) const { return m_targets.at(name).first->address(); }
     raw_answer request(int entry, const std::string& path, const std::string& body = "order",
         const std::map<std::string, std::string>& headers = {});
     static std::string requestBytes(const std::string& path, const std::string& id, const std::string& body,
@@ -91,6 +96,8 @@
     std::map<std::string, test_process> m_processes;
     std::vector<int> m_pipes;
     std::uint64_t m_sequence = 0;
+    std::atomic<bool> m_stopping { false };
+    std::thread m_announcing;
 };
 
 } // namespace plumfold::tests
--- a/tests/process/support/plumfold_test_process.hpp
+++ b/tests/process/support/plumfold_test_process.hpp
@@ -18,6 +18,8 @@
     test_process& operator=(test_process&& other) noexcept;
 
     bool isRunning();
+    /// @return the process id.
+    int id() const { return m_pid; }
     /// Sends a signal to this process only.
     void signal(int number) const;
     void kill();
--- a/tools/bench.sh
+++ b/tools/bench.sh
@@ -6,6 +6,7 @@
 $bin/benchmarks/plumfold_bench_decisions
 $bin/benchmarks/plumfold_bench_control | grep -v event=
 $bin/benchmarks/plumfold_bench_policy
+$bin/benchmarks/plumfold_bench_forwarding
 
 # The relay needs a system: one control VM, one entry, one engine that costs next to nothing.
 run=$(mktemp -d)
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -150,3 +150,6 @@
 pids=()
 [ $failed = 0 ] || { echo "demo: a process did not stop cleanly" >&2; exit 1; }
 echo "demo: all processes stopped"
+
+echo "== the forwarding path of the users' platform"
+$bin/tests/plumfold_forwarding_demo
