A conversation is placed near the store that holds it

Cause: nine of ten requests get their conversation from a store, since engines keep one for about two seconds; a transfer between failure domains takes twice as long and is priced higher, and the choice did not know where the store is.

Change: the choice reckons 200 tokens a millisecond from a store in the engine's failure domain and 100 from another one.

--- a/packages/core/include/plumfold/core/plumfold_part_directory.hpp
+++ b/packages/core/include/plumfold/core/plumfold_part_directory.hpp
@@ -160,8 +160,8 @@
         const part_source& target, const part_directory& directory, const engine_finder& engines,
         double readTokensPerMs, instant now);
 
-    /// @return whether the conversation's part can be fetched from a store faster than it is read.
-    bool canFetch(const std::vector<prompt_part>& parts, const std::string& partition,
+    /// @return the failure domain of a store from which the conversation's part comes faster than it is read.
+    std::optional<std::string> storedIn(const std::vector<prompt_part>& parts, const std::string& partition,
         const part_directory& directory, double readTokensPerMs, instant now) const;
 
     store_delays& delays() { return m_delays; }
--- a/packages/core/include/plumfold/core/plumfold_target_board.hpp
+++ b/packages/core/include/plumfold/core/plumfold_target_board.hpp
@@ -30,7 +30,7 @@
     std::uint64_t promptTokens = 0;
     std::uint64_t sharedTokens = 0; ///< Of the prompt, those that other requests of the conversation share.
     std::uint64_t outputTokens = 0; ///< As far as expected.
-    bool isStored = false; ///< Whether a store holds the shared part.
+    std::optional<std::string> storedIn; ///< Failure domain of a store that holds the shared part.
     std::vector<std::string> holders; ///< Addresses of the targets that hold the shared part.
     std::set<std::string> excluded; ///< Targets that were tried already.
     milliseconds timeLeft { 0 }; ///< Until the caller's deadline.
@@ -76,7 +76,8 @@
 /// Times that predict how long a model engine takes to the first event.
 struct engine_speeds {
     double readTokensPerMs = 48; ///< Prompt tokens that an engine reads, from the users' sheet.
-    double fetchTokensPerMs = 200; ///< Tokens that come from a store, over its link.
+    double fetchTokensPerMs = 200; ///< Tokens that come from a store in the same failure domain.
+    double farFetchTokensPerMs = 100; ///< Tokens that come from a store in another one.
     double waitingMs = 150; ///< Each request that waits before this one.
     double begunMs = 60; ///< Each own request that the report does not show yet.
     double runningMs = 3; ///< Each request in the same batch slows the steps.
--- a/packages/core/src/plumfold_part_directory.cpp
+++ b/packages/core/src/plumfold_part_directory.cpp
@@ -240,14 +240,16 @@
     return m_delays.delayMs(source, now) < readMs + acceptedDelayMs;
 }
 
-bool part_planner::canFetch(const std::vector<prompt_part>& parts, const std::string& partition,
-    const part_directory& directory, double readTokensPerMs, instant now) const
+std::optional<std::string> part_planner::storedIn(const std::vector<prompt_part>& parts,
+    const std::string& partition, const part_directory& directory, double readTokensPerMs, instant now) const
 {
     if (parts.size() < 2)
-        return false;
+        return std::nullopt;
     const auto& shared = parts[parts.size() - 2];
     const auto* source = storeOf(hashOf({ partition, shared.id }), {}, directory, now);
-    return source && isWorthFetching(source->address, shared.tokens, readTokensPerMs, now);
+    if (!source || !isWorthFetching(source->address, shared.tokens, readTokensPerMs, now))
+        return std::nullopt;
+    return source->failureDomain;
 }
 
 bool part_plan::fetches() const
--- a/packages/core/src/plumfold_target_board.cpp
+++ b/packages/core/src/plumfold_target_board.cpp
@@ -264,10 +264,14 @@
     // Where nobody is known to hold it, its home may.
     if (isHolder(target, request) || (request.holders.empty() && isHome))
         return 0;
-    bool canFetch = request.isStored || !request.holders.empty();
     const auto& speeds = m_options.speeds;
-    return static_cast<double>(request.sharedTokens)
-        / (canFetch ? speeds.fetchTokensPerMs : speeds.readTokensPerMs);
+    double rate = speeds.readTokensPerMs;
+    if (request.storedIn)
+        rate = *request.storedIn == target.last.failureDomain ? speeds.fetchTokensPerMs
+                                                              : speeds.farFetchTokensPerMs;
+    else if (!request.holders.empty())
+        rate = speeds.fetchTokensPerMs;
+    return static_cast<double>(request.sharedTokens) / rate;
 }
 
 std::optional<part_source> target_board::findSource(const std::string& address, instant now) const
--- a/packages/forwarding/src/plumfold_request_forwarder.cpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.cpp
@@ -140,7 +140,7 @@
     if (knowsParts()) {
         auto partition = partitionOf(m_state.board.weightsOf(m_head.model));
         auto now = runtime::now();
-        out.isStored = m_state.partPlanner.canFetch(
+        out.storedIn = m_state.partPlanner.storedIn(
             m_head.parts, partition, m_state.parts, m_state.board.speeds().readTokensPerMs, now);
         if (m_head.parts.size() > 1)
             out.holders = m_state.parts.holdersOf(
--- a/tests/core/plumfold_target_board_tests.cpp
+++ b/tests/core/plumfold_target_board_tests.cpp
@@ -73,6 +73,18 @@
     }
 }
 
+TEST_CASE("A stored conversation goes to an engine near its store until those are loaded", "[target_board]")
+{
+    auto board = boardOf({ engine("t1", "a"), engine("t2", "b") });
+    auto request = requestOf(7);
+    request.promptTokens = 9'000;
+    request.sharedTokens = 8'000;
+    request.storedIn = "b";
+    CHECK(board.choose(request, start).chosen->target == "t2");
+    board.takeLoads({ { "t2", 20, 3, 80'000, {} } }, start);
+    CHECK(board.choose(request, start).chosen->target == "t1");
+}
+
 TEST_CASE("Only engines that are thought to answer are sources of KV parts", "[target_board]")
 {
     auto board = boardOf({ engine("t1") });
