Fetches are reckoned at 150 tokens a millisecond, 60 from another failure domain

Cause: the choice reckoned a store's bare link; its transfers run one after another, and a third of the fetches took longer than predicted under load.

--- a/packages/core/include/plumfold/core/plumfold_target_board.hpp
+++ b/packages/core/include/plumfold/core/plumfold_target_board.hpp
@@ -76,8 +76,8 @@
 /// Times that predict how long a model engine takes to the first event.
 struct engine_speeds {
     double readTokensPerMs = 48; ///< Prompt tokens that an engine reads, from the users' sheet.
-    double fetchTokensPerMs = 200; ///< Tokens that come from a store in the same failure domain.
-    double farFetchTokensPerMs = 100; ///< Tokens that come from a store in another one.
+    double fetchTokensPerMs = 150; ///< Tokens that come from a store in the same failure domain.
+    double farFetchTokensPerMs = 60; ///< Tokens that come from a store in another one.
     double waitingMs = 150; ///< Each request that waits before this one.
     double begunMs = 60; ///< Each own request that the report does not show yet.
     double runningMs = 3; ///< Each request in the same batch slows the steps.
