Older weights serve while newer are loaded; targets that load get nothing

Once the first of 18 engines had loaded the named weights every entry sent it everything, and 245 requests went to engines that were loading, which refuse what has not begun.

Ruled out: slow orders (18 loads within 8 s, three at a time).

Change: engines with older weights stay candidates for 60 % of the time that the users allow, reckoned 150 ms slower; reports that a target carries out an order reach the entries, which leave it alone. Both tests fail on the former choice.

What binds now: the stores stay full of parts of older weights (1757 saves found no room); nothing frees them yet.

--- a/packages/control/src/plumfold_load_reader.cpp
+++ b/packages/control/src/plumfold_load_reader.cpp
@@ -51,7 +51,8 @@
             return;
         auto report = target.reader->read(readTimeout);
         if (report.ok()) {
-            loads.push_back({ engine.name, report->running, report->waiting, report->usedTokens, {} });
+            loads.push_back(
+                { engine.name, report->running, report->waiting, report->usedTokens, {}, report->isBusy });
             target.failures = 0;
         } else if (++target.failures >= failuresUntilSilent) {
             m_rpc.run([&] { m_feed.unresponsive(engine.name); });
--- a/packages/core/include/plumfold/core/plumfold_target_board.hpp
+++ b/packages/core/include/plumfold/core/plumfold_target_board.hpp
@@ -19,6 +19,7 @@
     std::uint32_t waiting = 0;
     std::uint32_t usedTokens = 0; ///< Memory that cannot yield.
     milliseconds age { 0 }; ///< Since the target told.
+    bool isBusy = false; ///< It carries out an order and refuses what has not begun.
     auto operator<=>(const target_load&) const = default;
 };
 
@@ -94,9 +95,10 @@
     engine_speeds speeds {};
     milliseconds answerTrust { 2'000 }; ///< A silent target that answered so lately still gets requests.
     milliseconds loadBound { 1'500 }; ///< A reported load counts so long.
-    milliseconds staleWeightsBound {
-        6'000
-    }; ///< How long older weights may begin a request after newer were named.
+    /// How long older weights may begin a request after newer were named.
+    milliseconds staleWeightsBound { 6'000 };
+    /// What a request may be delayed to begin on the named weights rather than on older ones.
+    double olderWeightsMs = 150;
 };
 
 /// The targets as one entry sees them, and the choice among them. No input, output or clock.
@@ -181,6 +183,7 @@
         std::vector<board_target*>& candidates, const placement_request& request, instant now) const;
     board_target* pickForSession(
         std::vector<board_target*>& candidates, const placement_request& request, instant now) const;
+    double olderMs(const board_target& target, const placement_request& request) const;
     double waitMs(const board_target& target, const placement_request& request, instant now) const;
     static bool isHolder(const board_target& target, const placement_request& request);
     double missMs(const board_target& target, const placement_request& request, bool isHome) const;
--- a/packages/core/src/plumfold_target_board.cpp
+++ b/packages/core/src/plumfold_target_board.cpp
@@ -123,7 +123,8 @@
         return false;
     if (target.weightsDoubted && now - target.doubtedAt < weightsDoubtTime)
         return false;
-    return now >= target.suspendedUntil;
+    bool isBusy = target.load && target.load->isBusy && now - target.loadAt < m_options.loadBound;
+    return !isBusy && now >= target.suspendedUntil;
 }
 
 milliseconds target_board::coldSpacing(const board_target& target) const
@@ -140,8 +141,7 @@
 placement_answer target_board::choose(const placement_request& request, instant now)
 {
     placement_answer answer;
-    std::vector<board_target*> current;
-    std::vector<board_target*> older;
+    std::vector<board_target*> candidates;
     bool coldOnly = false;
     for (auto& [name, target] : m_targets) {
         if (!isUsable(target, request, now))
@@ -151,12 +151,9 @@
             coldOnly = true;
             continue;
         }
-        if (hasNamedWeights(target, request.model))
-            current.push_back(&target);
-        else if (mayBeginOnOlder(request.model, now))
-            older.push_back(&target);
+        if (hasNamedWeights(target, request.model) || mayBeginOnOlder(request.model, now))
+            candidates.push_back(&target);
     }
-    auto& candidates = current.empty() ? older : current;
     auto* chosen = pick(candidates, request, now);
     if (chosen) {
         double predicted = request.session == 0
@@ -217,6 +214,12 @@
         [&](const auto* left, const auto* right) { return cost(left) < cost(right); });
 }
 
+/// The first targets that have loaded newly named weights would get all requests if older ones got none.
+double target_board::olderMs(const board_target& target, const placement_request& request) const
+{
+    return hasNamedWeights(target, request.model) ? 0 : m_options.olderWeightsMs;
+}
+
 /// @return how long the requests that a target has delay another one.
 double target_board::waitMs(const board_target& target, const placement_request& request, instant now) const
 {
@@ -305,7 +308,7 @@
     board_target* best = nullptr;
     double bestMs = 0;
     for (auto* target : candidates) {
-        double ms = predictedMs(*target, request, target == home, now);
+        double ms = predictedMs(*target, request, target == home, now) + olderMs(*target, request);
         if (best && ms >= bestMs)
             continue;
         best = target;
--- a/packages/forwarding/src/plumfold_forwarding_role.cpp
+++ b/packages/forwarding/src/plumfold_forwarding_role.cpp
@@ -23,13 +23,17 @@
 /// Left of the grace period for the process' own end.
 constexpr core::milliseconds exitReserve { 500 };
 constexpr int percent = 100;
+/// Part of the time for older weights in which requests are still sent to them; they may wait there before
+/// they begin.
+constexpr std::uint64_t olderWeightsPercent = 60;
 
 core::board_options boardOptions(const runtime::settings& settings)
 {
     core::board_options options;
     options.failureDomain = settings.process.failureDomain;
     options.coldShare = static_cast<double>(settings.forwarding->coldOvershootPercent) / percent;
-    options.staleWeightsBound = core::milliseconds(settings.forwarding->weightsBoundMs);
+    options.staleWeightsBound
+        = core::milliseconds(settings.forwarding->weightsBoundMs * olderWeightsPercent / percent);
     return options;
 }
 
--- a/packages/wire/schema/plumfold.capnp
+++ b/packages/wire/schema/plumfold.capnp
@@ -237,6 +237,7 @@
   waiting @2 :UInt32;
   usedTokens @3 :UInt32;
   ageMs @4 :UInt32;
+  busy @5 :Bool;
 }
 struct ControlAddress { address @0 :Text; failureDomain @1 :Text; }
 
--- a/packages/wire/src/plumfold_convert_deployment.cpp
+++ b/packages/wire/src/plumfold_convert_deployment.cpp
@@ -90,12 +90,13 @@
     out.setWaiting(value.waiting);
     out.setUsedTokens(value.usedTokens);
     out.setAgeMs(static_cast<std::uint32_t>(value.age.count()));
+    out.setBusy(value.isBusy);
 }
 
 core::target_load read(TargetLoad::Reader in)
 {
     return core::target_load { text(in.getTarget()), in.getRunning(), in.getWaiting(), in.getUsedTokens(),
-        core::milliseconds(in.getAgeMs()) };
+        core::milliseconds(in.getAgeMs()), in.getBusy() };
 }
 
 void write(PartNews::Builder out, const core::part_news& value)
--- a/tests/core/plumfold_target_board_tests.cpp
+++ b/tests/core/plumfold_target_board_tests.cpp
@@ -85,6 +85,45 @@
     CHECK(board.choose(request, start).chosen->target == "t1");
 }
 
+TEST_CASE("While newly named weights are loaded, the first engines that have them are not overrun",
+    "[target_board]")
+{
+    constexpr int engines = 6;
+    constexpr int requests = 60;
+    std::vector<target_announcement> targets;
+    for (int number = 0; number < engines; ++number)
+        targets.push_back(engine("t" + std::to_string(number)));
+    targets[0].models = { { "m", "2", {} } };
+    auto board = boardOf({});
+    board.take(targets, true, start);
+    board.setWeights({ { "m", 2 } }, start);
+    std::vector<target_load> idle;
+    for (const auto& each : targets)
+        idle.push_back({ each.name });
+    board.takeLoads(idle, start);
+    std::map<std::string, int> sent;
+    for (int number = 0; number < requests; ++number) {
+        auto request = requestOf(static_cast<std::uint64_t>(number) + 1);
+        request.promptTokens = 2'000;
+        ++sent[board.choose(request, start).chosen->target];
+    }
+    CHECK(sent["t0"] > requests / engines); // preferred
+    CHECK(sent["t0"] < requests / 2);
+    // After the time for older weights nothing begins on them.
+    auto later = start + milliseconds(6'100);
+    for (int number = 0; number < requests; ++number)
+        CHECK(board.choose(requestOf(static_cast<std::uint64_t>(number) + 1), later).chosen->target == "t0");
+}
+
+TEST_CASE("A target that carries out an order gets no request until it reports that it has", "[target_board]")
+{
+    auto board = boardOf({ engine("t1"), engine("t2") });
+    board.takeLoads({ { "t1", 0, 0, 0, {}, true }, { "t2", 9, 2, 60'000, {}, false } }, start);
+    CHECK(board.choose(requestOf(7), start).chosen->target == "t2");
+    board.takeLoads({ { "t1", 0, 0, 0, {}, false } }, start);
+    CHECK(board.choose(requestOf(7), start).chosen->target == "t1");
+}
+
 TEST_CASE("Only engines that are thought to answer are sources of KV parts", "[target_board]")
 {
     auto board = boardOf({ engine("t1") });
