A failing test: many entries flood a cold target

Forty entries, one target that announces itself cold: 40 requests in one second where 18.5 are allowed (9 a second borne, times 1.5, plus 5).

Support: targets may announce themselves cold and record when requests come.

--- /dev/null
+++ b/tests/forwarding/plumfold_cold_target_tests.cpp
@@ -0,0 +1,85 @@
+#include "support/plumfold_forwarding_system.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <thread>
+
+using namespace plumfold::tests;
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr double coldRate = 9; // requests per second that a cold target bears
+constexpr double maxColdRequests = coldRate * 1.5 + 5; // in any second
+constexpr auto coldTime = 4'000ms;
+
+/// @return the largest number of requests that a target received within one second.
+std::size_t maxRequestsPerSecond(const scripted_target& target)
+{
+    auto requests = target.requests();
+    std::vector<std::chrono::steady_clock::time_point> times;
+    for (const auto& each : requests)
+        times.push_back(each.receivedAt);
+    std::sort(times.begin(), times.end());
+    std::size_t most = 0;
+    std::size_t first = 0;
+    for (std::size_t last = 0; last < times.size(); ++last) {
+        while (times[last] - times[first] >= 1s)
+            ++first;
+        most = std::max(most, last - first + 1);
+    }
+    return most;
+}
+
+/// Control VMs and more entries than a cold target bears requests in a second.
+class system_of_many_entries : public forwarding_system {
+public:
+    static constexpr int entries = 40;
+
+    system_of_many_entries()
+    {
+        for (int number = 1; number <= 3; ++number)
+            startControl(number);
+        auto body = deployment(3);
+        body["services"][0]["cold-per-s"] = coldRate;
+        body["services"][0]["cold-start-s"] = 3;
+        putDeployment(1, body);
+        for (int number = 1; number <= entries; ++number)
+            startEntry(number);
+        for (int number = 1; number <= entries; ++number)
+            eventually([&] { return isReady(number); });
+    }
+
+    /// Sends requests to all entries concurrently.
+    void sendFor(std::chrono::milliseconds time)
+    {
+        auto until = std::chrono::steady_clock::now() + time;
+        std::vector<std::thread> callers;
+        for (int number = 1; number <= entries; ++number)
+            callers.emplace_back([this, number, until] {
+                while (std::chrono::steady_clock::now() < until) {
+                    request(number, "/shop/whole");
+                    std::this_thread::sleep_for(50ms);
+                }
+            });
+        for (auto& each : callers)
+            each.join();
+    }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(system_of_many_entries,
+    "A cold target gets no more requests than it bears when each of many entries has some for it",
+    "[forwarding]")
+{
+    std::this_thread::sleep_for(2s); // the entries hear of each other
+    auto& cold = startTarget("t1", "shop", coldTime);
+    sendFor(3s);
+    CHECK(maxRequestsPerSecond(cold) <= maxColdRequests);
+    CHECK(cold.requests().size() >= coldRate); // in three seconds: a third of what it bears
+}
--- a/tests/forwarding/support/plumfold_forwarding_system.cpp
+++ b/tests/forwarding/support/plumfold_forwarding_system.cpp
@@ -22,6 +22,7 @@
 constexpr int controlVms = 3;
 constexpr int receiveTimeoutSeconds = 10;
 constexpr std::chrono::milliseconds announceInterval { 500 };
+constexpr int firstTargetHost = 140;
 constexpr int rpcPort = 7000;
 constexpr int platformPort = 7080;
 
@@ -190,12 +191,14 @@
                     { "controlPort", rpcPort } } } });
 }
 
-scripted_target& forwarding_system::startTarget(const std::string& name, const std::string& service)
+scripted_target& forwarding_system::startTarget(
+    const std::string& name, const std::string& service, std::chrono::milliseconds coldFor)
 {
-    auto host = 40 + static_cast<int>(m_targets.size());
-    m_targets[name] = { std::make_unique<scripted_target>(name, address(host, 8080)), service };
+    auto host = firstTargetHost + static_cast<int>(m_targets.size());
+    m_targets[name] = { std::make_unique<scripted_target>(name, address(host, 8080)), service,
+        std::chrono::steady_clock::now() + coldFor };
     announce(name);
-    return *m_targets[name].first;
+    return *m_targets[name].server;
 }
 
 std::pair<int, std::string> forwarding_system::call(
@@ -219,10 +222,13 @@
 
 void forwarding_system::announce(const std::string& target, const std::string& state)
 {
-    const auto& [server, service] = m_targets.at(target);
-    json body { { "service", service }, { "address", server->address() }, { "zone", "east" },
-        { "version", "v1" }, { "slots", 8 }, { "state", state }, { "cold-remaining-ms", 0 },
-        { "sequence", ++m_sequence }, { "born", 1000 } };
+    const auto& announced = m_targets.at(target);
+    auto coldFor = std::chrono::duration_cast<std::chrono::milliseconds>(
+        announced.coldUntil - std::chrono::steady_clock::now());
+    json body { { "service", announced.service }, { "address", announced.server->address() },
+        { "zone", "east" }, { "version", "v1" }, { "slots", 8 }, { "state", state },
+        { "cold-remaining-ms", std::max<std::int64_t>(coldFor.count(), 0) }, { "sequence", ++m_sequence },
+        { "born", 1000 } };
     for (int control = 1; control <= controlVms; ++control) {
         if (call(control, "PUT", "/instances/" + target, body.dump()).first == 200)
             return;
--- a/tests/forwarding/support/plumfold_forwarding_system.hpp
+++ b/tests/forwarding/support/plumfold_forwarding_system.hpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include <atomic>
+#include <chrono>
 #include <filesystem>
 #include <functional>
 #include <map>
@@ -53,7 +54,9 @@
     void startEntry(int number);
     /// Connects the standard output of a process that is started later to a pipe that is never read.
     void blockOutput(const std::string& name);
-    scripted_target& startTarget(const std::string& name, const std::string& service = "shop");
+    /// @param coldFor how long the target announces itself as cold.
+    scripted_target& startTarget(
+        const std::string& name, const std::string& service = "shop", std::chrono::milliseconds coldFor = {});
 
     /// Calls the platform interface of a control VM.
     /// @return HTTP status and body; status 0 when there was no response.
@@ -70,7 +73,7 @@
     void waitForTarget(int entry, const std::string& path = "/shop/whole");
 
     std::string callerAddress(int entry) const { return address(20 + entry, 8000); }
-    std::string targetAddress(const std::string& name) const { return m_targets.at(name).first->address(); }
+    std::string targetAddress(const std::string& name) const { return m_targets.at(name).server->address(); }
     raw_response request(int entry, const std::string& path, const std::string& body = "order",
         const std::map<std::string, std::string>& headers = {});
     static std::string requestBytes(const std::string& path, const std::string& id, const std::string& body,
@@ -92,7 +95,12 @@
     std::filesystem::path m_folder;
     std::string m_network;
     std::map<std::string, nlohmann::json> m_settings;
-    std::map<std::string, std::pair<std::unique_ptr<scripted_target>, std::string>> m_targets; // with service
+    struct announced_target {
+        std::unique_ptr<scripted_target> server;
+        std::string service;
+        std::chrono::steady_clock::time_point coldUntil {};
+    };
+    std::map<std::string, announced_target> m_targets;
     std::map<std::string, test_process> m_processes;
     std::vector<int> m_pipes;
     std::uint64_t m_sequence = 0;
--- a/tests/forwarding/support/plumfold_scripted_target.cpp
+++ b/tests/forwarding/support/plumfold_scripted_target.cpp
@@ -98,6 +98,7 @@
         while (current.keepAlive && readRequest(current)) {
             {
                 std::lock_guard lock(m_mutex);
+                current.request.receivedAt = std::chrono::steady_clock::now();
                 m_requests.push_back(current.request);
             }
             const auto& path = current.request.path;
--- a/tests/forwarding/support/plumfold_scripted_target.hpp
+++ b/tests/forwarding/support/plumfold_scripted_target.hpp
@@ -3,6 +3,7 @@
 #include <Poco/Net/ServerSocket.h>
 
 #include <atomic>
+#include <chrono>
 #include <map>
 #include <mutex>
 #include <string>
@@ -16,6 +17,7 @@
     std::string path;
     std::map<std::string, std::string> headers; ///< Names in lower case.
     std::string body;
+    std::chrono::steady_clock::time_point receivedAt {};
 };
 
 /// A fake target of the platform. The last segment of a request's path selects its behaviour; see the table
