Log each selection of a cold target with what the entry knew

The new event tells the remaining cold time, the time since the entry's previous selection of that target and the number of entries it counts.

--- a/packages/core/include/plumfold/core/plumfold_target_selector.hpp
+++ b/packages/core/include/plumfold/core/plumfold_target_selector.hpp
@@ -37,6 +37,14 @@
     milliseconds timeLeft { 0 }; ///< Until the caller's deadline.
 };
 
+/// What an entry knew when it selected a cold target.
+struct cold_selection {
+    milliseconds coldFor { 0 }; ///< Remaining time in cold start.
+    std::optional<milliseconds> sincePrevious; ///< Since this entry's previous selection of the cold target.
+    std::uint32_t entries = 1; ///< Number of entries that share the target's cold rate.
+    bool operator==(const cold_selection&) const = default;
+};
+
 /// The target selected for one attempt.
 struct placement {
     std::string target;
@@ -47,6 +55,7 @@
     double waitMs = 0; ///< Part of the prediction that is caused by other requests.
     bool isHolder = false; ///< The target is listed as a holder of the shared part.
     bool isTargetUnderLoad = false; ///< Other requests make the prediction uncertain.
+    std::optional<cold_selection> cold; ///< Set if the target is known to be cold.
     bool operator==(const placement&) const = default;
 };
 
--- a/packages/core/src/plumfold_target_selector.cpp
+++ b/packages/core/src/plumfold_target_selector.cpp
@@ -184,10 +184,16 @@
     while (target.unreportedAttempts.size() > maxUnreportedAttempts
         || now - target.unreportedAttempts.front().first > m_options.maxLoadAge)
         target.unreportedAttempts.pop_front();
-    if (now < target.coldUntil)
-        target.lastStartWhileCold = now;
     placement out { target.last.name, target.last.address, {}, target.last.failureDomain, 0, 0,
-        isHolder(target, request), false };
+        isHolder(target, request), false, {} };
+    if (now < target.coldUntil) {
+        auto since = [&](instant from) { return std::chrono::duration_cast<milliseconds>(now - from); };
+        out.cold = cold_selection { std::chrono::duration_cast<milliseconds>(target.coldUntil - now), {},
+            m_entries };
+        if (target.lastStartWhileCold)
+            out.cold->sincePrevious = since(*target.lastStartWhileCold);
+        target.lastStartWhileCold = now;
+    }
     for (const auto& loaded : target.last.models) {
         if (loaded.model == request.model)
             out.weights = loaded.version;
--- a/packages/forwarding/src/plumfold_request_forwarder.cpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.cpp
@@ -181,6 +181,8 @@
                 core::target_selector::expectedTokens(request), runtime::now());
             co_return;
         }
+        if (selection.chosen->cold)
+            logColdSelection(*selection.chosen);
         m_lastTarget = selection.chosen->target;
         m_lastWeights = selection.chosen->weights;
         auto attemptResult = co_await attempt(*selection.chosen);
@@ -203,6 +205,17 @@
         finishUnanswered();
 }
 
+void request_forwarder::logColdSelection(const core::placement& placement) const
+{
+    const auto& cold = *placement.cold;
+    runtime::log_event("cold_target_selected")
+        .with("request", m_head.id)
+        .with("target", placement.target)
+        .with("cold_ms", cold.coldFor.count())
+        .with("since_previous_ms", cold.sincePrevious ? cold.sincePrevious->count() : -1)
+        .with("entries", cold.entries);
+}
+
 std::uint32_t request_forwarder::priority() const
 {
     return m_customer ? m_customer->priority.value_or(m_route->priority) : m_route->priority;
--- a/packages/forwarding/src/plumfold_request_forwarder.hpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.hpp
@@ -60,6 +60,7 @@
     void onCallerDisconnected();
     void armWatchdog();
     void onWatchdog();
+    void logColdSelection(const core::placement& placement) const;
     void log(bool delivered);
 
     core::placement_request placementRequest() const;
