Grant starts on cold targets by failure domain instead of free first starts

Cause: each entry spaced its own starts on a cold target by entries x 1000 ms / rate, and its first start was free. Where the part of one entry is below one request, that allows one start for each entry at once.

Change: the rate is divided among the failure domains, a list that is a setting and not a count of what is known. In each, one control VM grants single starts under a replicated lease; an entry asks before it sends. The average is the rate that a target bears; the bound of one second limits the spacing, counting how long a grant may be used. A successor waits for the former holder's lease time by its own clock, since the record's clock may jump.

The selector test of the cold rate held only for as many entries as requests a second; property tests over 1 to 29 failure domains, rates and delays, and over two lease holders with restarts and clock jumps, take its place.

--- a/packages/control/include/plumfold/control/plumfold_control_node.hpp
+++ b/packages/control/include/plumfold/control/plumfold_control_node.hpp
@@ -40,6 +40,7 @@
     std::uint64_t term = 0;
     std::string leaderAddress; ///< Empty while no leader is known.
     core::raft_membership members;
+    std::map<std::string, std::string> leaseHolders; ///< Latest holder of each lease, by its name.
 };
 
 /// Response to a watch.
--- /dev/null
+++ b/packages/control/src/plumfold_cold_start_issuer.cpp
@@ -0,0 +1,102 @@
+#include "plumfold_cold_start_issuer.hpp"
+
+#include "plumfold/runtime/plumfold_clock.hpp"
+#include "plumfold/runtime/plumfold_log.hpp"
+
+namespace plumfold::control {
+
+namespace {
+
+constexpr core::milliseconds renewalInterval { 1'000 };
+/// A control VM that has just started does not yet know those of other failure domains.
+constexpr core::milliseconds peerDiscoveryTime { 5'000 };
+constexpr auto leaseCallTimeout = 900 * kj::MILLISECONDS;
+constexpr core::milliseconds maxGrantAge { 60'000 }; // of a target's latest grant
+constexpr core::milliseconds retryWithoutLease { 300 };
+
+} // namespace
+
+cold_start_issuer::cold_start_issuer(
+    const runtime::settings& settings, deployment_feed& feed, leader_client& leader)
+    : m_settings(settings)
+    , m_feed(feed)
+    , m_leader(leader)
+    , m_startedAt(runtime::nowWithSuspension())
+{
+    auto domains = settings.process.failureDomains;
+    if (domains.empty())
+        domains.push_back(settings.process.failureDomain);
+    for (const auto& domain : domains) {
+        m_domains.emplace(domain,
+            domain_grants { core::lease_usage(core::milliseconds(settings.control->coldStartLeaseMs)),
+                core::cold_start_limiter(domain, domains, core::coldStartGrantLifetime) });
+    }
+}
+
+void cold_start_issuer::tick()
+{
+    auto now = runtime::nowWithSuspension();
+    bool arePeersKnown = now - m_startedAt > peerDiscoveryTime;
+    for (auto& [domain, grants] : m_domains) {
+        grants.limiter.removeIdle(now, maxGrantAge);
+        bool isOwn = domain == m_settings.process.failureDomain;
+        bool isDue = !grants.isRenewing && now >= grants.nextRenewalAt && (isOwn || arePeersKnown);
+        if (isDue && m_feed.coldStartIssuerOf(domain) == m_settings.control->address)
+            renew(domain, grants);
+    }
+}
+
+void cold_start_issuer::renew(const std::string& failureDomain, domain_grants& grants)
+{
+    auto requestedAt = runtime::nowWithSuspension();
+    grants.nextRenewalAt = requestedAt + renewalInterval;
+    grants.isRenewing = true;
+    core::lease_command command { coldStartLeaseName(failureDomain), m_settings.control->address,
+        static_cast<std::uint32_t>(m_settings.control->coldStartLeaseMs) };
+    auto submitted = m_leader.submit(core::command { 0, std::move(command) }, leaseCallTimeout);
+    m_tasks.add(submitted.then(
+        [this, failureDomain, &grants, requestedAt](propose_response response) {
+            grants.isRenewing = false;
+            if (const auto* result = std::get_if<core::lease_result>(&response.result))
+                onLeaseResult(failureDomain, grants, requestedAt, *result);
+        },
+        [&grants, failureDomain](kj::Exception&& exception) {
+            grants.isRenewing = false;
+            runtime::log_event("cold_start_lease_not_renewed", runtime::log_level::warning)
+                .with("failure_domain", failureDomain)
+                .with("reason", exception.getDescription().cStr());
+        }));
+}
+
+void cold_start_issuer::onLeaseResult(const std::string& failureDomain, domain_grants& grants,
+    core::instant requestedAt, const core::lease_result& result)
+{
+    auto now = runtime::nowWithSuspension();
+    if (!result.granted) {
+        if (grants.lease.onRefused())
+            runtime::log_event("cold_start_lease_lost").with("failure_domain", failureDomain);
+        return;
+    }
+    if (!grants.lease.onGranted(requestedAt, result.isTakenOver, now))
+        return;
+    grants.limiter.restart(grants.lease.usableFrom());
+    runtime::log_event("cold_start_lease_taken")
+        .with("failure_domain", failureDomain)
+        .with("fence", result.fence)
+        .with("taken_over", result.isTakenOver ? "true" : "false");
+}
+
+core::cold_start_decision cold_start_issuer::tryStart(
+    const std::string& failureDomain, const std::string& service, const std::string& target)
+{
+    auto now = runtime::nowWithSuspension();
+    auto found = m_domains.find(failureDomain);
+    if (found == m_domains.end() || !found->second.lease.isUsable(now))
+        return { false, retryWithoutLease };
+    double perSecond = m_feed.coldRequestsPerSecond(service);
+    core::cold_start_rate rate { perSecond,
+        perSecond * m_settings.control->coldOvershoot + static_cast<double>(m_settings.control->coldSlack) };
+    return found->second.limiter.tryStart(target, rate, now);
+}
+
+} // namespace plumfold::control
--- /dev/null
+++ b/packages/control/src/plumfold_cold_start_issuer.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "plumfold_deployment_feed.hpp"
+#include "plumfold_leader_client.hpp"
+
+#include "plumfold/core/plumfold_cold_start_limiter.hpp"
+#include "plumfold/core/plumfold_lease_usage.hpp"
+
+#include <map>
+#include <string>
+
+namespace plumfold::control {
+
+/// Grants the starts of entries on cold targets, for the failure domains whose lease this control VM holds.
+/// Used only on the RPC thread.
+class cold_start_issuer {
+public:
+    cold_start_issuer(const runtime::settings& settings, deployment_feed& feed, leader_client& leader);
+
+    /// Renews the leases that this control VM has to hold. Call it periodically.
+    void tick();
+
+    /// Decides on the start of one request.
+    /// @param failureDomain of the entry.
+    /// @return the decision; refused if this control VM does not grant starts for the failure domain.
+    core::cold_start_decision tryStart(
+        const std::string& failureDomain, const std::string& service, const std::string& target);
+
+private:
+    struct domain_grants {
+        core::lease_usage lease;
+        core::cold_start_limiter limiter;
+        core::instant nextRenewalAt {};
+        bool isRenewing = false;
+    };
+
+    void renew(const std::string& failureDomain, domain_grants& grants);
+    void onLeaseResult(const std::string& failureDomain, domain_grants& grants, core::instant requestedAt,
+        const core::lease_result& result);
+
+    const runtime::settings& m_settings;
+    deployment_feed& m_feed;
+    leader_client& m_leader;
+    core::instant m_startedAt;
+    std::map<std::string, domain_grants> m_domains; // all of the system
+    wire::task_group m_tasks;
+};
+
+} // namespace plumfold::control
--- a/packages/control/src/plumfold_control_node.cpp
+++ b/packages/control/src/plumfold_control_node.cpp
@@ -145,7 +145,7 @@
     bool sameDeployment = m_view.deployment && m_view.deployment->revision == m_state.deployment().revision;
     bool same = sameDeployment && m_view.appliedIndex == m_appliedIndex && m_view.isCaughtUp == isCaughtUp
         && m_view.isLeader == isLeader && m_view.term == m_raft.term() && m_view.leaderAddress == leader
-        && m_view.members == m_raft.members();
+        && m_view.members == m_raft.members() && m_view.leaseHolders == m_state.leaseHolders();
     if (same)
         return;
     if (!sameDeployment)
@@ -156,6 +156,7 @@
     m_view.term = m_raft.term();
     m_view.leaderAddress = std::move(leader);
     m_view.members = m_raft.members();
+    m_view.leaseHolders = m_state.leaseHolders();
     m_onViewChanged(m_view);
 }
 
--- a/packages/control/src/plumfold_control_service.hpp
+++ b/packages/control/src/plumfold_control_service.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "plumfold_cold_start_issuer.hpp"
 #include "plumfold_deployment_feed.hpp"
 #include "plumfold_leader_client.hpp"
 
@@ -29,6 +30,7 @@
     wire::rpc_thread& rpc;
     deployment_feed& feed;
     leader_client& leader;
+    cold_start_issuer& coldStarts;
     std::map<std::string, entry_status> entries; ///< By name.
 };
 
--- a/packages/control/src/plumfold_deployment_feed.cpp
+++ b/packages/control/src/plumfold_deployment_feed.cpp
@@ -27,6 +27,11 @@
 
 } // namespace
 
+std::string coldStartLeaseName(const std::string& failureDomain)
+{
+    return "cold-starts/" + failureDomain;
+}
+
 deployment_feed::deployment_feed(wire::rpc_thread& rpc, const runtime::settings& settings)
     : m_rpc(rpc)
     , m_settings(settings)
@@ -51,7 +56,7 @@
     bool newDocument = view.deployment->document.version != m_view.deployment->document.version;
     m_view = std::move(view);
     if (newDocument)
-        updateStores();
+        updateServices();
     wake();
 }
 
@@ -115,7 +120,7 @@
         wake();
 }
 
-void deployment_feed::updateStores()
+void deployment_feed::updateServices()
 {
     auto decoded = platform::decodeDeployment(m_view.deployment->document.text);
     if (!decoded.ok()) {
@@ -124,7 +129,9 @@
         return;
     }
     m_stores.clear();
+    m_coldRates.clear();
     for (const auto& service : decoded->services()) {
+        m_coldRates[service.name] = service.coldRequestsPerSecond;
         if (service.store)
             m_stores.push_back(*service.store);
     }
@@ -148,17 +155,38 @@
     return assigned;
 }
 
-/// Assigns a failure domain to its first control VM by address, or to the first of all control VMs when it
-/// has none, so that normally one control VM polls its stores and engines.
-/// @return whether the failure domain is assigned to this control VM.
-bool deployment_feed::isAssignedTo(const std::string& failureDomain) const
+std::string deployment_feed::assigneeOf(const std::string& failureDomain) const
 {
     auto domains = controlDomains();
     auto assignee = std::find_if(
         domains.begin(), domains.end(), [&](const auto& each) { return each.second == failureDomain; });
-    if (assignee == domains.end())
-        assignee = domains.begin();
-    return assignee->first == m_settings.control->address;
+    return assignee == domains.end() ? domains.begin()->first : assignee->first;
+}
+
+/// @return whether this control VM normally is the only one that polls the stores and engines of a failure
+/// domain.
+bool deployment_feed::isAssignedTo(const std::string& failureDomain) const
+{
+    return assigneeOf(failureDomain) == m_settings.control->address;
+}
+
+std::string deployment_feed::coldStartIssuerOf(const std::string& failureDomain) const
+{
+    auto domains = controlDomains();
+    auto assignee = assigneeOf(failureDomain);
+    auto lease = m_view.leaseHolders.find(coldStartLeaseName(failureDomain));
+    if (lease == m_view.leaseHolders.end())
+        return assignee;
+    auto holder = domains.find(lease->second);
+    bool isLocalBetter
+        = holder != domains.end() && holder->second != failureDomain && domains[assignee] == failureDomain;
+    return holder == domains.end() || isLocalBetter ? assignee : lease->second;
+}
+
+double deployment_feed::coldRequestsPerSecond(const std::string& service) const
+{
+    auto found = m_coldRates.find(service);
+    return found == m_coldRates.end() ? 0 : found->second;
 }
 
 std::vector<core::target_announcement> deployment_feed::assignedEngines() const
--- a/packages/control/src/plumfold_deployment_feed.hpp
+++ b/packages/control/src/plumfold_deployment_feed.hpp
@@ -17,6 +17,10 @@
 
 namespace plumfold::control {
 
+/// @return the name of the replicated lease whose holder grants the starts of a failure domain on cold
+/// targets.
+std::string coldStartLeaseName(const std::string& failureDomain);
+
 /// Another control VM, according to its latest share call.
 struct control_peer_state {
     std::string failureDomain;
@@ -88,6 +92,14 @@
     std::uint32_t entryCount() const;
     /// @return the number of entries that follow this control VM.
     std::uint32_t followerCount() const { return static_cast<std::uint32_t>(m_followers.size()); }
+    /// @return the address of the control VM that a failure domain is assigned to: its first one by address,
+    /// or the first of all control VMs if it has none. Normally all control VMs agree on it.
+    std::string assigneeOf(const std::string& failureDomain) const;
+    /// @return the address of the control VM that grants the starts of a failure domain on cold targets: the
+    /// holder of its lease, or the control VM that has to take it.
+    std::string coldStartIssuerOf(const std::string& failureDomain) const;
+    /// @return the cold request rate of a service in the current deployment; 0 if it has none.
+    double coldRequestsPerSecond(const std::string& service) const;
     /// @return the platform address of a control VM in a failure domain; empty when none is known there.
     std::string announceAddressIn(const std::string& failureDomain) const;
 
@@ -109,7 +121,7 @@
     bool isAssignedTo(const std::string& failureDomain) const;
     void wake();
     void updateTargetClock(std::uint64_t clock);
-    void updateStores();
+    void updateServices();
     void logTarget(const char* event, const core::target_announcement& target);
 
     wire::rpc_thread& m_rpc;
@@ -120,6 +132,7 @@
     core::target_directory m_directory;
     core::part_directory m_parts;
     std::vector<core::part_store> m_stores; // from the current deployment
+    std::map<std::string, double> m_coldRates; // requests per second by service, from the current deployment
     /// The latest load report of a target.
     struct received_load {
         core::target_load load;
--- a/packages/core/include/plumfold/core/plumfold_commands.hpp
+++ b/packages/core/include/plumfold/core/plumfold_commands.hpp
@@ -138,6 +138,7 @@
 struct lease_result {
     bool granted = false;
     std::uint64_t fence = 0; ///< Fencing token, increased for each new holder of any lease.
+    bool isTakenOver = false; ///< Another holder had the lease before this one.
     bool operator==(const lease_result&) const = default;
 };
 
--- a/packages/core/include/plumfold/core/plumfold_control_state.hpp
+++ b/packages/core/include/plumfold/core/plumfold_control_state.hpp
@@ -57,6 +57,7 @@
     std::string holder;
     unix_milliseconds until = 0; ///< When the lease expires unless it is renewed.
     std::uint64_t fence = 0; ///< Fencing token of the holder.
+    bool isTakenOver = false; ///< Another holder had the lease before this one.
     auto operator<=>(const lease_state&) const = default;
 };
 
@@ -96,6 +97,8 @@
     const std::map<claim_key, claim_state>& claims() const { return m_claims; }
     std::vector<usage_row> usage() const;
     std::vector<verdict> verdicts() const;
+    /// @return the latest holder of each lease, by its name; the lease may have expired.
+    std::map<std::string, std::string> leaseHolders() const;
     const std::deque<audit_record>& audit() const { return m_audit; }
 
 private:
--- a/packages/core/include/plumfold/core/plumfold_target_selector.hpp
+++ b/packages/core/include/plumfold/core/plumfold_target_selector.hpp
@@ -34,17 +34,10 @@
     std::optional<std::string> storedIn; ///< Failure domain of a store with the shared part.
     std::vector<std::string> holders; ///< Addresses of targets that hold the shared part.
     std::set<std::string> excluded; ///< Targets that were already tried.
+    bool isWarmOnly = false; ///< Excludes cold targets.
     milliseconds timeLeft { 0 }; ///< Until the caller's deadline.
 };
 
-/// What an entry knew when it selected a cold target.
-struct cold_selection {
-    milliseconds coldFor { 0 }; ///< Remaining time in cold start.
-    std::optional<milliseconds> sincePrevious; ///< Since this entry's previous selection of the cold target.
-    std::uint32_t entries = 1; ///< Number of entries that share the target's cold rate.
-    bool operator==(const cold_selection&) const = default;
-};
-
 /// The target selected for one attempt.
 struct placement {
     std::string target;
@@ -55,14 +48,14 @@
     double waitMs = 0; ///< Part of the prediction that is caused by other requests.
     bool isHolder = false; ///< The target is listed as a holder of the shared part.
     bool isTargetUnderLoad = false; ///< Other requests make the prediction uncertain.
-    std::optional<cold_selection> cold; ///< Set if the target is known to be cold.
+    bool isCold = false; ///< The request may be sent only after its start was granted.
     bool operator==(const placement&) const = default;
 };
 
 /// Why no target was selected.
 enum class placement_failure : std::uint8_t {
     no_target, ///< No usable target is known.
-    cold, ///< No usable target is left but cold ones that have reached their request rate.
+    cold, ///< No usable target is left but cold ones on which no request may start now.
     full, ///< All are at their limit of concurrent requests.
 };
 
@@ -81,6 +74,7 @@
     lost, ///< After the request was sent, the connection broke or the answer was unusable.
     failed, ///< The target answered with an error.
     abandoned, ///< The caller disconnected or the deadline passed.
+    not_started, ///< Nothing was sent because a start on the cold target was not granted or not used in time.
 };
 
 /// Parameters of the prediction of a model engine's time to the first event.
@@ -98,7 +92,6 @@
 /// Settings of a target_selector.
 struct target_selector_options {
     std::string failureDomain; ///< Of this entry; local targets are preferred.
-    double coldRateFactor = 1.0; ///< Applied to a service's cold request rate, which all entries share.
     milliseconds initialBackoff { 400 }; ///< Back-off after a first failure; doubles with each further one.
     milliseconds maxBackoff { 5'000 };
     engine_latency_model latencyModel {};
@@ -131,7 +124,7 @@
     void setServices(const std::vector<service_limits>& services);
     /// Applies load reports; those of unknown targets are ignored.
     void applyLoads(const std::vector<target_load>& loads, instant now);
-    /// @param count entries that share the request rate of cold targets.
+    /// @param count entries that send requests to the same targets.
     void setEntryCount(std::uint32_t count) { m_entries = count; }
 
     /// Selects a target and records the start of an attempt on it. Each must be ended by onAttemptEnded().
@@ -141,6 +134,9 @@
     /// @param tokens memory that was expected for the attempt, see expectedTokens().
     void onAttemptEnded(const std::string& target, attempt_result result, std::uint64_t tokens, instant now);
 
+    /// Excludes a cold target for a time because no request may start on it.
+    void onColdStartRefused(const std::string& target, instant until);
+
     /// @return the KV cache tokens that a request is expected to occupy when it ends.
     static std::uint64_t expectedTokens(const placement_request& request)
     {
@@ -164,13 +160,16 @@
     /// @return whether a target neither announces itself nor has recently answered this entry.
     bool isSilent(const std::string& target, instant now) const;
 
+    /// @return whether a target is cold and its service limits the requests to cold targets.
+    bool isCold(const std::string& target, instant now) const;
+
     std::size_t size() const { return m_targets.size(); }
 
 private:
     struct tracked_target {
         target_announcement last;
         instant coldUntil {};
-        std::optional<instant> lastStartWhileCold; ///< Latest start of an attempt while it was cold.
+        instant coldStartRefusedUntil {};
         instant backoffUntil {};
         std::optional<instant> lastAnswerAt; ///< Latest answer to this entry.
         milliseconds currentBackoff { 0 };
@@ -192,7 +191,7 @@
     bool isUsable(const tracked_target& target, const placement_request& request, instant now) const;
     bool hasCurrentWeights(const tracked_target& target, const std::string& model) const;
     bool mayStartOnStaleWeights(const std::string& model, instant now) const;
-    milliseconds coldRequestInterval(const tracked_target& target) const;
+    bool isCold(const tracked_target& target, instant now) const;
     tracked_target* selectTarget(
         std::vector<tracked_target*>& candidates, const placement_request& request, instant now) const;
     tracked_target* selectForSession(
--- a/packages/core/src/plumfold_control_state.cpp
+++ b/packages/core/src/plumfold_control_state.cpp
@@ -225,10 +225,12 @@
     bool held = !lease.holder.empty() && at < lease.until;
     if (held && lease.holder != next.holder)
         return lease_result { false, lease.fence };
-    if (!held)
-        lease = { next.name, next.holder, 0, ++m_lastFence };
+    if (!held) {
+        bool isOther = !lease.holder.empty() && lease.holder != next.holder;
+        lease = { next.name, next.holder, 0, ++m_lastFence, lease.isTakenOver || isOther };
+    }
     lease.until = at + next.durationMs;
-    return lease_result { true, lease.fence };
+    return lease_result { true, lease.fence, lease.isTakenOver };
 }
 
 command_result control_state::applyCommand(const adopt_document_command& next, unix_milliseconds)
@@ -275,4 +277,12 @@
     return all;
 }
 
+std::map<std::string, std::string> control_state::leaseHolders() const
+{
+    std::map<std::string, std::string> holders;
+    for (const auto& [name, lease] : m_leases)
+        holders[name] = lease.holder;
+    return holders;
+}
+
 } // namespace plumfold::core
--- a/packages/core/src/plumfold_target_selector.cpp
+++ b/packages/core/src/plumfold_target_selector.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr milliseconds retryWithoutTarget { 500 };
-constexpr milliseconds retryAfterColdLimit { 300 };
+constexpr milliseconds minRetryAfterCold { 300 };
 /// Maximum number of own attempts that are added to a target's reported load.
 constexpr std::size_t maxUnreportedAttempts = 64;
 /// With more own requests in flight, a target counts as under load.
@@ -131,29 +131,28 @@
     return !isBusy && now >= target.backoffUntil;
 }
 
-milliseconds target_selector::coldRequestInterval(const tracked_target& target) const
+bool target_selector::isCold(const std::string& target, instant now) const
+{
+    auto found = m_targets.find(target);
+    return found != m_targets.end() && isCold(found->second, now);
+}
+
+bool target_selector::isCold(const tracked_target& target, instant now) const
 {
     auto limits = m_services.find(target.last.service);
-    double rate = limits == m_services.end() ? 0 : limits->second.coldRequestsPerSecond;
-    if (rate <= 0)
-        return milliseconds(0);
-    // Each entry uses a fixed part of the rate, so that entries need not coordinate.
-    double perEntry = rate * m_options.coldRateFactor / std::max(m_entries, 1u);
-    return milliseconds(static_cast<std::int64_t>(1000 / perEntry));
+    return now < target.coldUntil && limits != m_services.end() && limits->second.coldRequestsPerSecond > 0;
 }
 
 placement_result target_selector::choose(const placement_request& request, instant now)
 {
     placement_result answer;
     std::vector<tracked_target*> candidates;
-    bool coldRateExhausted = false;
+    std::optional<instant> nextColdStart;
     for (auto& [name, target] : m_targets) {
         if (!isUsable(target, request, now))
             continue;
-        bool cold = now < target.coldUntil && coldRequestInterval(target).count() > 0;
-        if (cold && target.lastStartWhileCold
-            && now - *target.lastStartWhileCold < coldRequestInterval(target)) {
-            coldRateExhausted = true;
+        if (isCold(target, now) && (request.isWarmOnly || now < target.coldStartRefusedUntil)) {
+            nextColdStart = std::min(nextColdStart.value_or(instant::max()), target.coldStartRefusedUntil);
             continue;
         }
         if (hasCurrentWeights(target, request.model) || mayStartOnStaleWeights(request.model, now))
@@ -171,8 +170,11 @@
         answer.chosen->isTargetUnderLoad = isUnderLoad(*chosen, now);
         return answer;
     }
-    answer.reason = coldRateExhausted ? placement_failure::cold : placement_failure::no_target;
-    answer.retryAfter = coldRateExhausted ? retryAfterColdLimit : retryWithoutTarget;
+    answer.reason = nextColdStart ? placement_failure::cold : placement_failure::no_target;
+    answer.retryAfter = retryWithoutTarget;
+    if (nextColdStart)
+        answer.retryAfter
+            = std::max(minRetryAfterCold, std::chrono::ceil<milliseconds>(*nextColdStart - now));
     return answer;
 }
 
@@ -185,15 +187,7 @@
         || now - target.unreportedAttempts.front().first > m_options.maxLoadAge)
         target.unreportedAttempts.pop_front();
     placement out { target.last.name, target.last.address, {}, target.last.failureDomain, 0, 0,
-        isHolder(target, request), false, {} };
-    if (now < target.coldUntil) {
-        auto since = [&](instant from) { return std::chrono::duration_cast<milliseconds>(now - from); };
-        out.cold = cold_selection { std::chrono::duration_cast<milliseconds>(target.coldUntil - now), {},
-            m_entries };
-        if (target.lastStartWhileCold)
-            out.cold->sincePrevious = since(*target.lastStartWhileCold);
-        target.lastStartWhileCold = now;
-    }
+        isHolder(target, request), false, isCold(target, now) };
     for (const auto& loaded : target.last.models) {
         if (loaded.model == request.model)
             out.weights = loaded.version;
@@ -346,6 +340,8 @@
     auto& each = found->second;
     each.inFlight -= each.inFlight > 0;
     each.inFlightTokens -= std::min(each.inFlightTokens, tokens);
+    if (result == attempt_result::not_started && !each.unreportedAttempts.empty())
+        each.unreportedAttempts.pop_back();
     bool targetFailed = result == attempt_result::not_reached || result == attempt_result::lost;
     if (result == attempt_result::answered) {
         each.currentBackoff = milliseconds(0);
@@ -357,6 +353,12 @@
     each.backoffUntil = now + each.currentBackoff;
 }
 
+void target_selector::onColdStartRefused(const std::string& target, instant until)
+{
+    if (auto found = m_targets.find(target); found != m_targets.end())
+        found->second.coldStartRefusedUntil = until;
+}
+
 void target_selector::markWeightsUnconfirmed(const std::string& target, instant now)
 {
     auto found = m_targets.find(target);
--- /dev/null
+++ b/packages/forwarding/src/plumfold_cold_start_client.cpp
@@ -0,0 +1,135 @@
+#include "plumfold_cold_start_client.hpp"
+
+#include "plumfold/runtime/plumfold_log.hpp"
+
+namespace plumfold::forwarding {
+
+namespace {
+
+constexpr std::chrono::milliseconds connectTimeout { 250 };
+constexpr std::chrono::milliseconds answerTimeout { 100 };
+constexpr auto reconnectDelay = 200 * kj::MILLISECONDS;
+constexpr core::milliseconds retryWithoutIssuer { 300 };
+
+} // namespace
+
+cold_start_client::cold_start_client(
+    asio::io_context& io, wire::rpc_thread& rpc, const runtime::settings& settings)
+    : m_io(io)
+    , m_rpc(rpc)
+    , m_settings(settings)
+{
+    m_rpc.run([this] { m_tasks = kj::heap<wire::task_group>(); });
+}
+
+cold_start_client::~cold_start_client()
+{
+    m_rpc.run([this] {
+        m_tasks = nullptr;
+        m_session = nullptr;
+        m_connection = nullptr;
+    });
+}
+
+void cold_start_client::setIssuer(const std::string& address)
+{
+    if (address.empty() || address == m_issuer)
+        return;
+    m_issuer = address;
+    m_rpc.post([this, address] {
+        m_address = address;
+        disconnect();
+        connect();
+    });
+}
+
+task<core::cold_start_decision> cold_start_client::request(std::string service, std::string target)
+{
+    auto pending = std::make_shared<pending_request>(m_io);
+    pending->decision = { false, retryWithoutIssuer };
+    pending->answered.expires_after(core::coldStartGrantLifetime);
+    m_rpc.post([this, pending, service = std::move(service), target = std::move(target)] {
+        send(pending, service, target);
+    });
+    error_code ignored;
+    co_await pending->answered.async_wait(into(ignored));
+    co_return pending->decision;
+}
+
+void cold_start_client::send(
+    std::shared_ptr<pending_request> pending, const std::string& service, const std::string& target)
+{
+    KJ_IF_MAYBE (session, m_session) {
+        auto request = session->startColdRequest();
+        request.setService(service);
+        request.setTarget(target);
+        auto generation = m_generation;
+        m_tasks->add(
+            wire::withTimeout(m_rpc, request.send().dropPipeline(), answerTimeout)
+                .then(
+                    [this, pending](auto&& response) {
+                        answer(pending,
+                            { response.getGranted(), core::milliseconds(response.getRetryAfterMs()) });
+                    },
+                    [this, pending, generation](kj::Exception&& exception) {
+                        answer(pending, { false, retryWithoutIssuer });
+                        if (generation != m_generation)
+                            return;
+                        runtime::log_event("cold_start_issuer_lost", runtime::log_level::warning)
+                            .with("address", m_address)
+                            .with("reason", exception.getDescription().cStr());
+                        disconnect();
+                        connect();
+                    }));
+        return;
+    }
+    answer(pending, { false, retryWithoutIssuer });
+}
+
+void cold_start_client::answer(
+    const std::shared_ptr<pending_request>& pending, core::cold_start_decision decision)
+{
+    asio::post(m_io, [pending, decision] {
+        pending->decision = decision;
+        pending->answered.cancel();
+    });
+}
+
+void cold_start_client::connect()
+{
+    auto generation = m_generation;
+    auto connecting = wire::rpc_connection::connect(m_rpc, m_address, connectTimeout);
+    m_tasks->add(connecting.then(
+        [this, generation](kj::Own<wire::rpc_connection> connection) -> kj::Promise<void> {
+            if (generation != m_generation)
+                return kj::READY_NOW;
+            auto request = connection->bootstrap<wire::Control>().entryRequest();
+            request.setSecret(m_settings.process.clusterSecret);
+            request.setName(m_settings.process.name);
+            request.setFailureDomain(m_settings.process.failureDomain);
+            m_session = request.send().getSession();
+            m_connection = kj::mv(connection);
+            return kj::READY_NOW;
+        },
+        [this, generation](kj::Exception&& exception) -> kj::Promise<void> {
+            if (generation != m_generation)
+                return kj::READY_NOW;
+            runtime::log_event("cold_start_issuer_unreachable", runtime::log_level::warning)
+                .with("address", m_address)
+                .with("reason", exception.getDescription().cStr());
+            return m_rpc.timer().afterDelay(reconnectDelay).then([this, generation] {
+                if (generation == m_generation)
+                    connect();
+            });
+        }));
+}
+
+void cold_start_client::disconnect()
+{
+    ++m_generation;
+    m_session = nullptr;
+    // The connection must not be destroyed inside one of its own callbacks.
+    m_tasks->add(kj::evalLater([old = kj::mv(m_connection)] {}));
+}
+
+} // namespace plumfold::forwarding
--- a/packages/forwarding/src/plumfold_forwarding_role.cpp
+++ b/packages/forwarding/src/plumfold_forwarding_role.cpp
@@ -31,7 +31,6 @@
 {
     core::target_selector_options options;
     options.failureDomain = settings.process.failureDomain;
-    options.coldRateFactor = static_cast<double>(settings.forwarding->coldOvershootPercent) / percent;
     options.staleWeightsGracePeriod
         = core::milliseconds(settings.forwarding->weightsBoundMs * staleWeightsPercent / percent);
     return options;
@@ -49,7 +48,8 @@
 public:
     impl(const runtime::settings& settings, wire::rpc_thread& rpc)
         : m_settings(settings)
-        , m_state { m_io, m_settings, m_metrics, nullptr, 0,
+        , m_coldStarts(m_io, rpc, m_settings)
+        , m_state { m_io, m_settings, m_metrics, m_coldStarts, nullptr, 0,
             core::target_selector(targetSelectorOptions(m_settings)), retryBudget(*m_settings.forwarding),
             target_connection_pool(m_io) }
         , m_acceptor(m_io, endpointOf(m_settings.forwarding->callerAddress))
@@ -111,6 +111,7 @@
         m_state.targetSelector.applyAnnouncements(update.targets, update.isSnapshot, now);
         m_state.targetSelector.applyLoads(update.loads, now);
         m_state.targetSelector.setEntryCount(update.entries);
+        m_coldStarts.setIssuer(update.coldStartIssuer);
         m_state.retryBudget.setEntryCount(update.entries);
         for (const auto& holder : update.parts)
             m_state.parts.apply(holder, now);
@@ -187,6 +188,7 @@
     runtime::settings m_settings;
     asio::io_context m_io { 1 };
     runtime::metrics m_metrics;
+    cold_start_client m_coldStarts;
     forwarding_state m_state;
     asio::ip::tcp::acceptor m_acceptor;
     status_listener m_status;
--- a/packages/forwarding/src/plumfold_forwarding_state.hpp
+++ b/packages/forwarding/src/plumfold_forwarding_state.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "plumfold_asio.hpp"
+#include "plumfold_cold_start_client.hpp"
 #include "plumfold_target_connection_pool.hpp"
 
 #include "plumfold/core/plumfold_admission.hpp"
@@ -22,6 +23,7 @@
     asio::io_context& io;
     const runtime::settings& settings;
     runtime::metrics& metrics;
+    cold_start_client& coldStarts;
     std::shared_ptr<const core::deployment> deployment; ///< Null until the first one is received.
     std::uint64_t deploymentRevision = 0;
     core::target_selector targetSelector;
--- a/packages/forwarding/src/plumfold_request_attempt.cpp
+++ b/packages/forwarding/src/plumfold_request_attempt.cpp
@@ -103,6 +103,13 @@
         m_reason = "connect_failed";
         co_return core::attempt_result::not_reached;
     }
+    // The target may have become cold, or the granted start may have expired, while the connection was
+    // opened.
+    bool hasColdStart = placement.isCold && runtime::nowWithSuspension() < m_coldStartUntil;
+    if (!hasColdStart && m_state.targetSelector.isCold(placement.target, runtime::now())) {
+        m_state.connections.release(std::move(m_connection));
+        co_return core::attempt_result::not_started;
+    }
     m_attemptedTargets.insert(placement.target);
     m_fetchedFrom.clear();
     m_fetches = m_saves = m_fetchTokens = 0;
--- a/packages/forwarding/src/plumfold_request_forwarder.cpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.cpp
@@ -19,6 +19,8 @@
 constexpr core::milliseconds maxDeploymentWait { 750 };
 /// A request without a usable target waits for its latency target divided by this before it is rejected.
 constexpr int placementWaitDivisor = 8;
+/// A request that asked for starts on this many cold targets goes to warm ones only.
+constexpr unsigned maxColdStartRequests = 3;
 
 std::string_view view(beast::string_view in)
 {
@@ -132,6 +134,7 @@
     out.timeLeft = timeLeft();
     out.excluded = m_attemptedTargets;
     out.excluded.insert(m_unreachableTargets.begin(), m_unreachableTargets.end());
+    out.isWarmOnly = m_coldStartRequests >= maxColdStartRequests;
     if (!m_route->hasSessions)
         return out;
     out.session = core::conversationOf(m_head.parts);
@@ -181,8 +184,14 @@
                 core::target_selector::expectedTokens(request), runtime::now());
             co_return;
         }
-        if (selection.chosen->cold)
-            logColdSelection(*selection.chosen);
+        bool mayStart = true;
+        if (selection.chosen->isCold)
+            mayStart = co_await requestColdStart(*selection.chosen);
+        if (!mayStart) {
+            m_state.targetSelector.onAttemptEnded(selection.chosen->target, core::attempt_result::not_started,
+                core::target_selector::expectedTokens(request), runtime::now());
+            continue;
+        }
         m_lastTarget = selection.chosen->target;
         m_lastWeights = selection.chosen->weights;
         auto attemptResult = co_await attempt(*selection.chosen);
@@ -190,6 +199,8 @@
         m_watchdog.cancel();
         m_state.targetSelector.onAttemptEnded(selection.chosen->target, attemptResult,
             core::target_selector::expectedTokens(request), runtime::now());
+        if (attemptResult == core::attempt_result::not_started)
+            continue;
         bool final = attemptResult == core::attempt_result::answered
             || attemptResult == core::attempt_result::abandoned;
         if (final)
@@ -205,15 +216,24 @@
         finishUnanswered();
 }
 
-void request_forwarder::logColdSelection(const core::placement& placement) const
+/// @return whether the request may start on a cold target.
+task<bool> request_forwarder::requestColdStart(const core::placement& placement)
 {
-    const auto& cold = *placement.cold;
-    runtime::log_event("cold_target_selected")
+    ++m_coldStartRequests;
+    auto requestedAt = runtime::nowWithSuspension();
+    auto decision = co_await m_state.coldStarts.request(m_service, placement.target);
+    if (!decision.isGranted) {
+        m_state.targetSelector.onColdStartRefused(placement.target, runtime::now() + decision.retryAfter);
+        co_return false;
+    }
+    m_coldStartUntil = requestedAt + core::coldStartGrantLifetime;
+    auto duration = runtime::nowWithSuspension() - requestedAt;
+    runtime::log_event("cold_start_granted")
         .with("request", m_head.id)
         .with("target", placement.target)
-        .with("cold_ms", cold.coldFor.count())
-        .with("since_previous_ms", cold.sincePrevious ? cold.sincePrevious->count() : -1)
-        .with("entries", cold.entries);
+        .with("requests", m_coldStartRequests)
+        .with("took_ms", std::chrono::duration_cast<core::milliseconds>(duration).count());
+    co_return true;
 }
 
 std::uint32_t request_forwarder::priority() const
@@ -315,6 +335,7 @@
         .with("status", m_response ? m_response->status : (m_streamStarted ? statusOk : 0))
         .with("may_have_run", m_mayHaveExecuted ? "true" : "false")
         .with("sends", m_attemptCount)
+        .with("cold_start_requests", m_coldStartRequests)
         .with("target", m_lastTarget.empty() ? std::string("none") : m_lastTarget)
         .with("weights", m_lastWeights.empty() ? std::string("none") : m_lastWeights)
         .with("conversation", core::conversationOf(m_head.parts))
--- a/packages/forwarding/src/plumfold_request_forwarder.hpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.hpp
@@ -40,6 +40,7 @@
     void reject(http::status status, std::string reason, std::optional<core::milliseconds> retryAfter = {});
     task<void> runAttempts();
     bool mayRetry() const;
+    task<bool> requestColdStart(const core::placement& placement);
     bool rejectOverload(const core::placement& placement);
     std::uint32_t priority() const;
     void rejectWithoutTarget(const core::placement_result& selection);
@@ -60,7 +61,6 @@
     void onCallerDisconnected();
     void armWatchdog();
     void onWatchdog();
-    void logColdSelection(const core::placement& placement) const;
     void log(bool delivered);
 
     core::placement_request placementRequest() const;
@@ -86,6 +86,8 @@
     std::string m_lastTarget;
     std::string m_lastWeights;
     unsigned m_attemptCount = 0;
+    unsigned m_coldStartRequests = 0;
+    core::instant m_coldStartUntil {}; // until when a granted start may be used, with suspensions
     bool m_mayHaveExecuted = false;
     bool m_timedOut = false;
     bool m_targetUnresponsive = false; // why the current attempt was abandoned
--- a/packages/runtime/include/plumfold/runtime/plumfold_clock.hpp
+++ b/packages/runtime/include/plumfold/runtime/plumfold_clock.hpp
@@ -7,6 +7,9 @@
 /// @return monotonic time, unaffected by changes of the wall clock.
 core::instant now();
 
+/// @return monotonic time that includes suspensions of the machine; not comparable with now().
+core::instant nowWithSuspension();
+
 /// @return wall-clock time in Unix milliseconds.
 core::unix_milliseconds unixNow();
 
--- a/packages/runtime/include/plumfold/runtime/plumfold_settings.hpp
+++ b/packages/runtime/include/plumfold/runtime/plumfold_settings.hpp
@@ -28,6 +28,8 @@
 struct process_settings {
     std::string name;
     std::string failureDomain;
+    /// All failure domains of the system, the same in all processes; empty if there is only one.
+    std::vector<std::string> failureDomains;
     std::string dataFolder; ///< Required by the control role.
     std::string logFile; ///< Empty for standard output.
     std::string traceFile; ///< Empty disables tracing.
@@ -67,8 +69,6 @@
     std::uint64_t retryPercent = 20; ///< Retries to a service, as a share of its requests.
     std::uint64_t retryExtra = 50; ///< Further retries of all entries together per retryWindowMs.
     std::uint64_t retryWindowMs = 10'000;
-    /// Share of a service's cold request rate that all entries together use.
-    std::uint64_t coldOvershootPercent = 100;
     std::uint64_t weightsBoundMs = 10'000; ///< Time limit for starting requests on stale weights.
 };
 
@@ -83,6 +83,13 @@
     std::uint64_t targetSilenceMs = 6'000; ///< Age of the latest announcement above which a target is silent.
     std::uint64_t maxConcurrentLoads = 3; ///< Number of targets that load weights at the same time.
     std::uint64_t orderLeaseMs = 3'000; ///< Lease of the one control VM that sends load orders to targets.
+    /// A cold target bears its service's cold request rate times coldOvershoot, plus coldSlack requests, in
+    /// any second.
+    double coldOvershoot = 1.5;
+    std::uint64_t coldSlack = 5;
+    /// Lease of the control VM that grants the starts of a failure domain on cold targets. While it is cut
+    /// off it goes on for this time; a successor waits for as long.
+    std::uint64_t coldStartLeaseMs = 6'000;
     std::vector<operator_setting> operators;
     std::uint64_t electionTimeoutMs = 400;
     std::uint64_t snapshotEveryEntries = 10'000;
--- a/packages/runtime/src/plumfold_settings.cpp
+++ b/packages/runtime/src/plumfold_settings.cpp
@@ -6,6 +6,7 @@
 #include <absl/strings/str_join.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <fstream>
 #include <set>
 #include <sstream>
@@ -19,7 +20,7 @@
 
 /// Name, type and constraints of one key in a settings object.
 template <class Owner> struct setting_field {
-    using member = std::variant<std::string Owner::*, std::uint64_t Owner::*, bool Owner::*,
+    using member = std::variant<std::string Owner::*, std::uint64_t Owner::*, double Owner::*, bool Owner::*,
         std::vector<std::string> Owner::*, std::vector<peer_setting> Owner::*,
         std::vector<operator_setting> Owner::*>;
     const char* name;
@@ -40,6 +41,8 @@
     static const fields<process_settings> all {
         { "name", &process_settings::name, "a name that no other process has", true },
         { "failureDomain", &process_settings::failureDomain, "the name of a failure domain", true },
+        { "failureDomains", &process_settings::failureDomains,
+            "the names of all failure domains; empty if there is one" },
         { "dataFolder", &process_settings::dataFolder, "a folder; needed by the control role" },
         { "logFile", &process_settings::logFile, "a file; empty for standard output" },
         { "traceFile", &process_settings::traceFile, "a file; empty for no traces" },
@@ -97,6 +100,10 @@
             1000 },
         { "orderLeaseMs", &control_settings::orderLeaseMs, "milliseconds, 500 to 60000", false, false, 500,
             60'000 },
+        { "coldOvershoot", &control_settings::coldOvershoot, "a factor, 1 to 100", false, false, 1, 100 },
+        { "coldSlack", &control_settings::coldSlack, "requests, 0 to 100000", false, false, 0, 100'000 },
+        { "coldStartLeaseMs", &control_settings::coldStartLeaseMs, "milliseconds, 1000 to 60000", false,
+            false, 1000, 60'000 },
         { "operators", &control_settings::operators, "a list of {name, tokenHash, mayChange}" },
         { "electionTimeoutMs", &control_settings::electionTimeoutMs, "milliseconds, 50 to 60000", false,
             false, 50, 60'000 },
@@ -119,8 +126,6 @@
         { "retryExtra", &forwarding_settings::retryExtra, "requests, 0 to 100000", false, false, 0, 100'000 },
         { "retryWindowMs", &forwarding_settings::retryWindowMs, "milliseconds, 100 to 600000", false, false,
             100, 600'000 },
-        { "coldOvershootPercent", &forwarding_settings::coldOvershootPercent, "percent, 1 to 1000", false,
-            false, 1, 1000 },
         { "weightsBoundMs", &forwarding_settings::weightsBoundMs, "milliseconds, 100 to 3600000", false,
             false, 100, maxDurationMs },
     };
@@ -237,6 +242,16 @@
             addError(path, absl::StrCat("is out of range; allowed: ", field.allowed));
     }
 
+    template <class Field>
+    void readValue(const json& in, const std::string& path, const Field& field, double& out)
+    {
+        if (!in.is_number())
+            return wrongType(path, field);
+        out = in.get<double>();
+        if (!(out >= static_cast<double>(field.minimum) && out <= static_cast<double>(field.maximum)))
+            addError(path, absl::StrCat("is out of range; allowed: ", field.allowed));
+    }
+
     template <class Field>
     void readValue(const json& in, const std::string& path, const Field& field, bool& out)
     {
@@ -409,6 +424,11 @@
         reader.addError("/control/rpcPort", "is missing; with seeds it must be set");
     if (out.control && out.process.dataFolder.empty())
         reader.addError("/process/dataFolder", "is missing; the control role needs a folder on a disk");
+    const auto& domains = out.process.failureDomains;
+    bool isListed = domains.empty()
+        || std::find(domains.begin(), domains.end(), out.process.failureDomain) != domains.end();
+    if (!isListed)
+        reader.addError("/process/failureDomains", "does not name the failure domain of this process");
     checkDuplicateAddresses(out, reader);
     if (auto status = reader.status(); !status.ok())
         return status;
--- a/packages/wire/schema/plumfold.capnp
+++ b/packages/wire/schema/plumfold.capnp
@@ -113,8 +113,8 @@
   weights @3 :List(NamedWeights);
 }
 struct LeaseCommand { name @0 :Text; holder @1 :Text; durationMs @2 :UInt32; }
-struct LeaseResult { granted @0 :Bool; fence @1 :UInt64; }
-struct LeaseState { name @0 :Text; holder @1 :Text; until @2 :UInt64; fence @3 :UInt64; }
+struct LeaseResult { granted @0 :Bool; fence @1 :UInt64; takenOver @2 :Bool; }
+struct LeaseState { name @0 :Text; holder @1 :Text; until @2 :UInt64; fence @3 :UInt64; takenOver @4 :Bool; }
 
 struct ChangeResult { outcome @0 :UInt8; revision @1 :UInt64; message @2 :Text; }
 struct ClaimResult { state @0 :UInt8; answer @1 :StoredAnswer; retryAfterMs @2 :UInt32; }
@@ -205,12 +205,15 @@
       -> (update :ConfigurationUpdate, fresh :Bool, verdicts :List(Verdict));
   submit @1 (command :Command) -> (reply :Reply, result :CommandResult);
   # Answers as soon as the deployment or a target differs from what is known, or after waitMs. With confirmed,
-  # a quorum has first confirmed that no newer revision is deployed.
+  # a quorum has first confirmed that no newer revision is deployed. coldStarts is the address of the control VM
+  # that serves startCold for this entry.
   follow @2 (knownDeployment :UInt64, feed :UInt64, knownChange :UInt64, waitMs :UInt32, confirmed :Bool,
       parts :List(PartCursor))
       -> (fresh :Bool, deployment :DeploymentState, feed :UInt64, change :UInt64, everything :Bool,
           targets :List(AnnouncedTarget), control :List(ControlAddress), entries :UInt32, parts :List(PartNews), clock :UInt64,
-          loads :List(TargetLoad));
+          loads :List(TargetLoad), coldStarts :Text);
+  # Asks the control VM that grants the starts of this entry's failure domain on cold targets for one start.
+  startCold @3 (service :Text, target :Text) -> (granted :Bool, retryAfterMs :UInt32);
 }
 
 # A target as it announced itself, see core::target_announcement.
--- a/packages/wire/src/plumfold_convert_commands.cpp
+++ b/packages/wire/src/plumfold_convert_commands.cpp
@@ -208,6 +208,7 @@
         auto to = out.initLease();
         to.setGranted(leased->granted);
         to.setFence(leased->fence);
+        to.setTakenOver(leased->isTakenOver);
     } else {
         out.setNone();
     }
@@ -221,7 +222,8 @@
     case CommandResult::CHANGE:
         return read(in.getChange());
     case CommandResult::LEASE:
-        return core::lease_result { in.getLease().getGranted(), in.getLease().getFence() };
+        return core::lease_result { in.getLease().getGranted(), in.getLease().getFence(),
+            in.getLease().getTakenOver() };
     case CommandResult::CLAIM: {
         auto from = in.getClaim();
         return core::claim_result { checkedEnum<core::claim_status>(from.getState(), claimStatusCount),
@@ -303,11 +305,13 @@
     out.setHolder(value.holder);
     out.setUntil(value.until);
     out.setFence(value.fence);
+    out.setTakenOver(value.isTakenOver);
 }
 
 core::lease_state read(LeaseState::Reader in)
 {
-    return core::lease_state { text(in.getName()), text(in.getHolder()), in.getUntil(), in.getFence() };
+    return core::lease_state { text(in.getName()), text(in.getHolder()), in.getUntil(), in.getFence(),
+        in.getTakenOver() };
 }
 
 void write(AuditRecord::Builder out, const core::audit_record& value)
