Tell entries of a target that becomes cold again during its cold start

Cause: the directory compared only whether two announcements are cold, so a cold start that begins anew before the former one has ended was not passed on, and entries took the target for warm at the former end.

Change: the directory keeps the end of the cold time; an end that moved by more than 0.5 s is a change. Relayed announcements carry the time that remains, as those to entries already did. The test fails before (change 1 > 1).

--- a/packages/control/src/plumfold_control_service.cpp
+++ b/packages/control/src/plumfold_control_service.cpp
@@ -188,10 +188,7 @@
 
     static void writeTarget(wire::AnnouncedTarget::Builder out, const core::target_directory::entry& entry)
     {
-        core::target_announcement announcement = entry.last;
-        auto age = std::chrono::duration_cast<core::milliseconds>(runtime::now() - entry.lastSeenAt);
-        announcement.coldFor = std::max(announcement.coldFor - age, core::milliseconds(0));
-        wire::write(out, announcement);
+        wire::write(out, entry.announcementAt(runtime::now()));
     }
 
     kj::Promise<void> respondToWatch(WatchContext call, watch_event event)
--- a/packages/control/src/plumfold_peer_links.cpp
+++ b/packages/control/src/plumfold_peer_links.cpp
@@ -73,10 +73,10 @@
     }
     auto now = runtime::now();
     bool all = now - to.sharedAllAt > shareAllInterval;
-    std::vector<const core::target_announcement*> announcements;
+    std::vector<core::target_announcement> announcements;
     for (const auto& [name, entry] : feed.directory().entries()) {
         if (entry.isDirect && (all || entry.change > to.sharedChange))
-            announcements.push_back(&entry.last);
+            announcements.push_back(entry.announcementAt(now));
     }
     auto holders = feed.assignedHolders();
     auto loads = feed.loads(true);
@@ -89,7 +89,7 @@
     request.setEntries(feed.followerCount());
     auto targets = request.initTargets(announcements.size());
     for (unsigned index = 0; index < announcements.size(); ++index)
-        wire::write(targets[index], *announcements[index]);
+        wire::write(targets[index], announcements[index]);
     std::vector<core::part_update> parts;
     for (const auto& holder : holders) {
         auto& cursor = to.sharedParts[holder];
--- a/packages/core/include/plumfold/core/plumfold_target_directory.hpp
+++ b/packages/core/include/plumfold/core/plumfold_target_directory.hpp
@@ -40,9 +40,13 @@
     struct entry {
         target_announcement last;
         instant lastSeenAt {};
+        instant coldUntil {};
         std::uint64_t change = 0; ///< Number of the directory's change that last altered the announcement.
         /// The latest state was learned from the target itself, not relayed by a peer.
         bool isDirect = false;
+
+        /// @return the latest announcement with the cold time that remains.
+        target_announcement announcementAt(instant now) const;
     };
 
     /// Applies an announcement.
--- a/packages/core/src/plumfold_target_directory.cpp
+++ b/packages/core/src/plumfold_target_directory.cpp
@@ -1,11 +1,15 @@
 #include "plumfold/core/plumfold_target_directory.hpp"
 
+#include <algorithm>
 #include <tuple>
 
 namespace plumfold::core {
 
 namespace {
 
+/// Announcements of the same cold start differ in its end by the time they were on their way.
+constexpr milliseconds coldEndTolerance { 500 };
+
 /// @return whether two announcements differ in anything that matters to request routing.
 bool differs(const target_announcement& left, const target_announcement& right)
 {
@@ -24,6 +28,13 @@
 
 } // namespace
 
+target_announcement target_directory::entry::announcementAt(instant now) const
+{
+    target_announcement out = last;
+    out.coldFor = std::max(std::chrono::duration_cast<milliseconds>(coldUntil - now), milliseconds(0));
+    return out;
+}
+
 bool target_directory::apply(const target_announcement& next, bool isDirect, instant now)
 {
     auto [place, isNew] = m_entries.try_emplace(next.name);
@@ -39,7 +50,10 @@
     // A leaving target does not become ready again in the same incarnation.
     if (!isNew && sameIncarnation && known.last.state == target_state::leaving)
         applied.state = target_state::leaving;
-    bool changed = isNew || differs(applied, known.last);
+    auto coldUntil = now + applied.coldFor;
+    bool isColdAgain = applied.coldFor.count() > 0 && coldUntil > known.coldUntil + coldEndTolerance;
+    bool changed = isNew || isColdAgain || differs(applied, known.last);
+    known.coldUntil = coldUntil;
     known.last = std::move(applied);
     known.lastSeenAt = now;
     known.isDirect = isDirect;
--- a/tests/core/plumfold_target_directory_tests.cpp
+++ b/tests/core/plumfold_target_directory_tests.cpp
@@ -64,3 +64,20 @@
     CHECK(directory.detectSilent(later, silenceTimeout).empty());
     CHECK(directory.detectSilent(later + milliseconds(7'000), silenceTimeout).size() == 1);
 }
+
+TEST_CASE(
+    "A target that becomes cold again during its cold start counts as changed", "[target_directory][cold]")
+{
+    auto withColdTime = [](std::uint64_t sequence, int ms) {
+        auto out = shop(100, sequence);
+        out.coldFor = milliseconds(ms);
+        return out;
+    };
+    target_directory directory;
+    directory.apply(withColdTime(1, 3'000), true, start);
+    auto change = directory.latestChange();
+    directory.apply(withColdTime(2, 1'800), true, start + milliseconds(1'200));
+    CHECK(directory.latestChange() == change);
+    directory.apply(withColdTime(3, 3'000), true, start + milliseconds(2'400));
+    CHECK(directory.latestChange() > change);
+}
