Treat targets as cold when their failure domain is back in service

Cause: targets may become cold while their failure domain is out of service, and they tell it with their next announcement, up to 1.2 s later. Entries took them for warm until then, and being idle they were the best choice of all entries at once.

Change: at the return, an entry counts them as cold for the cold time of their service. Targets that stayed warm get the cold rate for that time; the users say that a return may find them cold, and an announcement sent before can't tell. The test fails before (isCold false 200 ms after the return).

--- a/packages/core/include/plumfold/core/plumfold_target_selector.hpp
+++ b/packages/core/include/plumfold/core/plumfold_target_selector.hpp
@@ -117,8 +117,10 @@
     /// @param isComplete whether they cover all targets; those that are missing count as leaving.
     void applyAnnouncements(const std::vector<target_announcement>& targets, bool isComplete, instant now);
 
-    /// Excludes the targets of these failure domains; replaces the former set.
-    void setOutOfService(std::set<std::string> failureDomains) { m_outOfService = std::move(failureDomains); }
+    /// Excludes the targets of these failure domains; replaces the former set. Targets of a failure domain
+    /// that is no longer excluded count as cold for the cold time of their service, since they may have
+    /// become cold without an announcement that has arrived yet.
+    void setOutOfService(std::set<std::string> failureDomains, instant now);
     /// Sets the current weight version by model.
     void setWeights(const std::map<std::string, std::uint64_t>& weights, instant now);
     void setServices(const std::vector<service_limits>& services);
@@ -168,7 +170,8 @@
 private:
     struct tracked_target {
         target_announcement last;
-        instant coldUntil {};
+        instant coldUntil {}; ///< As announced.
+        instant assumedColdUntil {};
         instant coldStartRefusedUntil {};
         instant backoffUntil {};
         std::optional<instant> lastAnswerAt; ///< Latest answer to this entry.
--- a/packages/core/src/plumfold_target_selector.cpp
+++ b/packages/core/src/plumfold_target_selector.cpp
@@ -47,6 +47,17 @@
     }
 }
 
+void target_selector::setOutOfService(std::set<std::string> failureDomains, instant now)
+{
+    for (auto& [name, target] : m_targets) {
+        const auto& domain = target.last.failureDomain;
+        auto limits = m_services.find(target.last.service);
+        if (m_outOfService.contains(domain) && !failureDomains.contains(domain) && limits != m_services.end())
+            target.assumedColdUntil = now + limits->second.coldTime;
+    }
+    m_outOfService = std::move(failureDomains);
+}
+
 void target_selector::setWeights(const std::map<std::string, std::uint64_t>& weights, instant now)
 {
     for (const auto& [model, version] : weights) {
@@ -140,7 +151,8 @@
 bool target_selector::isCold(const tracked_target& target, instant now) const
 {
     auto limits = m_services.find(target.last.service);
-    return now < target.coldUntil && limits != m_services.end() && limits->second.coldRequestsPerSecond > 0;
+    bool isCold = now < std::max(target.coldUntil, target.assumedColdUntil);
+    return isCold && limits != m_services.end() && limits->second.coldRequestsPerSecond > 0;
 }
 
 placement_result target_selector::choose(const placement_request& request, instant now)
--- a/packages/forwarding/src/plumfold_forwarding_role.cpp
+++ b/packages/forwarding/src/plumfold_forwarding_role.cpp
@@ -124,7 +124,7 @@
 
     void applyDeployment(const core::deployment_state& next, core::instant now)
     {
-        m_state.targetSelector.setOutOfService(next.outOfService);
+        m_state.targetSelector.setOutOfService(next.outOfService, now);
         m_state.targetSelector.setWeights(next.weights, now);
         m_state.deploymentRevision = next.revision;
         auto previousVersion = m_state.deployment ? m_state.deployment->version() : 0;
--- a/tests/core/plumfold_target_selector_tests.cpp
+++ b/tests/core/plumfold_target_selector_tests.cpp
@@ -151,7 +151,7 @@
     leaving.state = target_state::leaving;
     selector.applyAnnouncements({ leaving }, false, start);
     CHECK(selector.choose(requestOf(), start).chosen->target == "t2");
-    selector.setOutOfService({ "b" });
+    selector.setOutOfService({ "b" }, start);
     CHECK_FALSE(selector.choose(requestOf(), start).chosen);
 }
 
@@ -191,6 +191,23 @@
     CHECK_FALSE(selector.choose(requestOf(), start + milliseconds(3000)).chosen->isCold);
 }
 
+TEST_CASE("Targets count as cold after their failure domain is back in service", "[target_board][cold]")
+{
+    service_limits limits;
+    limits.name = "pool";
+    limits.coldRequestsPerSecond = 9;
+    limits.coldTime = milliseconds(3000);
+    auto selector = selectorOf({ engine("t1") });
+    selector.setServices({ limits });
+    selector.setOutOfService({ "a" }, start);
+    selector.setOutOfService({}, start + milliseconds(1000));
+    selector.applyAnnouncements(
+        { engine("t1") }, false, start + milliseconds(1100)); // sent before it was cold
+    CHECK(selector.choose(requestOf(), start + milliseconds(1200)).chosen->isCold);
+    CHECK(selector.choose(requestOf(), start + milliseconds(3999)).chosen->isCold);
+    CHECK_FALSE(selector.choose(requestOf(), start + milliseconds(4000)).chosen->isCold);
+}
+
 TEST_CASE("Requests start on stale weights only within the grace period after a new version becomes current",
     "[target_board]")
 {
