Ignore announcements that a later one has already replaced

Cause: an entry that changes to a control VM that was cut off got that VM's older announcements and took them over: a cold target became warm for it, a restarted one its former incarnation.

Change: an entry keeps the latest announcement by start and sequence, as control VMs do. The test fails before (isCold false after an earlier announcement).

--- a/packages/core/src/plumfold_target_selector.cpp
+++ b/packages/core/src/plumfold_target_selector.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 
 namespace plumfold::core {
 
@@ -27,6 +28,9 @@
     for (const auto& each : targets) {
         announced.insert(each.name);
         auto& known = m_targets[each.name];
+        // A control VM that was cut off may send what another one has already replaced.
+        if (std::tie(each.startedAt, each.sequence) < std::tie(known.last.startedAt, known.last.sequence))
+            continue;
         if (each.startedAt != known.last.startedAt) {
             known.backoffUntil = now;
             known.currentBackoff = milliseconds(0);
--- a/tests/core/plumfold_target_selector_tests.cpp
+++ b/tests/core/plumfold_target_selector_tests.cpp
@@ -208,6 +208,27 @@
     CHECK_FALSE(selector.choose(requestOf(), start + milliseconds(4000)).chosen->isCold);
 }
 
+TEST_CASE("An earlier announcement does not replace a later one", "[target_board][cold]")
+{
+    service_limits limits;
+    limits.name = "pool";
+    limits.coldRequestsPerSecond = 9;
+    auto cold = engine("t1");
+    cold.startedAt = 100;
+    cold.sequence = 5;
+    cold.coldFor = milliseconds(3000);
+    auto selector = selectorOf({ cold });
+    selector.setServices({ limits });
+    auto warm = cold;
+    warm.sequence = 4;
+    warm.coldFor = milliseconds(0);
+    selector.applyAnnouncements({ warm }, false, start + milliseconds(100));
+    CHECK(selector.choose(requestOf(), start + milliseconds(200)).chosen->isCold);
+    warm.sequence = 6;
+    selector.applyAnnouncements({ warm }, false, start + milliseconds(300));
+    CHECK_FALSE(selector.choose(requestOf(), start + milliseconds(400)).chosen->isCold);
+}
+
 TEST_CASE("Requests start on stale weights only within the grace period after a new version becomes current",
     "[target_board]")
 {
