--- a/packages/control/src/plumfold_control_role.cpp
+++ b/packages/control/src/plumfold_control_role.cpp
@@ -1,11 +1,11 @@
 #include "plumfold/control/plumfold_control_role.hpp"
 
-#include "plumfold_cold_start_issuer.hpp"
 #include "plumfold_control_service.hpp"
 #include "plumfold_load_poller.hpp"
 #include "plumfold_part_pollers.hpp"
 #include "plumfold_peer_links.hpp"
 #include "plumfold_platform_api_server.hpp"
+#include "plumfold_shared_limit_issuer.hpp"
 #include "plumfold_weight_rollout_thread.hpp"
 
 #include "plumfold/runtime/plumfold_secrets.hpp"
@@ -57,9 +57,9 @@
             std::move(options), std::move(log), send, onViewChanged, std::move(onDiskFailure));
         m_rpc.run([&] {
             m_leader = std::make_unique<leader_client>(m_rpc, m_settings, *m_node, *m_feed);
-            m_coldStarts = std::make_unique<cold_start_issuer>(m_settings, *m_feed, *m_leader);
+            m_sharedLimits = std::make_unique<shared_limit_issuer>(m_settings, *m_feed, *m_leader);
             m_context = std::make_unique<service_context>(
-                service_context { m_settings, *m_node, m_rpc, *m_feed, *m_leader, *m_coldStarts, {} });
+                service_context { m_settings, *m_node, m_rpc, *m_feed, *m_leader, *m_sharedLimits, {} });
             m_listener = std::make_unique<wire::rpc_listener>(
                 m_rpc, m_settings.control->address, makeControlService(*m_context));
             m_tasks->add(feedLoop());
@@ -85,7 +85,7 @@
         m_rpc.flush();
         m_rpc.run([&] {
             m_tasks.reset();
-            m_coldStarts.reset();
+            m_sharedLimits.reset();
             m_leader.reset();
             m_links.reset();
             m_feed.reset();
@@ -100,7 +100,7 @@
         m_feed->tick();
         m_links->share(*m_feed);
         if (!m_settings.control->platformAddress.empty())
-            m_coldStarts->tick();
+            m_sharedLimits->tick();
         return m_rpc.timer().afterDelay(feedInterval).then([this] { return feedLoop(); });
     }
 
@@ -110,7 +110,7 @@
     std::unique_ptr<control_node> m_node;
     std::unique_ptr<deployment_feed> m_feed;
     std::unique_ptr<leader_client> m_leader;
-    std::unique_ptr<cold_start_issuer> m_coldStarts;
+    std::unique_ptr<shared_limit_issuer> m_sharedLimits;
     std::unique_ptr<wire::task_group> m_tasks;
     std::unique_ptr<service_context> m_context;
     std::unique_ptr<wire::rpc_listener> m_listener;
--- a/packages/control/src/plumfold_control_service.cpp
+++ b/packages/control/src/plumfold_control_service.cpp
@@ -131,7 +131,7 @@
     kj::Promise<void> startCold(StartColdContext call) override
     {
         auto params = call.getParams();
-        auto decision = m_context.coldStarts.tryStart(
+        auto decision = m_context.sharedLimits.tryStart(
             m_failureDomain, params.getService().cStr(), params.getTarget().cStr());
         call.getResults().setGranted(decision.isGranted);
         call.getResults().setRetryAfterMs(static_cast<std::uint32_t>(decision.retryAfter.count()));
@@ -148,7 +148,7 @@
         out.setChange(feed.directory().latestChange());
         out.setEverything(change == 0);
         out.setEntries(feed.entryCount());
-        out.setColdStarts(feed.coldStartIssuerOf(m_failureDomain));
+        out.setSharedLimits(feed.sharedLimitIssuerOf(m_failureDomain));
         if (feed.view().deployment->revision > call.getParams().getKnownDeployment())
             wire::write(out.initDeployment(), *feed.view().deployment);
         auto changed = feed.directory().changedAfter(change);
--- a/packages/control/src/plumfold_control_service.hpp
+++ b/packages/control/src/plumfold_control_service.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "plumfold_cold_start_issuer.hpp"
 #include "plumfold_deployment_feed.hpp"
 #include "plumfold_leader_client.hpp"
+#include "plumfold_shared_limit_issuer.hpp"
 
 #include "plumfold/control/plumfold_control_node.hpp"
 #include "plumfold/core/plumfold_time.hpp"
@@ -30,7 +30,7 @@
     wire::rpc_thread& rpc;
     deployment_feed& feed;
     leader_client& leader;
-    cold_start_issuer& coldStarts;
+    shared_limit_issuer& sharedLimits;
     std::map<std::string, entry_status> entries; ///< By name.
 };
 
--- a/packages/control/src/plumfold_deployment_feed.cpp
+++ b/packages/control/src/plumfold_deployment_feed.cpp
@@ -27,9 +27,9 @@
 
 } // namespace
 
-std::string coldStartLeaseName(const std::string& failureDomain)
+std::string sharedLimitLeaseName(const std::string& failureDomain)
 {
-    return "cold-starts/" + failureDomain;
+    return "shared-limits/" + failureDomain;
 }
 
 deployment_feed::deployment_feed(wire::rpc_thread& rpc, const runtime::settings& settings)
@@ -170,11 +170,11 @@
     return assigneeOf(failureDomain) == m_settings.control->address;
 }
 
-std::string deployment_feed::coldStartIssuerOf(const std::string& failureDomain) const
+std::string deployment_feed::sharedLimitIssuerOf(const std::string& failureDomain) const
 {
     auto domains = controlDomains();
     auto assignee = assigneeOf(failureDomain);
-    auto lease = m_view.leaseHolders.find(coldStartLeaseName(failureDomain));
+    auto lease = m_view.leaseHolders.find(sharedLimitLeaseName(failureDomain));
     if (lease == m_view.leaseHolders.end())
         return assignee;
     auto holder = domains.find(lease->second);
--- a/packages/control/src/plumfold_deployment_feed.hpp
+++ b/packages/control/src/plumfold_deployment_feed.hpp
@@ -17,9 +17,9 @@
 
 namespace plumfold::control {
 
-/// @return the name of the replicated lease whose holder grants the starts of a failure domain on cold
-/// targets.
-std::string coldStartLeaseName(const std::string& failureDomain);
+/// @return the name of the replicated lease whose holder grants a failure domain's part of the limits that
+/// all entries share.
+std::string sharedLimitLeaseName(const std::string& failureDomain);
 
 /// Another control VM, according to its latest share call.
 struct control_peer_state {
@@ -95,9 +95,9 @@
     /// @return the address of the control VM that a failure domain is assigned to: its first one by address,
     /// or the first of all control VMs if it has none. Normally all control VMs agree on it.
     std::string assigneeOf(const std::string& failureDomain) const;
-    /// @return the address of the control VM that grants the starts of a failure domain on cold targets: the
+    /// @return the address of the control VM that grants a failure domain's part of the shared limits: the
     /// holder of its lease, or the control VM that has to take it.
-    std::string coldStartIssuerOf(const std::string& failureDomain) const;
+    std::string sharedLimitIssuerOf(const std::string& failureDomain) const;
     /// @return the cold request rate of a service in the current deployment; 0 if it has none.
     double coldRequestsPerSecond(const std::string& service) const;
     /// @return the platform address of a control VM in a failure domain; empty when none is known there.
--- a/packages/control/src/plumfold_cold_start_issuer.cpp
+++ b/packages/control/src/plumfold_shared_limit_issuer.cpp
@@ -1,4 +1,4 @@
-#include "plumfold_cold_start_issuer.hpp"
+#include "plumfold_shared_limit_issuer.hpp"
 
 #include "plumfold/runtime/plumfold_clock.hpp"
 #include "plumfold/runtime/plumfold_log.hpp"
@@ -16,7 +16,7 @@
 
 } // namespace
 
-cold_start_issuer::cold_start_issuer(
+shared_limit_issuer::shared_limit_issuer(
     const runtime::settings& settings, deployment_feed& feed, leader_client& leader)
     : m_settings(settings)
     , m_feed(feed)
@@ -28,12 +28,12 @@
         domains.push_back(settings.process.failureDomain);
     for (const auto& domain : domains) {
         m_domains.emplace(domain,
-            domain_grants { core::lease_usage(core::milliseconds(settings.control->coldStartLeaseMs)),
+            domain_grants { core::lease_usage(core::milliseconds(settings.control->sharedLimitLeaseMs)),
                 core::cold_start_limiter(domain, domains, core::coldStartGrantLifetime) });
     }
 }
 
-void cold_start_issuer::tick()
+void shared_limit_issuer::tick()
 {
     auto now = runtime::nowWithSuspension();
     bool arePeersKnown = now - m_startedAt > peerDiscoveryTime;
@@ -41,18 +41,18 @@
         grants.limiter.removeIdle(now, maxGrantAge);
         bool isOwn = domain == m_settings.process.failureDomain;
         bool isDue = !grants.isRenewing && now >= grants.nextRenewalAt && (isOwn || arePeersKnown);
-        if (isDue && m_feed.coldStartIssuerOf(domain) == m_settings.control->address)
+        if (isDue && m_feed.sharedLimitIssuerOf(domain) == m_settings.control->address)
             renew(domain, grants);
     }
 }
 
-void cold_start_issuer::renew(const std::string& failureDomain, domain_grants& grants)
+void shared_limit_issuer::renew(const std::string& failureDomain, domain_grants& grants)
 {
     auto requestedAt = runtime::nowWithSuspension();
     grants.nextRenewalAt = requestedAt + renewalInterval;
     grants.isRenewing = true;
-    core::lease_command command { coldStartLeaseName(failureDomain), m_settings.control->address,
-        static_cast<std::uint32_t>(m_settings.control->coldStartLeaseMs) };
+    core::lease_command command { sharedLimitLeaseName(failureDomain), m_settings.control->address,
+        static_cast<std::uint32_t>(m_settings.control->sharedLimitLeaseMs) };
     auto submitted = m_leader.submit(core::command { 0, std::move(command) }, leaseCallTimeout);
     m_tasks.add(submitted.then(
         [this, failureDomain, &grants, requestedAt](propose_response response) {
@@ -62,31 +62,31 @@
         },
         [&grants, failureDomain](kj::Exception&& exception) {
             grants.isRenewing = false;
-            runtime::log_event("cold_start_lease_not_renewed", runtime::log_level::warning)
+            runtime::log_event("shared_limit_lease_not_renewed", runtime::log_level::warning)
                 .with("failure_domain", failureDomain)
                 .with("reason", exception.getDescription().cStr());
         }));
 }
 
-void cold_start_issuer::onLeaseResult(const std::string& failureDomain, domain_grants& grants,
+void shared_limit_issuer::onLeaseResult(const std::string& failureDomain, domain_grants& grants,
     core::instant requestedAt, const core::lease_result& result)
 {
     auto now = runtime::nowWithSuspension();
     if (!result.granted) {
         if (grants.lease.onRefused())
-            runtime::log_event("cold_start_lease_lost").with("failure_domain", failureDomain);
+            runtime::log_event("shared_limit_lease_lost").with("failure_domain", failureDomain);
         return;
     }
     if (!grants.lease.onGranted(requestedAt, result.isTakenOver, now))
         return;
     grants.limiter.restart(grants.lease.usableFrom());
-    runtime::log_event("cold_start_lease_taken")
+    runtime::log_event("shared_limit_lease_taken")
         .with("failure_domain", failureDomain)
         .with("fence", result.fence)
         .with("taken_over", result.isTakenOver ? "true" : "false");
 }
 
-core::cold_start_decision cold_start_issuer::tryStart(
+core::cold_start_decision shared_limit_issuer::tryStart(
     const std::string& failureDomain, const std::string& service, const std::string& target)
 {
     auto now = runtime::nowWithSuspension();
--- a/packages/control/src/plumfold_cold_start_issuer.hpp
+++ b/packages/control/src/plumfold_shared_limit_issuer.hpp
@@ -11,11 +11,11 @@
 
 namespace plumfold::control {
 
-/// Grants the starts of entries on cold targets, for the failure domains whose lease this control VM holds.
-/// Used only on the RPC thread.
-class cold_start_issuer {
+/// Grants what the limits that all entries share allow, for the failure domains whose lease this control VM
+/// holds. Used only on the RPC thread.
+class shared_limit_issuer {
 public:
-    cold_start_issuer(const runtime::settings& settings, deployment_feed& feed, leader_client& leader);
+    shared_limit_issuer(const runtime::settings& settings, deployment_feed& feed, leader_client& leader);
 
     /// Renews the leases that this control VM has to hold. Call it periodically.
     void tick();
--- a/packages/forwarding/src/plumfold_deployment_follower.cpp
+++ b/packages/forwarding/src/plumfold_deployment_follower.cpp
@@ -132,7 +132,7 @@
     control_update update;
     update.isSnapshot = response.getEverything();
     update.entries = response.getEntries();
-    update.coldStartIssuer = response.getColdStarts().cStr();
+    update.sharedLimitIssuer = response.getSharedLimits().cStr();
     for (auto each : response.getTargets())
         update.targets.push_back(wire::read(each));
     update.targetClockMs = response.getClock();
--- a/packages/forwarding/src/plumfold_deployment_follower.hpp
+++ b/packages/forwarding/src/plumfold_deployment_follower.hpp
@@ -23,7 +23,7 @@
     std::vector<core::target_announcement> targets; ///< Changed targets; all targets in a snapshot.
     bool isSnapshot = false; ///< The list of targets is complete.
     std::uint32_t entries = 1; ///< Number of entries that follow any control VM.
-    std::string coldStartIssuer; ///< Control VM that grants this entry's starts on cold targets: ip:port.
+    std::string sharedLimitIssuer; ///< Control VM that grants what shared limits allow: ip:port.
     std::vector<core::part_update> parts;
     std::vector<core::target_load> loads;
     std::uint64_t targetClockMs = 0; ///< The targets' clock; 0: unknown.
--- a/packages/forwarding/src/plumfold_forwarding_role.cpp
+++ b/packages/forwarding/src/plumfold_forwarding_role.cpp
@@ -48,8 +48,8 @@
 public:
     impl(const runtime::settings& settings, wire::rpc_thread& rpc)
         : m_settings(settings)
-        , m_coldStarts(m_io, rpc, m_settings)
-        , m_state { m_io, m_settings, m_metrics, m_coldStarts, nullptr, 0,
+        , m_sharedLimits(m_io, rpc, m_settings)
+        , m_state { m_io, m_settings, m_metrics, m_sharedLimits, nullptr, 0,
             core::target_selector(targetSelectorOptions(m_settings)), retryBudget(*m_settings.forwarding),
             target_connection_pool(m_io) }
         , m_acceptor(m_io, endpointOf(m_settings.forwarding->callerAddress))
@@ -111,7 +111,7 @@
         m_state.targetSelector.applyAnnouncements(update.targets, update.isSnapshot, now);
         m_state.targetSelector.applyLoads(update.loads, now);
         m_state.targetSelector.setEntryCount(update.entries);
-        m_coldStarts.setIssuer(update.coldStartIssuer);
+        m_sharedLimits.setIssuer(update.sharedLimitIssuer);
         m_state.retryBudget.setEntryCount(update.entries);
         for (const auto& holder : update.parts)
             m_state.parts.apply(holder, now);
@@ -188,7 +188,7 @@
     runtime::settings m_settings;
     asio::io_context m_io { 1 };
     runtime::metrics m_metrics;
-    cold_start_client m_coldStarts;
+    shared_limit_client m_sharedLimits;
     forwarding_state m_state;
     asio::ip::tcp::acceptor m_acceptor;
     status_listener m_status;
--- a/packages/forwarding/src/plumfold_forwarding_state.hpp
+++ b/packages/forwarding/src/plumfold_forwarding_state.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "plumfold_asio.hpp"
-#include "plumfold_cold_start_client.hpp"
+#include "plumfold_shared_limit_client.hpp"
 #include "plumfold_target_connection_pool.hpp"
 
 #include "plumfold/core/plumfold_admission.hpp"
@@ -23,7 +23,7 @@
     asio::io_context& io;
     const runtime::settings& settings;
     runtime::metrics& metrics;
-    cold_start_client& coldStarts;
+    shared_limit_client& sharedLimits;
     std::shared_ptr<const core::deployment> deployment; ///< Null until the first one is received.
     std::uint64_t deploymentRevision = 0;
     core::target_selector targetSelector;
--- a/packages/forwarding/src/plumfold_request_forwarder.cpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.cpp
@@ -221,7 +221,7 @@
 {
     ++m_coldStartRequests;
     auto requestedAt = runtime::nowWithSuspension();
-    auto decision = co_await m_state.coldStarts.request(m_service, placement.target);
+    auto decision = co_await m_state.sharedLimits.request(m_service, placement.target);
     if (!decision.isGranted) {
         m_state.targetSelector.onColdStartRefused(placement.target, runtime::now() + decision.retryAfter);
         co_return false;
--- a/packages/forwarding/src/plumfold_cold_start_client.cpp
+++ b/packages/forwarding/src/plumfold_shared_limit_client.cpp
@@ -1,4 +1,4 @@
-#include "plumfold_cold_start_client.hpp"
+#include "plumfold_shared_limit_client.hpp"
 
 #include "plumfold/runtime/plumfold_log.hpp"
 
@@ -13,7 +13,7 @@
 
 } // namespace
 
-cold_start_client::cold_start_client(
+shared_limit_client::shared_limit_client(
     asio::io_context& io, wire::rpc_thread& rpc, const runtime::settings& settings)
     : m_io(io)
     , m_rpc(rpc)
@@ -22,7 +22,7 @@
     m_rpc.run([this] { m_tasks = kj::heap<wire::task_group>(); });
 }
 
-cold_start_client::~cold_start_client()
+shared_limit_client::~shared_limit_client()
 {
     m_rpc.run([this] {
         m_tasks = nullptr;
@@ -31,7 +31,7 @@
     });
 }
 
-void cold_start_client::setIssuer(const std::string& address)
+void shared_limit_client::setIssuer(const std::string& address)
 {
     if (address.empty() || address == m_issuer)
         return;
@@ -43,7 +43,7 @@
     });
 }
 
-task<core::cold_start_decision> cold_start_client::request(std::string service, std::string target)
+task<core::cold_start_decision> shared_limit_client::request(std::string service, std::string target)
 {
     auto pending = std::make_shared<pending_request>(m_io);
     pending->decision = { false, retryWithoutIssuer };
@@ -56,7 +56,7 @@
     co_return pending->decision;
 }
 
-void cold_start_client::send(
+void shared_limit_client::send(
     std::shared_ptr<pending_request> pending, const std::string& service, const std::string& target)
 {
     KJ_IF_MAYBE (session, m_session) {
@@ -75,7 +75,7 @@
                         answer(pending, { false, retryWithoutIssuer });
                         if (generation != m_generation)
                             return;
-                        runtime::log_event("cold_start_issuer_lost", runtime::log_level::warning)
+                        runtime::log_event("shared_limit_issuer_lost", runtime::log_level::warning)
                             .with("address", m_address)
                             .with("reason", exception.getDescription().cStr());
                         disconnect();
@@ -86,7 +86,7 @@
     answer(pending, { false, retryWithoutIssuer });
 }
 
-void cold_start_client::answer(
+void shared_limit_client::answer(
     const std::shared_ptr<pending_request>& pending, core::cold_start_decision decision)
 {
     asio::post(m_io, [pending, decision] {
@@ -95,7 +95,7 @@
     });
 }
 
-void cold_start_client::connect()
+void shared_limit_client::connect()
 {
     auto generation = m_generation;
     auto connecting = wire::rpc_connection::connect(m_rpc, m_address, connectTimeout);
@@ -114,7 +114,7 @@
         [this, generation](kj::Exception&& exception) -> kj::Promise<void> {
             if (generation != m_generation)
                 return kj::READY_NOW;
-            runtime::log_event("cold_start_issuer_unreachable", runtime::log_level::warning)
+            runtime::log_event("shared_limit_issuer_unreachable", runtime::log_level::warning)
                 .with("address", m_address)
                 .with("reason", exception.getDescription().cStr());
             return m_rpc.timer().afterDelay(reconnectDelay).then([this, generation] {
@@ -124,7 +124,7 @@
         }));
 }
 
-void cold_start_client::disconnect()
+void shared_limit_client::disconnect()
 {
     ++m_generation;
     m_session = nullptr;
--- a/packages/forwarding/src/plumfold_cold_start_client.hpp
+++ b/packages/forwarding/src/plumfold_shared_limit_client.hpp
@@ -13,12 +13,12 @@
 
 namespace plumfold::forwarding {
 
-/// Asks the control VM that grants this entry's starts on cold targets. Its methods are called on the event
-/// loop thread; the connection belongs to the RPC thread.
-class cold_start_client {
+/// Asks the control VM that grants what the limits that all entries share allow. Its methods are called on
+/// the event loop thread; the connection belongs to the RPC thread.
+class shared_limit_client {
 public:
-    cold_start_client(asio::io_context& io, wire::rpc_thread& rpc, const runtime::settings& settings);
-    ~cold_start_client();
+    shared_limit_client(asio::io_context& io, wire::rpc_thread& rpc, const runtime::settings& settings);
+    ~shared_limit_client();
 
     /// Sets the control VM to ask.
     /// @param address ip:port of its RPC interface.
--- a/packages/runtime/include/plumfold/runtime/plumfold_settings.hpp
+++ b/packages/runtime/include/plumfold/runtime/plumfold_settings.hpp
@@ -87,9 +87,9 @@
     /// any second.
     double coldOvershoot = 1.5;
     std::uint64_t coldSlack = 5;
-    /// Lease of the control VM that grants the starts of a failure domain on cold targets. While it is cut
-    /// off it goes on for this time; a successor waits for as long.
-    std::uint64_t coldStartLeaseMs = 6'000;
+    /// Lease of the control VM that grants a failure domain's part of the limits that all entries share.
+    /// While it is cut off it goes on for this time; a successor waits for as long.
+    std::uint64_t sharedLimitLeaseMs = 6'000;
     std::vector<operator_setting> operators;
     std::uint64_t electionTimeoutMs = 400;
     std::uint64_t snapshotEveryEntries = 10'000;
--- a/packages/runtime/src/plumfold_settings.cpp
+++ b/packages/runtime/src/plumfold_settings.cpp
@@ -102,7 +102,7 @@
             60'000 },
         { "coldOvershoot", &control_settings::coldOvershoot, "a factor, 1 to 100", false, false, 1, 100 },
         { "coldSlack", &control_settings::coldSlack, "requests, 0 to 100000", false, false, 0, 100'000 },
-        { "coldStartLeaseMs", &control_settings::coldStartLeaseMs, "milliseconds, 1000 to 60000", false,
+        { "sharedLimitLeaseMs", &control_settings::sharedLimitLeaseMs, "milliseconds, 1000 to 60000", false,
             false, 1000, 60'000 },
         { "operators", &control_settings::operators, "a list of {name, tokenHash, mayChange}" },
         { "electionTimeoutMs", &control_settings::electionTimeoutMs, "milliseconds, 50 to 60000", false,
--- a/packages/wire/schema/plumfold.capnp
+++ b/packages/wire/schema/plumfold.capnp
@@ -205,14 +205,14 @@
       -> (update :ConfigurationUpdate, fresh :Bool, verdicts :List(Verdict));
   submit @1 (command :Command) -> (reply :Reply, result :CommandResult);
   # Answers as soon as the deployment or a target differs from what is known, or after waitMs. With confirmed,
-  # a quorum has first confirmed that no newer revision is deployed. coldStarts is the address of the control VM
+  # a quorum has first confirmed that no newer revision is deployed. sharedLimits is the address of the control VM
   # that serves startCold for this entry.
   follow @2 (knownDeployment :UInt64, feed :UInt64, knownChange :UInt64, waitMs :UInt32, confirmed :Bool,
       parts :List(PartCursor))
       -> (fresh :Bool, deployment :DeploymentState, feed :UInt64, change :UInt64, everything :Bool,
           targets :List(AnnouncedTarget), control :List(ControlAddress), entries :UInt32, parts :List(PartNews), clock :UInt64,
-          loads :List(TargetLoad), coldStarts :Text);
-  # Asks the control VM that grants the starts of this entry's failure domain on cold targets for one start.
+          loads :List(TargetLoad), sharedLimits :Text);
+  # Asks the holder of the lease shared-limits/ and the entry's failure domain for one start on a cold target.
   startCold @3 (service :Text, target :Text) -> (granted :Bool, retryAfterMs :UInt32);
 }
 
--- a/tests/core/plumfold_cold_start_tests.cpp
+++ b/tests/core/plumfold_cold_start_tests.cpp
@@ -93,7 +93,7 @@
 
     lease_result commit(std::size_t holder)
     {
-        lease_command next { "cold-starts/a", "holder-" + std::to_string(holder),
+        lease_command next { "shared-limits/a", "holder-" + std::to_string(holder),
             static_cast<std::uint32_t>(useTime.count()) };
         return std::get<lease_result>(m_record.apply({ m_recordClock, next }));
     }
