Grant the reserve of retries by failure domain

What callers saw: with more entries than retries in the reserve, an entry with few requests retried nothing: a request that a target refused unrun ended with 503, although the system had the whole reserve left.

Change: the holder of a failure domain's shared-limits lease grants single retries of its fixed part; the parts add up to the reserve exactly. A retry that may not be sent no longer uses up budget. Where nobody had the lease before, grants start at once, else after a whole window.

--- a/packages/control/src/plumfold_control_service.cpp
+++ b/packages/control/src/plumfold_control_service.cpp
@@ -138,6 +138,13 @@
         return kj::READY_NOW;
     }
 
+    kj::Promise<void> retry(RetryContext call) override
+    {
+        call.getResults().setGranted(
+            m_context.sharedLimits.tryRetry(m_failureDomain, call.getParams().getService().cStr()));
+        return kj::READY_NOW;
+    }
+
 private:
     void writeFollowResults(FollowContext& call, std::uint64_t change)
     {
--- a/packages/control/src/plumfold_shared_limit_issuer.cpp
+++ b/packages/control/src/plumfold_shared_limit_issuer.cpp
@@ -29,7 +29,9 @@
     for (const auto& domain : domains) {
         m_domains.emplace(domain,
             domain_grants { core::lease_usage(core::milliseconds(settings.control->sharedLimitLeaseMs)),
-                core::cold_start_limiter(domain, domains, core::coldStartGrantLifetime) });
+                core::cold_start_limiter(domain, domains, core::coldStartGrantLifetime),
+                core::retry_reserve(domain, domains, settings.control->retryExtra,
+                    core::milliseconds(settings.control->retryWindowMs)) });
     }
 }
 
@@ -38,7 +40,7 @@
     auto now = runtime::nowWithSuspension();
     bool arePeersKnown = now - m_startedAt > peerDiscoveryTime;
     for (auto& [domain, grants] : m_domains) {
-        grants.limiter.removeIdle(now, maxGrantAge);
+        grants.coldStarts.removeIdle(now, maxGrantAge);
         bool isOwn = domain == m_settings.process.failureDomain;
         bool isDue = !grants.isRenewing && now >= grants.nextRenewalAt && (isOwn || arePeersKnown);
         if (isDue && m_feed.sharedLimitIssuerOf(domain) == m_settings.control->address)
@@ -79,7 +81,10 @@
     }
     if (!grants.lease.onGranted(requestedAt, result.isTakenOver, now))
         return;
-    grants.limiter.restart(grants.lease.usableFrom());
+    if (!result.isFirst) {
+        grants.coldStarts.restart(grants.lease.usableFrom());
+        grants.retries.restart(grants.lease.usableFrom());
+    }
     runtime::log_event("shared_limit_lease_taken")
         .with("failure_domain", failureDomain)
         .with("fence", result.fence)
@@ -96,7 +101,15 @@
     double perSecond = m_feed.coldRequestsPerSecond(service);
     core::cold_start_rate rate { perSecond,
         perSecond * m_settings.control->coldOvershoot + static_cast<double>(m_settings.control->coldSlack) };
-    return found->second.limiter.tryStart(target, rate, now);
+    return found->second.coldStarts.tryStart(target, rate, now);
+}
+
+bool shared_limit_issuer::tryRetry(const std::string& failureDomain, const std::string& service)
+{
+    auto now = runtime::nowWithSuspension();
+    auto found = m_domains.find(failureDomain);
+    return found != m_domains.end() && found->second.lease.isUsable(now)
+        && found->second.retries.tryTake(service, now);
 }
 
 } // namespace plumfold::control
--- a/packages/control/src/plumfold_shared_limit_issuer.hpp
+++ b/packages/control/src/plumfold_shared_limit_issuer.hpp
@@ -5,6 +5,7 @@
 
 #include "plumfold/core/plumfold_cold_start_limiter.hpp"
 #include "plumfold/core/plumfold_lease_usage.hpp"
+#include "plumfold/core/plumfold_retry_reserve.hpp"
 
 #include <map>
 #include <string>
@@ -26,10 +27,15 @@
     core::cold_start_decision tryStart(
         const std::string& failureDomain, const std::string& service, const std::string& target);
 
+    /// Decides on one retry from the reserve.
+    /// @param failureDomain of the entry.
+    bool tryRetry(const std::string& failureDomain, const std::string& service);
+
 private:
     struct domain_grants {
         core::lease_usage lease;
-        core::cold_start_limiter limiter;
+        core::cold_start_limiter coldStarts;
+        core::retry_reserve retries;
         core::instant nextRenewalAt {};
         bool isRenewing = false;
     };
--- a/packages/core/include/plumfold/core/plumfold_commands.hpp
+++ b/packages/core/include/plumfold/core/plumfold_commands.hpp
@@ -139,6 +139,7 @@
     bool granted = false;
     std::uint64_t fence = 0; ///< Fencing token, increased for each new holder of any lease.
     bool isTakenOver = false; ///< Another holder had the lease before this one.
+    bool isFirst = false; ///< Nobody had the lease before this request.
     bool operator==(const lease_result&) const = default;
 };
 
--- a/packages/core/include/plumfold/core/plumfold_target_selector.hpp
+++ b/packages/core/include/plumfold/core/plumfold_target_selector.hpp
@@ -219,20 +219,16 @@
     std::uint32_t m_entries = 1;
 };
 
-/// Limits the retries to each service within a sliding window: to a share of its requests plus this entry's
-/// part of a reserve that all entries have in common.
+/// Limits the retries of an entry to each service within a sliding window to a share of its requests.
 class windowed_retry_budget {
 public:
     /// @param share retries per request.
-    /// @param reserve additional retries per window, of all entries together.
-    windowed_retry_budget(double share, double reserve, milliseconds window)
+    windowed_retry_budget(double share, milliseconds window)
         : m_share(share)
-        , m_reserve(reserve)
         , m_window(window)
     {
     }
 
-    void setEntryCount(std::uint32_t count) { m_entries = count; }
     void onRequest(const std::string& service, instant now);
     /// @return whether a retry may be sent; if so, it is counted.
     bool tryTake(const std::string& service, instant now);
@@ -245,9 +241,7 @@
     void expire(service_window& window, instant now) const;
 
     double m_share;
-    double m_reserve;
     milliseconds m_window;
-    std::uint32_t m_entries = 1;
     std::map<std::string, service_window> m_services;
 };
 
--- a/packages/core/src/plumfold_cold_start_limiter.cpp
+++ b/packages/core/src/plumfold_cold_start_limiter.cpp
@@ -1,6 +1,6 @@
 #include "plumfold/core/plumfold_cold_start_limiter.hpp"
 
-#include "plumfold/core/plumfold_hash.hpp"
+#include "plumfold/core/plumfold_domain_rank.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -41,12 +41,7 @@
 
 bool cold_start_limiter::hasPart(const std::string& target, const cold_start_rate& rate) const
 {
-    auto seed = hashBytes(target, 0);
-    auto own = hashBytes(m_failureDomain, seed);
-    auto before = std::count_if(m_allDomains.begin(), m_allDomains.end(), [&](const auto& domain) {
-        return std::pair(hashBytes(domain, seed), domain) < std::pair(own, m_failureDomain);
-    });
-    return static_cast<std::size_t>(before) < domainsWithPart(rate);
+    return domainRank(m_failureDomain, m_allDomains, target) < domainsWithPart(rate);
 }
 
 /// @return the minimum time between two grants of this failure domain for one target.
--- a/packages/core/src/plumfold_control_state.cpp
+++ b/packages/core/src/plumfold_control_state.cpp
@@ -221,6 +221,7 @@
 
 command_result control_state::applyCommand(const lease_command& next, unix_milliseconds at)
 {
+    bool isFirst = !m_leases.contains(next.name);
     auto& lease = m_leases[next.name];
     bool held = !lease.holder.empty() && at < lease.until;
     if (held && lease.holder != next.holder)
@@ -230,7 +231,7 @@
         lease = { next.name, next.holder, 0, ++m_lastFence, lease.isTakenOver || isOther };
     }
     lease.until = at + next.durationMs;
-    return lease_result { true, lease.fence, lease.isTakenOver };
+    return lease_result { true, lease.fence, lease.isTakenOver, isFirst };
 }
 
 command_result control_state::applyCommand(const adopt_document_command& next, unix_milliseconds)
--- a/packages/core/src/plumfold_target_selector.cpp
+++ b/packages/core/src/plumfold_target_selector.cpp
@@ -3,7 +3,6 @@
 #include "plumfold/core/plumfold_hash.hpp"
 
 #include <algorithm>
-#include <cmath>
 #include <tuple>
 
 namespace plumfold::core {
@@ -403,8 +402,7 @@
 {
     auto& window = m_services[service];
     expire(window, now);
-    double allowed = m_share * static_cast<double>(window.requests.size())
-        + std::floor(m_reserve / std::max(m_entries, 1u));
+    double allowed = m_share * static_cast<double>(window.requests.size());
     if (static_cast<double>(window.retries.size()) + 1 > allowed)
         return false;
     window.retries.push_back(now);
--- a/packages/forwarding/src/plumfold_forwarding_role.cpp
+++ b/packages/forwarding/src/plumfold_forwarding_role.cpp
@@ -38,7 +38,7 @@
 
 core::windowed_retry_budget retryBudget(const runtime::forwarding_settings& settings)
 {
-    return { static_cast<double>(settings.retryPercent) / percent, static_cast<double>(settings.retryExtra),
+    return { static_cast<double>(settings.retryPercent) / percent,
         core::milliseconds(settings.retryWindowMs) };
 }
 
@@ -112,7 +112,6 @@
         m_state.targetSelector.applyLoads(update.loads, now);
         m_state.targetSelector.setEntryCount(update.entries);
         m_sharedLimits.setIssuer(update.sharedLimitIssuer);
-        m_state.retryBudget.setEntryCount(update.entries);
         for (const auto& holder : update.parts)
             m_state.parts.apply(holder, now);
         m_state.targetClockMs = update.targetClockMs;
--- a/packages/forwarding/src/plumfold_request_forwarder.cpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.cpp
@@ -207,8 +207,12 @@
             break;
         if (attemptResult == core::attempt_result::not_reached)
             m_unreachableTargets.insert(selection.chosen->target);
+        if (!mayRetry() || m_unreachableTargets.size() > 3)
+            break;
         bool isWithinBudget = m_attemptCount == 0 || m_state.retryBudget.tryTake(m_service, runtime::now());
-        if (!mayRetry() || !isWithinBudget || m_unreachableTargets.size() > 3)
+        if (!isWithinBudget)
+            isWithinBudget = co_await m_state.sharedLimits.retry(m_service);
+        if (!isWithinBudget)
             break;
         m_response.reset();
     }
@@ -221,7 +225,7 @@
 {
     ++m_coldStartRequests;
     auto requestedAt = runtime::nowWithSuspension();
-    auto decision = co_await m_state.sharedLimits.request(m_service, placement.target);
+    auto decision = co_await m_state.sharedLimits.startCold(m_service, placement.target);
     if (!decision.isGranted) {
         m_state.targetSelector.onColdStartRefused(placement.target, runtime::now() + decision.retryAfter);
         co_return false;
--- a/packages/forwarding/src/plumfold_shared_limit_client.cpp
+++ b/packages/forwarding/src/plumfold_shared_limit_client.cpp
@@ -43,34 +43,52 @@
     });
 }
 
-task<core::cold_start_decision> shared_limit_client::request(std::string service, std::string target)
+task<core::cold_start_decision> shared_limit_client::startCold(std::string service, std::string target)
+{
+    call request
+        = [service = std::move(service), target = std::move(target)](wire::EntrySession::Client& session) {
+              auto request = session.startColdRequest();
+              request.setService(service);
+              request.setTarget(target);
+              return request.send().then([](auto&& response) {
+                  return core::cold_start_decision { response.getGranted(),
+                      core::milliseconds(response.getRetryAfterMs()) };
+              });
+          };
+    co_return co_await ask(std::move(request));
+}
+
+task<bool> shared_limit_client::retry(std::string service)
+{
+    call request = [service = std::move(service)](wire::EntrySession::Client& session) {
+        auto request = session.retryRequest();
+        request.setService(service);
+        return request.send().then([](auto&& response) {
+            return core::cold_start_decision { response.getGranted(), core::milliseconds(0) };
+        });
+    };
+    auto decision = co_await ask(std::move(request));
+    co_return decision.isGranted;
+}
+
+task<core::cold_start_decision> shared_limit_client::ask(call request)
 {
     auto pending = std::make_shared<pending_request>(m_io);
     pending->decision = { false, retryWithoutIssuer };
     pending->answered.expires_after(core::coldStartGrantLifetime);
-    m_rpc.post([this, pending, service = std::move(service), target = std::move(target)] {
-        send(pending, service, target);
-    });
+    m_rpc.post([this, pending, request = std::move(request)] { send(pending, request); });
     error_code ignored;
     co_await pending->answered.async_wait(into(ignored));
     co_return pending->decision;
 }
 
-void shared_limit_client::send(
-    std::shared_ptr<pending_request> pending, const std::string& service, const std::string& target)
+void shared_limit_client::send(std::shared_ptr<pending_request> pending, const call& request)
 {
     KJ_IF_MAYBE (session, m_session) {
-        auto request = session->startColdRequest();
-        request.setService(service);
-        request.setTarget(target);
         auto generation = m_generation;
         m_tasks->add(
-            wire::withTimeout(m_rpc, request.send().dropPipeline(), answerTimeout)
-                .then(
-                    [this, pending](auto&& response) {
-                        answer(pending,
-                            { response.getGranted(), core::milliseconds(response.getRetryAfterMs()) });
-                    },
+            wire::withTimeout(m_rpc, request(*session), answerTimeout)
+                .then([this, pending](core::cold_start_decision decision) { answer(pending, decision); },
                     [this, pending, generation](kj::Exception&& exception) {
                         answer(pending, { false, retryWithoutIssuer });
                         if (generation != m_generation)
--- a/packages/forwarding/src/plumfold_shared_limit_client.hpp
+++ b/packages/forwarding/src/plumfold_shared_limit_client.hpp
@@ -8,6 +8,7 @@
 
 #include "plumfold.capnp.h"
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -24,11 +25,16 @@
     /// @param address ip:port of its RPC interface.
     void setIssuer(const std::string& address);
 
-    /// Asks for the start of one request.
+    /// Asks for the start of one request on a cold target.
     /// @return the decision; refused if no answer comes in time.
-    task<core::cold_start_decision> request(std::string service, std::string target);
+    task<core::cold_start_decision> startCold(std::string service, std::string target);
+
+    /// Asks for one retry beyond the share of this entry's own requests.
+    /// @return whether it may be sent; false if no answer comes in time.
+    task<bool> retry(std::string service);
 
 private:
+    using call = std::function<kj::Promise<core::cold_start_decision>(wire::EntrySession::Client&)>;
     struct pending_request {
         explicit pending_request(asio::io_context& io)
             : answered(io)
@@ -40,8 +46,8 @@
 
     void connect();
     void disconnect();
-    void send(
-        std::shared_ptr<pending_request> pending, const std::string& service, const std::string& target);
+    task<core::cold_start_decision> ask(call request);
+    void send(std::shared_ptr<pending_request> pending, const call& request);
     void answer(const std::shared_ptr<pending_request>& pending, core::cold_start_decision decision);
 
     asio::io_context& m_io;
--- a/packages/runtime/include/plumfold/runtime/plumfold_settings.hpp
+++ b/packages/runtime/include/plumfold/runtime/plumfold_settings.hpp
@@ -67,7 +67,6 @@
     std::uint64_t controlPort = 0; ///< RPC port of the control VMs.
     std::string metricsAddress; ///< Serves metrics as Prometheus text; empty for none.
     std::uint64_t retryPercent = 20; ///< Retries to a service, as a share of its requests.
-    std::uint64_t retryExtra = 50; ///< Further retries of all entries together per retryWindowMs.
     std::uint64_t retryWindowMs = 10'000;
     std::uint64_t weightsBoundMs = 10'000; ///< Time limit for starting requests on stale weights.
 };
@@ -87,6 +86,8 @@
     /// any second.
     double coldOvershoot = 1.5;
     std::uint64_t coldSlack = 5;
+    std::uint64_t retryExtra = 50; ///< Retries to a service of all entries together, beyond retryPercent.
+    std::uint64_t retryWindowMs = 10'000; ///< Window of retryExtra.
     /// Lease of the control VM that grants a failure domain's part of the limits that all entries share.
     /// While it is cut off it goes on for this time; a successor waits for as long.
     std::uint64_t sharedLimitLeaseMs = 6'000;
--- a/packages/wire/schema/plumfold.capnp
+++ b/packages/wire/schema/plumfold.capnp
@@ -113,7 +113,7 @@
   weights @3 :List(NamedWeights);
 }
 struct LeaseCommand { name @0 :Text; holder @1 :Text; durationMs @2 :UInt32; }
-struct LeaseResult { granted @0 :Bool; fence @1 :UInt64; takenOver @2 :Bool; }
+struct LeaseResult { granted @0 :Bool; fence @1 :UInt64; takenOver @2 :Bool; first @3 :Bool; }
 struct LeaseState { name @0 :Text; holder @1 :Text; until @2 :UInt64; fence @3 :UInt64; takenOver @4 :Bool; }
 
 struct ChangeResult { outcome @0 :UInt8; revision @1 :UInt64; message @2 :Text; }
@@ -206,7 +206,7 @@
   submit @1 (command :Command) -> (reply :Reply, result :CommandResult);
   # Answers as soon as the deployment or a target differs from what is known, or after waitMs. With confirmed,
   # a quorum has first confirmed that no newer revision is deployed. sharedLimits is the address of the control VM
-  # that serves startCold for this entry.
+  # that serves startCold and retry for this entry.
   follow @2 (knownDeployment :UInt64, feed :UInt64, knownChange :UInt64, waitMs :UInt32, confirmed :Bool,
       parts :List(PartCursor))
       -> (fresh :Bool, deployment :DeploymentState, feed :UInt64, change :UInt64, everything :Bool,
@@ -214,6 +214,8 @@
           loads :List(TargetLoad), sharedLimits :Text);
   # Asks the holder of the lease shared-limits/ and the entry's failure domain for one start on a cold target.
   startCold @3 (service :Text, target :Text) -> (granted :Bool, retryAfterMs :UInt32);
+  # Asks the same control VM for one retry beyond the share of the entry's own requests.
+  retry @4 (service :Text) -> (granted :Bool);
 }
 
 # A target as it announced itself, see core::target_announcement.
--- a/packages/wire/src/plumfold_convert_commands.cpp
+++ b/packages/wire/src/plumfold_convert_commands.cpp
@@ -209,6 +209,7 @@
         to.setGranted(leased->granted);
         to.setFence(leased->fence);
         to.setTakenOver(leased->isTakenOver);
+        to.setFirst(leased->isFirst);
     } else {
         out.setNone();
     }
@@ -223,7 +224,7 @@
         return read(in.getChange());
     case CommandResult::LEASE:
         return core::lease_result { in.getLease().getGranted(), in.getLease().getFence(),
-            in.getLease().getTakenOver() };
+            in.getLease().getTakenOver(), in.getLease().getFirst() };
     case CommandResult::CLAIM: {
         auto from = in.getClaim();
         return core::claim_result { checkedEnum<core::claim_status>(from.getState(), claimStatusCount),
--- a/tests/core/plumfold_target_selector_tests.cpp
+++ b/tests/core/plumfold_target_selector_tests.cpp
@@ -242,16 +242,18 @@
     CHECK(selector.choose(requestOf(), start + milliseconds(1000)).chosen->target == "t2");
 }
 
-TEST_CASE("Retries stay within the share of requests and the entry's part of the reserve", "[target_board]")
+TEST_CASE("Retries of an entry stay within the share of its requests", "[target_board]")
 {
-    windowed_retry_budget budget(0.2, 58, milliseconds(10'000));
-    budget.setEntryCount(9);
+    windowed_retry_budget budget(0.2, milliseconds(10'000));
     for (int count = 0; count < 100; ++count)
         budget.onRequest("pool", start);
     int taken = 0;
     while (budget.tryTake("pool", start))
         ++taken;
-    CHECK(taken == 26); // 0.2 of 100 requests and a ninth of 58
+    CHECK(taken == 20);
     CHECK_FALSE(budget.tryTake("pool", start + milliseconds(9'000)));
+    for (int count = 0; count < 5; ++count)
+        budget.onRequest("pool", start + milliseconds(10'500));
     CHECK(budget.tryTake("pool", start + milliseconds(10'500)));
+    CHECK_FALSE(budget.tryTake("pool", start + milliseconds(10'500)));
 }
--- a/tests/forwarding/plumfold_cold_target_tests.cpp
+++ b/tests/forwarding/plumfold_shared_limit_tests.cpp
@@ -35,10 +35,10 @@
     return most;
 }
 
-/// Control VMs and more entries than a cold target bears requests in a second.
+/// Control VMs and more entries than the limits that they share allow requests.
 class system_of_many_entries : public forwarding_system {
 public:
-    static constexpr int entries = 40;
+    static constexpr int entries = 60;
 
     system_of_many_entries()
     {
@@ -83,3 +83,27 @@
     CHECK(maxRequestsPerSecond(cold) <= maxColdRequests);
     CHECK(cold.requests().size() >= coldRate); // in three seconds: a third of what it bears
 }
+
+TEST_CASE_METHOD(system_of_many_entries,
+    "A request is retried although the reserve has fewer retries than there are entries",
+    "[forwarding][retry]")
+{
+    constexpr std::size_t reserve = 50; // default of retryExtra
+    constexpr std::size_t requestsPerEntry = 4;
+    auto& first = startTarget("t1");
+    auto& second = startTarget("t2");
+    auto arrivals = [&] { return first.requests().size() + second.requests().size(); };
+    waitForTarget(1);
+    std::this_thread::sleep_for(2s);
+    auto before = arrivals();
+    request(2, "/stock/not-run");
+    CHECK(arrivals() - before == 2);
+    before = arrivals();
+    for (std::size_t count = 0; count < requestsPerEntry; ++count) {
+        for (int number = 1; number <= entries; ++number)
+            request(number, "/stock/not-run");
+    }
+    constexpr std::size_t sent = entries * requestsPerEntry;
+    CHECK(arrivals() - before > sent);
+    CHECK(arrivals() - before <= sent + sent / 5 + reserve);
+}
