Renew shared-limit leases several times per lease, and tell a lapse from a loss

Cause: leases were renewed every second whatever their length, so a lease of 1 s lapsed before each renewal, and a holder that took its own lease again waited for a predecessor, since the record once had another holder.

Change: six renewals per lease; the record counts takeovers, and a holder that knows the count goes on at once.

--- a/packages/control/src/plumfold_shared_limit_issuer.cpp
+++ b/packages/control/src/plumfold_shared_limit_issuer.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr core::milliseconds renewalInterval { 1'000 };
+constexpr std::uint64_t renewalsPerLease = 6;
 /// A control VM that has just started does not yet know those of other failure domains.
 constexpr core::milliseconds peerDiscoveryTime { 5'000 };
 constexpr auto leaseCallTimeout = 900 * kj::MILLISECONDS;
@@ -51,7 +51,8 @@
 void shared_limit_issuer::renew(const std::string& failureDomain, domain_grants& grants)
 {
     auto requestedAt = runtime::nowWithSuspension();
-    grants.nextRenewalAt = requestedAt + renewalInterval;
+    grants.nextRenewalAt
+        = requestedAt + core::milliseconds(m_settings.control->sharedLimitLeaseMs / renewalsPerLease);
     grants.isRenewing = true;
     core::lease_command command { sharedLimitLeaseName(failureDomain), m_settings.control->address,
         static_cast<std::uint32_t>(m_settings.control->sharedLimitLeaseMs) };
@@ -79,7 +80,7 @@
             runtime::log_event("shared_limit_lease_lost").with("failure_domain", failureDomain);
         return;
     }
-    if (!grants.lease.onGranted(requestedAt, result.isTakenOver, now))
+    if (!grants.lease.onGranted(requestedAt, result.takeovers, now))
         return;
     if (!result.isFirst) {
         grants.coldStarts.restart(grants.lease.usableFrom());
@@ -88,7 +89,7 @@
     runtime::log_event("shared_limit_lease_taken")
         .with("failure_domain", failureDomain)
         .with("fence", result.fence)
-        .with("taken_over", result.isTakenOver ? "true" : "false");
+        .with("takeovers", result.takeovers);
 }
 
 core::cold_start_decision shared_limit_issuer::tryStart(
--- a/packages/core/include/plumfold/core/plumfold_commands.hpp
+++ b/packages/core/include/plumfold/core/plumfold_commands.hpp
@@ -138,7 +138,7 @@
 struct lease_result {
     bool granted = false;
     std::uint64_t fence = 0; ///< Fencing token, increased for each new holder of any lease.
-    bool isTakenOver = false; ///< Another holder had the lease before this one.
+    std::uint64_t takeovers = 0; ///< How often the lease went from one holder to another.
     bool isFirst = false; ///< Nobody had the lease before this request.
     bool operator==(const lease_result&) const = default;
 };
--- a/packages/core/include/plumfold/core/plumfold_control_state.hpp
+++ b/packages/core/include/plumfold/core/plumfold_control_state.hpp
@@ -57,7 +57,7 @@
     std::string holder;
     unix_milliseconds until = 0; ///< When the lease expires unless it is renewed.
     std::uint64_t fence = 0; ///< Fencing token of the holder.
-    bool isTakenOver = false; ///< Another holder had the lease before this one.
+    std::uint64_t takeovers = 0; ///< How often it went from one holder to another.
     auto operator<=>(const lease_state&) const = default;
 };
 
--- a/packages/core/include/plumfold/core/plumfold_lease_usage.hpp
+++ b/packages/core/include/plumfold/core/plumfold_lease_usage.hpp
@@ -2,6 +2,9 @@
 
 #include "plumfold/core/plumfold_time.hpp"
 
+#include <cstdint>
+#include <optional>
+
 namespace plumfold::core {
 
 /// Tells the holder of a replicated lease when it may act on it, such that two holders never act at the same
@@ -16,14 +19,16 @@
 
     /// Records that the lease was granted or renewed.
     /// @param requestedAt when the request was sent.
-    /// @param isTakenOver whether another holder had the lease before; it may still use it for useTime.
-    /// @return whether the holder acquired the lease; false if it renewed it.
-    bool onGranted(instant requestedAt, bool isTakenOver, instant now)
+    /// @param takeovers how often the lease went from one holder to another. Unless this holder knows that it
+    /// had the lease since the latest time, the holder before may still use it for useTime.
+    /// @return whether the holder acquired the lease; false if it had it before.
+    bool onGranted(instant requestedAt, std::uint64_t takeovers, instant now)
     {
-        bool isAcquired = !m_isHeld || now >= m_usableUntil;
+        bool isAcquired = m_takeovers != takeovers;
         if (isAcquired)
-            m_usableFrom = isTakenOver ? now + m_useTime : now;
+            m_usableFrom = takeovers > 0 ? now + m_useTime : now;
         m_isHeld = true;
+        m_takeovers = takeovers;
         m_usableUntil = requestedAt + m_useTime;
         return isAcquired;
     }
@@ -44,6 +49,7 @@
 private:
     milliseconds m_useTime;
     bool m_isHeld = false;
+    std::optional<std::uint64_t> m_takeovers; // when it was last held
     instant m_usableFrom {};
     instant m_usableUntil {};
 };
--- a/packages/core/src/plumfold_control_state.cpp
+++ b/packages/core/src/plumfold_control_state.cpp
@@ -228,10 +228,10 @@
         return lease_result { false, lease.fence };
     if (!held) {
         bool isOther = !lease.holder.empty() && lease.holder != next.holder;
-        lease = { next.name, next.holder, 0, ++m_lastFence, lease.isTakenOver || isOther };
+        lease = { next.name, next.holder, 0, ++m_lastFence, lease.takeovers + (isOther ? 1 : 0) };
     }
     lease.until = at + next.durationMs;
-    return lease_result { true, lease.fence, lease.isTakenOver, isFirst };
+    return lease_result { true, lease.fence, lease.takeovers, isFirst };
 }
 
 command_result control_state::applyCommand(const adopt_document_command& next, unix_milliseconds)
--- a/packages/wire/schema/plumfold.capnp
+++ b/packages/wire/schema/plumfold.capnp
@@ -113,8 +113,8 @@
   weights @3 :List(NamedWeights);
 }
 struct LeaseCommand { name @0 :Text; holder @1 :Text; durationMs @2 :UInt32; }
-struct LeaseResult { granted @0 :Bool; fence @1 :UInt64; takenOver @2 :Bool; first @3 :Bool; }
-struct LeaseState { name @0 :Text; holder @1 :Text; until @2 :UInt64; fence @3 :UInt64; takenOver @4 :Bool; }
+struct LeaseResult { granted @0 :Bool; fence @1 :UInt64; takeovers @2 :UInt64; first @3 :Bool; }
+struct LeaseState { name @0 :Text; holder @1 :Text; until @2 :UInt64; fence @3 :UInt64; takeovers @4 :UInt64; }
 
 struct ChangeResult { outcome @0 :UInt8; revision @1 :UInt64; message @2 :Text; }
 struct ClaimResult { state @0 :UInt8; answer @1 :StoredAnswer; retryAfterMs @2 :UInt32; }
--- a/packages/wire/src/plumfold_convert_commands.cpp
+++ b/packages/wire/src/plumfold_convert_commands.cpp
@@ -208,7 +208,7 @@
         auto to = out.initLease();
         to.setGranted(leased->granted);
         to.setFence(leased->fence);
-        to.setTakenOver(leased->isTakenOver);
+        to.setTakeovers(leased->takeovers);
         to.setFirst(leased->isFirst);
     } else {
         out.setNone();
@@ -224,7 +224,7 @@
         return read(in.getChange());
     case CommandResult::LEASE:
         return core::lease_result { in.getLease().getGranted(), in.getLease().getFence(),
-            in.getLease().getTakenOver(), in.getLease().getFirst() };
+            in.getLease().getTakeovers(), in.getLease().getFirst() };
     case CommandResult::CLAIM: {
         auto from = in.getClaim();
         return core::claim_result { checkedEnum<core::claim_status>(from.getState(), claimStatusCount),
@@ -306,13 +306,13 @@
     out.setHolder(value.holder);
     out.setUntil(value.until);
     out.setFence(value.fence);
-    out.setTakenOver(value.isTakenOver);
+    out.setTakeovers(value.takeovers);
 }
 
 core::lease_state read(LeaseState::Reader in)
 {
     return core::lease_state { text(in.getName()), text(in.getHolder()), in.getUntil(), in.getFence(),
-        in.getTakenOver() };
+        in.getTakeovers() };
 }
 
 void write(AuditRecord::Builder out, const core::audit_record& value)
--- a/tests/core/plumfold_cold_start_tests.cpp
+++ b/tests/core/plumfold_cold_start_tests.cpp
@@ -101,7 +101,7 @@
     {
         auto& holder = m_holders[each.holder];
         if (each.result.granted)
-            holder.onGranted(each.sentAt, each.result.isTakenOver, m_now);
+            holder.onGranted(each.sentAt, each.result.takeovers, m_now);
         else
             holder.onRefused();
     }
--- a/tests/forwarding/support/plumfold_forwarding_system.cpp
+++ b/tests/forwarding/support/plumfold_forwarding_system.cpp
@@ -158,17 +158,25 @@
         { PLUMFOLD_DAEMON, "--settings", file.string() }, (m_folder / (name + ".out")).string());
 }
 
+json forwarding_system::processSettings(const std::string& name, int number) const
+{
+    return { { "name", name },
+        { "failureDomain", m_failureDomains[static_cast<std::size_t>(number) % m_failureDomains.size()] },
+        { "failureDomains", m_failureDomains }, { "clusterSecret", "test" } };
+}
+
 void forwarding_system::startControl(int number, bool firstStart)
 {
     auto name = "c" + std::to_string(number);
+    auto process = processSettings(name, number);
+    process["dataFolder"] = (m_folder / name).string();
     start(name,
-        { { "process",
-              { { "name", name }, { "failureDomain", "east" }, { "dataFolder", (m_folder / name).string() },
-                  { "clusterSecret", "test" } } },
+        { { "process", process },
             { "control",
                 { { "address", address(10 + number, rpcPort) },
                     { "platformAddress", address(10 + number, platformPort) }, { "seeds", seeds() },
-                    { "rpcPort", rpcPort }, { "firstStart", firstStart }, { "electionTimeoutMs", 300 } } } });
+                    { "rpcPort", rpcPort }, { "firstStart", firstStart }, { "electionTimeoutMs", 300 },
+                    { "sharedLimitLeaseMs", m_sharedLimitLease.count() } } } });
 }
 
 void forwarding_system::blockOutput(const std::string& name)
@@ -181,10 +189,10 @@
 void forwarding_system::startEntry(int number)
 {
     auto name = "n" + std::to_string(number);
+    auto process = processSettings(name, number);
+    process["gracePeriodMs"] = 6000;
     start(name,
-        { { "process",
-              { { "name", name }, { "failureDomain", "east" }, { "clusterSecret", "test" },
-                  { "gracePeriodMs", 6000 } } },
+        { { "process", process },
             { "forwarding",
                 { { "callerAddress", callerAddress(number) },
                     { "readinessAddress", address(20 + number, 8001) }, { "control", seeds() },
--- a/tests/forwarding/support/plumfold_forwarding_system.hpp
+++ b/tests/forwarding/support/plumfold_forwarding_system.hpp
@@ -50,6 +50,10 @@
     forwarding_system();
     ~forwarding_system();
 
+    /// Sets the failure domains of processes that are started later; their numbers select one of them.
+    void setFailureDomains(std::vector<std::string> names) { m_failureDomains = std::move(names); }
+    /// Sets how long control VMs that are started later hold the lease of the shared limits.
+    void setSharedLimitLease(std::chrono::milliseconds time) { m_sharedLimitLease = time; }
     void startControl(int number, bool firstStart = true);
     void startEntry(int number);
     /// Connects the standard output of a process that is started later to a pipe that is never read.
@@ -92,7 +96,11 @@
     void start(const std::string& name, const nlohmann::json& settings);
     std::vector<std::string> seeds() const;
 
+    nlohmann::json processSettings(const std::string& name, int number) const;
+
     std::filesystem::path m_folder;
+    std::vector<std::string> m_failureDomains { "east" };
+    std::chrono::milliseconds m_sharedLimitLease { 6'000 };
     std::string m_network;
     std::map<std::string, nlohmann::json> m_settings;
     struct announced_target {
