Let the grace period of stale weights run from the first newer version

What callers saw: a request began on version 1 up to 16 s after version 2 was acknowledged, where the users allow 10 or 12 s.

Cause: an entry kept one time of naming for each model, and a newer name reset it, so targets two versions behind were used as long as those one behind. The time now runs from the first named version that is newer than the target's.

The test fails before (t1, two versions behind, is chosen 7 s after the first name). Open: an entry that starts during a rollout does not know when versions were named and counts from its start.

--- a/packages/core/include/plumfold/core/plumfold_target_selector.hpp
+++ b/packages/core/include/plumfold/core/plumfold_target_selector.hpp
@@ -185,15 +185,14 @@
         bool weightsUnconfirmed = false;
         instant unconfirmedSince {};
     };
-    struct current_weights {
-        std::string version;
-        instant currentSince {};
-    };
+    /// When each weight version of a model became current, as far as known here; the last one is current.
+    using weight_history = std::map<std::uint64_t, instant>;
 
     bool isResponsive(const tracked_target& target, instant now) const;
     bool isUsable(const tracked_target& target, const placement_request& request, instant now) const;
     bool hasCurrentWeights(const tracked_target& target, const std::string& model) const;
-    bool mayStartOnStaleWeights(const std::string& model, instant now) const;
+    bool mayStart(const tracked_target& target, const std::string& model, instant now) const;
+    static std::uint64_t weightVersionOf(const tracked_target& target, const std::string& model);
     bool isCold(const tracked_target& target, instant now) const;
     tracked_target* selectTarget(
         std::vector<tracked_target*>& candidates, const placement_request& request, instant now) const;
@@ -214,7 +213,7 @@
     target_selector_options m_options;
     std::map<std::string, tracked_target> m_targets;
     std::set<std::string> m_outOfService;
-    std::map<std::string, current_weights> m_weights;
+    std::map<std::string, weight_history> m_weights; // by model
     std::map<std::string, service_limits> m_services;
     std::uint32_t m_entries = 1;
 };
--- a/packages/core/src/plumfold_target_selector.cpp
+++ b/packages/core/src/plumfold_target_selector.cpp
@@ -3,6 +3,7 @@
 #include "plumfold/core/plumfold_hash.hpp"
 
 #include <algorithm>
+#include <charconv>
 #include <tuple>
 
 namespace plumfold::core {
@@ -63,11 +64,8 @@
 
 void target_selector::setWeights(const std::map<std::string, std::uint64_t>& weights, instant now)
 {
-    for (const auto& [model, version] : weights) {
-        auto text = std::to_string(version);
-        if (m_weights[model].version != text)
-            m_weights[model] = { text, now };
-    }
+    for (const auto& [model, version] : weights)
+        m_weights[model].emplace(version, now);
 }
 
 void target_selector::applyLoads(const std::vector<target_load>& loads, instant now)
@@ -88,19 +86,28 @@
         m_services.emplace(each.name, each);
 }
 
+/// @return the weight version that a target has loaded; 0 if it has none.
+std::uint64_t target_selector::weightVersionOf(const tracked_target& target, const std::string& model)
+{
+    std::uint64_t version = 0;
+    for (const auto& loaded : target.last.models) {
+        if (loaded.model == model)
+            std::from_chars(loaded.version.data(), loaded.version.data() + loaded.version.size(), version);
+    }
+    return version;
+}
+
 bool target_selector::hasCurrentWeights(const tracked_target& target, const std::string& model) const
 {
-    auto current = m_weights.find(model);
-    if (model.empty() || current == m_weights.end())
-        return true;
-    return std::any_of(target.last.models.begin(), target.last.models.end(),
-        [&](const auto& each) { return each.model == model && each.version == current->second.version; });
+    auto history = m_weights.find(model);
+    return model.empty() || history == m_weights.end()
+        || weightVersionOf(target, model) == history->second.rbegin()->first;
 }
 
 std::string target_selector::currentWeightVersion(const std::string& model) const
 {
-    if (auto current = m_weights.find(model); current != m_weights.end())
-        return current->second.version;
+    if (auto history = m_weights.find(model); history != m_weights.end())
+        return std::to_string(history->second.rbegin()->first);
     for (const auto& [name, target] : m_targets) {
         for (const auto& loaded : target.last.models) {
             if (loaded.model == model)
@@ -110,11 +117,15 @@
     return {};
 }
 
-bool target_selector::mayStartOnStaleWeights(const std::string& model, instant now) const
+/// @return whether requests may start on the weights of a target: on stale ones for a time after the first
+/// version that is newer became current.
+bool target_selector::mayStart(const tracked_target& target, const std::string& model, instant now) const
 {
-    auto current = m_weights.find(model);
-    return current == m_weights.end()
-        || now - current->second.currentSince < m_options.staleWeightsGracePeriod;
+    auto history = m_weights.find(model);
+    if (model.empty() || history == m_weights.end())
+        return true;
+    auto newer = history->second.upper_bound(weightVersionOf(target, model));
+    return newer == history->second.end() || now - newer->second < m_options.staleWeightsGracePeriod;
 }
 
 /// A target that is silent only towards the control VMs still serves, as its answers to this entry show.
@@ -170,7 +181,7 @@
             nextColdStart = std::min(nextColdStart.value_or(instant::max()), target.coldStartRefusedUntil);
             continue;
         }
-        if (hasCurrentWeights(target, request.model) || mayStartOnStaleWeights(request.model, now))
+        if (mayStart(target, request.model, now))
             candidates.push_back(&target);
     }
     auto* chosen = selectTarget(candidates, request, now);
--- a/tests/core/plumfold_target_selector_tests.cpp
+++ b/tests/core/plumfold_target_selector_tests.cpp
@@ -242,6 +242,19 @@
     CHECK(selector.choose(requestOf(), start + milliseconds(1000)).chosen->target == "t2");
 }
 
+TEST_CASE("The grace period of stale weights runs from the first version that is newer, not from the latest",
+    "[target_board]")
+{
+    auto oneBehind = engine("t2");
+    oneBehind.models = { { "m", "2", {} } };
+    auto selector = selectorOf({ engine("t1"), oneBehind });
+    selector.setWeights({ { "m", 2 } }, start);
+    selector.setWeights({ { "m", 3 } }, start + milliseconds(5'000));
+    for (std::uint64_t session = 1; session < 20; ++session)
+        CHECK(selector.choose(requestOf(session), start + milliseconds(7'000)).chosen->target == "t2");
+    CHECK_FALSE(selector.choose(requestOf(), start + milliseconds(11'500)).chosen);
+}
+
 TEST_CASE("Retries of an entry stay within the share of its requests", "[target_board]")
 {
     windowed_retry_budget budget(0.2, milliseconds(10'000));
