--- a/packages/control/src/plumfold_weight_rollout_thread.cpp
+++ b/packages/control/src/plumfold_weight_rollout_thread.cpp
@@ -1,5 +1,6 @@
 #include "plumfold_weight_rollout_thread.hpp"
 
+#include "plumfold/core/plumfold_load_planner.hpp"
 #include "plumfold/runtime/plumfold_clock.hpp"
 #include "plumfold/runtime/plumfold_log.hpp"
 
@@ -53,6 +54,7 @@
 {
     return m_rpc.run([this] {
         std::vector<stale_target> stale;
+        m_targetCounts.clear();
         const auto& view = m_feed.view();
         if (!view.isLeader || !view.isCaughtUp)
             return stale;
@@ -60,6 +62,7 @@
             if (entry.last.state != core::target_state::ready)
                 continue;
             for (const auto& model : entry.last.models) {
+                ++m_targetCounts[model.model];
                 auto current = view.deployment->weights.find(model.model);
                 if (current != view.deployment->weights.end()
                     && std::to_string(current->second) != model.version)
@@ -88,10 +91,10 @@
             checkLoad(target, load->second);
     }
     for (const auto& target : stale) {
-        bool mayLoad = m_loads.size() < m_settings.control->maxConcurrentLoads;
-        if (m_stopping || !mayLoad)
+        if (m_stopping)
             return;
-        if (m_loads.contains(target.name) || runtime::now() < m_nextAttemptAt[target.name])
+        if (!mayLoad(target.model) || m_loads.contains(target.name)
+            || runtime::now() < m_nextAttemptAt[target.name])
             continue;
         if (!acquireLease())
             return;
@@ -99,6 +102,16 @@
     }
 }
 
+bool weight_rollout_thread::mayLoad(const std::string& model) const
+{
+    auto loading = std::count_if(
+        m_loads.begin(), m_loads.end(), [&](const auto& each) { return each.second.model == model; });
+    auto targets = m_targetCounts.find(model);
+    auto limit = core::concurrentLoads(
+        targets == m_targetCounts.end() ? 0 : targets->second, m_settings.control->concurrentLoadPercent);
+    return static_cast<std::size_t>(loading) < limit;
+}
+
 bool weight_rollout_thread::acquireLease()
 {
     auto leaseTime = core::milliseconds(m_settings.control->orderLeaseMs);
--- a/packages/control/src/plumfold_weight_rollout_thread.hpp
+++ b/packages/control/src/plumfold_weight_rollout_thread.hpp
@@ -37,6 +37,8 @@
 
     void run();
     void step();
+    bool mayLoad(const std::string& model) const;
+    /// Also counts the ready targets of each model.
     /// @return the ready targets with stale weights; empty unless this control VM leads and has a quorum.
     std::vector<stale_target> findStaleTargets();
     /// Acquires the lease, or renews it when a third of its time has passed.
@@ -53,6 +55,7 @@
     leader_client& m_leader;
     platform::target_client m_client;
     std::map<std::string, load_in_progress> m_loads; // by target
+    std::map<std::string, std::size_t> m_targetCounts; // by model
     std::map<std::string, core::instant> m_nextAttemptAt; // by target: earliest time of the next order
     std::uint64_t m_fencingToken = 0;
     core::instant m_leaseRequestedAt {};
--- a/packages/core/include/plumfold/core/plumfold_load_planner.hpp
+++ b/packages/core/include/plumfold/core/plumfold_load_planner.hpp
@@ -4,6 +4,8 @@
 #include "plumfold/core/plumfold_target_report.hpp"
 #include "plumfold/core/plumfold_time.hpp"
 
+#include <cstddef>
+#include <cstdint>
 #include <map>
 #include <set>
 #include <string>
@@ -21,6 +23,14 @@
     auto operator<=>(const load_order&) const = default;
 };
 
+/// @param targets number of targets that share the work.
+/// @return the number of targets that load weights at the same time; at least 1.
+constexpr std::size_t concurrentLoads(std::size_t targets, std::uint64_t percent)
+{
+    std::size_t loads = targets * percent / 100;
+    return loads > 0 ? loads : 1;
+}
+
 /// Rolls out the current weight versions to the targets of one failure domain, with a limited number of
 /// concurrent loads. Whether a load has succeeded is decided by the target's report. A version that fails on
 /// several targets and succeeds on none is abandoned until another version becomes current.
--- a/tests/core/plumfold_load_planner_tests.cpp
+++ b/tests/core/plumfold_load_planner_tests.cpp
@@ -97,3 +97,12 @@
     CHECK_FALSE(lease(restored, 2100, "a").granted);
     CHECK(lease(restored, 4000, "a").fence > second.fence);
 }
+
+TEST_CASE("The number of concurrent loads grows with the number of targets", "[orders]")
+{
+    CHECK(concurrentLoads(60, 20) == 12);
+    CHECK(concurrentLoads(18, 20) == 3);
+    CHECK(concurrentLoads(12, 20) == 2);
+    CHECK(concurrentLoads(2, 20) == 1);
+    CHECK(concurrentLoads(0, 20) == 1);
+}
