--- a/packages/control/src/plumfold_shared_limit_issuer.hpp
+++ b/packages/control/src/plumfold_shared_limit_issuer.hpp
@@ -29,7 +29,8 @@
 
     /// Decides on one retry from the reserve.
     /// @param failureDomain of the entry.
-    /// @return whether it may be sent; false if this control VM does not grant retries for the failure domain.
+    /// @return whether it may be sent; false if this control VM does not grant retries for the failure
+    /// domain.
     bool tryRetry(const std::string& failureDomain, const std::string& service);
 
 private:
