Check the rate of cold starts as strictly as the former test did

The former bound is back, for 9, 60 and 600 entries of one failure domain, and a property test bounds the sum over any number of failure domains and seconds: the average rate and one request more of each.

--- a/tests/core/plumfold_cold_start_tests.cpp
+++ b/tests/core/plumfold_cold_start_tests.cpp
@@ -153,6 +153,43 @@
     CHECK(granted >= 0.75 * rate.perSecond * seconds);
 }
 
+TEST_CASE(
+    "All entries of one failure domain together stay within the request rate of a cold target", "[cold]")
+{
+    constexpr double coldRate = 9;
+    auto entries = GENERATE(9, 60, 600);
+    auto limiters = limitersOf(domainNames(1));
+    int granted = 0;
+    for (int ms = 0; ms < 1'000; ++ms) {
+        for (int entry = 0; entry < entries; ++entry)
+            granted += limiters.front()
+                           .tryStart("t1", { coldRate, coldRate * 1.5 + 5 }, start + milliseconds(ms))
+                           .isGranted;
+    }
+    CHECK(granted <= coldRate);
+    CHECK(granted > 0);
+}
+
+TEST_CASE(
+    "Over any time, cold targets get the average rate and one request more of each failure domain", "[cold]")
+{
+    rc::prop("random demand, rates and times", [] {
+        auto domains = domainNames(*rc::gen::inRange<std::size_t>(1, 30));
+        double perSecond = *rc::gen::inRange(2, 400) / 10.0;
+        int seconds = *rc::gen::inRange(1, 8);
+        std::minstd_rand random(*rc::gen::inRange(1u, 1'000'000u));
+        auto limiters = limitersOf(domains);
+        int granted = 0;
+        for (auto now = start; now < start + milliseconds(seconds * 1'000); now += milliseconds(5)) {
+            for (auto& limiter : limiters) {
+                bool asks = random() % 4 > 0;
+                granted += asks && limiter.tryStart("t1", { perSecond, perSecond * 1.5 + 5 }, now).isGranted;
+            }
+        }
+        RC_ASSERT(granted <= perSecond * seconds + static_cast<double>(domains.size()));
+    });
+}
+
 TEST_CASE("A refused cold start names the time of the next one", "[cold]")
 {
     cold_start_limiter limiter("a", { "a" }, grantLifetime);
