--- a/packages/control/src/plumfold_control_node.cpp
+++ b/packages/control/src/plumfold_control_node.cpp
@@ -142,10 +142,11 @@
     bool isCaughtUp = m_raft.isCaughtUp(runtime::now());
     bool isLeader = m_raft.role() == core::raft_role::leader;
     std::string leader = m_raft.leaderAddress();
+    auto leaseHolders = m_state.leaseHolders();
     bool sameDeployment = m_view.deployment && m_view.deployment->revision == m_state.deployment().revision;
     bool same = sameDeployment && m_view.appliedIndex == m_appliedIndex && m_view.isCaughtUp == isCaughtUp
         && m_view.isLeader == isLeader && m_view.term == m_raft.term() && m_view.leaderAddress == leader
-        && m_view.members == m_raft.members() && m_view.leaseHolders == m_state.leaseHolders();
+        && m_view.members == m_raft.members() && m_view.leaseHolders == leaseHolders;
     if (same)
         return;
     if (!sameDeployment)
@@ -156,7 +157,7 @@
     m_view.term = m_raft.term();
     m_view.leaderAddress = std::move(leader);
     m_view.members = m_raft.members();
-    m_view.leaseHolders = m_state.leaseHolders();
+    m_view.leaseHolders = std::move(leaseHolders);
     m_onViewChanged(m_view);
 }
 
--- a/packages/control/src/plumfold_leader_client.cpp
+++ b/packages/control/src/plumfold_leader_client.cpp
@@ -3,6 +3,7 @@
 #include "plumfold_kj_completion.hpp"
 
 #include "plumfold/wire/plumfold_convert.hpp"
+#include "plumfold/wire/plumfold_entry_session.hpp"
 
 namespace plumfold::control {
 
@@ -31,13 +32,11 @@
     if (cached.session == nullptr) {
         ready = wire::rpc_connection::connect(m_rpc, address, connectTimeout)
                     .then([this, address](kj::Own<wire::rpc_connection> connection) {
-                        auto request = connection->bootstrap<wire::Control>().entryRequest();
-                        request.setSecret(m_settings.process.clusterSecret);
-                        request.setName(m_settings.process.name);
-                        request.setFailureDomain(m_settings.process.failureDomain);
                         auto& opened = m_links[address];
                         m_tasks.add(kj::evalLater([old = kj::mv(opened.connection)] {}));
-                        opened.session = request.send().getSession();
+                        opened.session = wire::openEntrySession(*connection,
+                            { m_settings.process.clusterSecret, m_settings.process.name,
+                                m_settings.process.failureDomain });
                         opened.connection = kj::mv(connection);
                     });
     }
--- a/packages/control/src/plumfold_shared_limit_issuer.cpp
+++ b/packages/control/src/plumfold_shared_limit_issuer.cpp
@@ -92,7 +92,7 @@
         .with("takeovers", result.takeovers);
 }
 
-core::cold_start_decision shared_limit_issuer::tryStart(
+core::grant_decision shared_limit_issuer::tryStart(
     const std::string& failureDomain, const std::string& service, const std::string& target)
 {
     auto now = runtime::nowWithSuspension();
--- a/packages/control/src/plumfold_shared_limit_issuer.hpp
+++ b/packages/control/src/plumfold_shared_limit_issuer.hpp
@@ -24,7 +24,7 @@
     /// Decides on the start of one request.
     /// @param failureDomain of the entry.
     /// @return the decision; refused if this control VM does not grant starts for the failure domain.
-    core::cold_start_decision tryStart(
+    core::grant_decision tryStart(
         const std::string& failureDomain, const std::string& service, const std::string& target);
 
     /// Decides on one retry from the reserve.
--- a/packages/control/src/plumfold_weight_rollout_thread.cpp
+++ b/packages/control/src/plumfold_weight_rollout_thread.cpp
@@ -50,32 +50,33 @@
     }
 }
 
-std::vector<weight_rollout_thread::stale_target> weight_rollout_thread::findStaleTargets()
+weight_rollout_thread::rollout_state weight_rollout_thread::readRollouts()
 {
     return m_rpc.run([this] {
-        std::vector<stale_target> stale;
-        m_targetCounts.clear();
+        rollout_state rollouts;
         const auto& view = m_feed.view();
         if (!view.isLeader || !view.isCaughtUp)
-            return stale;
+            return rollouts;
         for (const auto& [name, entry] : m_feed.directory().entries()) {
             if (entry.last.state != core::target_state::ready)
                 continue;
             for (const auto& model : entry.last.models) {
-                ++m_targetCounts[model.model];
+                ++rollouts.targetCounts[model.model];
                 auto current = view.deployment->weights.find(model.model);
                 if (current != view.deployment->weights.end()
                     && std::to_string(current->second) != model.version)
-                    stale.push_back({ name, entry.last.address, model.model, current->second });
+                    rollouts.staleTargets.push_back(
+                        { name, entry.last.address, model.model, current->second });
             }
         }
-        return stale;
+        return rollouts;
     });
 }
 
 void weight_rollout_thread::step()
 {
-    auto stale = findStaleTargets();
+    auto rollouts = readRollouts();
+    const auto& stale = rollouts.staleTargets;
     std::erase_if(m_loads, [&](const auto& load) {
         return std::none_of(stale.begin(), stale.end(), [&](const auto& each) {
             return each.name == load.first && each.currentVersion == load.second.version;
@@ -93,7 +94,7 @@
     for (const auto& target : stale) {
         if (m_stopping)
             return;
-        if (!mayLoad(target.model) || m_loads.contains(target.name)
+        if (!mayLoad(target.model, rollouts.targetCounts[target.model]) || m_loads.contains(target.name)
             || runtime::now() < m_nextAttemptAt[target.name])
             continue;
         if (!acquireLease())
@@ -102,14 +103,12 @@
     }
 }
 
-bool weight_rollout_thread::mayLoad(const std::string& model) const
+bool weight_rollout_thread::mayLoad(const std::string& model, std::size_t targets) const
 {
     auto loading = std::count_if(
         m_loads.begin(), m_loads.end(), [&](const auto& each) { return each.second.model == model; });
-    auto targets = m_targetCounts.find(model);
-    auto limit = core::concurrentLoads(
-        targets == m_targetCounts.end() ? 0 : targets->second, m_settings.control->concurrentLoadPercent);
-    return static_cast<std::size_t>(loading) < limit;
+    return static_cast<std::size_t>(loading)
+        < core::concurrentLoads(targets, m_settings.control->concurrentLoadPercent);
 }
 
 bool weight_rollout_thread::acquireLease()
--- a/packages/control/src/plumfold_weight_rollout_thread.hpp
+++ b/packages/control/src/plumfold_weight_rollout_thread.hpp
@@ -27,6 +27,11 @@
         std::uint64_t currentVersion = 0;
         auto operator<=>(const stale_target&) const = default;
     };
+    /// Progress of the rollouts to the ready targets.
+    struct rollout_state {
+        std::vector<stale_target> staleTargets;
+        std::map<std::string, std::size_t> targetCounts; ///< Ready targets by model.
+    };
     /// A load that was ordered, or found in progress or complete before its order.
     struct load_in_progress {
         std::string model;
@@ -37,10 +42,11 @@
 
     void run();
     void step();
-    bool mayLoad(const std::string& model) const;
-    /// Also counts the ready targets of each model.
-    /// @return the ready targets with stale weights; empty unless this control VM leads and has a quorum.
-    std::vector<stale_target> findStaleTargets();
+    /// @param targets number of ready targets that have the model.
+    /// @return whether one more of them may load weights now.
+    bool mayLoad(const std::string& model, std::size_t targets) const;
+    /// @return the state of the rollouts; empty unless this control VM leads and has a quorum.
+    rollout_state readRollouts();
     /// Acquires the lease, or renews it when a third of its time has passed.
     /// @return whether orders may be sent.
     bool acquireLease();
@@ -55,7 +61,6 @@
     leader_client& m_leader;
     platform::target_client m_client;
     std::map<std::string, load_in_progress> m_loads; // by target
-    std::map<std::string, std::size_t> m_targetCounts; // by model
     std::map<std::string, core::instant> m_nextAttemptAt; // by target: earliest time of the next order
     std::uint64_t m_fencingToken = 0;
     core::instant m_leaseRequestedAt {};
--- a/packages/core/include/plumfold/core/plumfold_cold_start_limiter.hpp
+++ b/packages/core/include/plumfold/core/plumfold_cold_start_limiter.hpp
@@ -19,11 +19,11 @@
     auto operator<=>(const cold_start_rate&) const = default;
 };
 
-/// Whether a request may start on a cold target.
-struct cold_start_decision {
+/// Whether a shared limit allows what was asked for.
+struct grant_decision {
     bool isGranted = false;
-    milliseconds retryAfter { 0 }; ///< If refused, time until a start may be granted.
-    auto operator<=>(const cold_start_decision&) const = default;
+    milliseconds retryAfter { 0 }; ///< If refused, time until it may be granted; 0 if not known.
+    auto operator<=>(const grant_decision&) const = default;
 };
 
 /// Grants the starts of requests on cold targets for one failure domain. Every failure domain has a fixed
@@ -41,7 +41,7 @@
     void restart(instant from);
 
     /// Decides on one start; a grant is counted.
-    cold_start_decision tryStart(const std::string& target, const cold_start_rate& rate, instant now);
+    grant_decision tryStart(const std::string& target, const cold_start_rate& rate, instant now);
 
     /// Removes targets whose latest grant no longer matters.
     void removeIdle(instant now, milliseconds maxAge);
--- a/packages/core/src/plumfold_cold_start_limiter.cpp
+++ b/packages/core/src/plumfold_cold_start_limiter.cpp
@@ -54,7 +54,7 @@
     return milliseconds(static_cast<std::int64_t>(std::max(average, bounded)) + 1);
 }
 
-cold_start_decision cold_start_limiter::tryStart(
+grant_decision cold_start_limiter::tryStart(
     const std::string& target, const cold_start_rate& rate, instant now)
 {
     if (rate.perSecond <= 0 || !hasPart(target, rate))
--- a/packages/entry/src/plumfold_control_client.cpp
+++ b/packages/entry/src/plumfold_control_client.cpp
@@ -2,6 +2,7 @@
 
 #include "plumfold/runtime/plumfold_secrets.hpp"
 #include "plumfold/wire/plumfold_convert.hpp"
+#include "plumfold/wire/plumfold_entry_session.hpp"
 
 #include <kj/debug.h>
 
@@ -57,11 +58,8 @@
     }
     auto connecting = wire::rpc_connection::connect(m_rpc, address, connectTimeout);
     return connecting.then([this, address](kj::Own<wire::rpc_connection> connection) {
-        auto request = connection->bootstrap<wire::Control>().entryRequest();
-        request.setSecret(m_options.secret);
-        request.setName(m_options.name);
-        request.setFailureDomain(m_options.failureDomain);
-        auto session = request.send().getSession();
+        auto session = wire::openEntrySession(
+            *connection, { m_options.secret, m_options.name, m_options.failureDomain });
         auto& known = m_links[address];
         // Two calls may have connected concurrently. The first connection may have calls in progress, so it
         // is kept.
--- a/packages/forwarding/src/plumfold_deployment_follower.cpp
+++ b/packages/forwarding/src/plumfold_deployment_follower.cpp
@@ -3,6 +3,7 @@
 #include "plumfold/runtime/plumfold_log.hpp"
 #include "plumfold/runtime/plumfold_secrets.hpp"
 #include "plumfold/wire/plumfold_convert.hpp"
+#include "plumfold/wire/plumfold_entry_session.hpp"
 
 #include <algorithm>
 
@@ -97,11 +98,9 @@
     m_address = nextAddress();
     return wire::rpc_connection::connect(m_rpc, m_address, connectTimeout)
         .then([this](kj::Own<wire::rpc_connection> connection) {
-            auto request = connection->bootstrap<wire::Control>().entryRequest();
-            request.setSecret(m_settings.process.clusterSecret);
-            request.setName(m_settings.process.name);
-            request.setFailureDomain(m_settings.process.failureDomain);
-            m_session = request.send().getSession();
+            m_session = wire::openEntrySession(*connection,
+                { m_settings.process.clusterSecret, m_settings.process.name,
+                    m_settings.process.failureDomain });
             m_connection = kj::mv(connection);
             m_justConnected = true;
         });
--- a/packages/forwarding/src/plumfold_request_forwarder.cpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.cpp
@@ -162,6 +162,15 @@
         && m_attemptedTargets.size() < m_route->maxAttempts;
 }
 
+/// Nothing is counted before the first request was sent.
+/// @return whether the budget allows another attempt: that of this entry, or else the shared reserve.
+task<bool> request_forwarder::takeRetryBudget()
+{
+    if (m_attemptCount == 0 || m_state.retryBudget.tryTake(m_service, runtime::now()))
+        co_return true;
+    co_return co_await m_state.sharedLimits.retry(m_service);
+}
+
 task<void> request_forwarder::runAttempts()
 {
     auto waitUntil = m_receivedAt + m_route->latencyTarget / placementWaitDivisor;
@@ -209,9 +218,7 @@
             m_unreachableTargets.insert(selection.chosen->target);
         if (!mayRetry() || m_unreachableTargets.size() > 3)
             break;
-        bool isWithinBudget = m_attemptCount == 0 || m_state.retryBudget.tryTake(m_service, runtime::now());
-        if (!isWithinBudget)
-            isWithinBudget = co_await m_state.sharedLimits.retry(m_service);
+        bool isWithinBudget = co_await takeRetryBudget();
         if (!isWithinBudget)
             break;
         m_response.reset();
--- a/packages/forwarding/src/plumfold_request_forwarder.hpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.hpp
@@ -40,6 +40,7 @@
     void reject(http::status status, std::string reason, std::optional<core::milliseconds> retryAfter = {});
     task<void> runAttempts();
     bool mayRetry() const;
+    task<bool> takeRetryBudget();
     task<bool> requestColdStart(const core::placement& placement);
     bool rejectOverload(const core::placement& placement);
     std::uint32_t priority() const;
--- a/packages/forwarding/src/plumfold_shared_limit_client.cpp
+++ b/packages/forwarding/src/plumfold_shared_limit_client.cpp
@@ -1,6 +1,7 @@
 #include "plumfold_shared_limit_client.hpp"
 
 #include "plumfold/runtime/plumfold_log.hpp"
+#include "plumfold/wire/plumfold_entry_session.hpp"
 
 namespace plumfold::forwarding {
 
@@ -8,6 +9,8 @@
 
 constexpr std::chrono::milliseconds connectTimeout { 250 };
 constexpr std::chrono::milliseconds answerTimeout { 100 };
+/// Includes the time until the RPC thread sends the call.
+constexpr std::chrono::milliseconds maxAnswerTime { 300 };
 constexpr auto reconnectDelay = 200 * kj::MILLISECONDS;
 constexpr core::milliseconds retryWithoutIssuer { 300 };
 
@@ -43,39 +46,39 @@
     });
 }
 
-task<core::cold_start_decision> shared_limit_client::startCold(std::string service, std::string target)
+task<core::grant_decision> shared_limit_client::startCold(std::string service, std::string target)
 {
-    call request
+    call sendCall
         = [service = std::move(service), target = std::move(target)](wire::EntrySession::Client& session) {
               auto request = session.startColdRequest();
               request.setService(service);
               request.setTarget(target);
               return request.send().then([](auto&& response) {
-                  return core::cold_start_decision { response.getGranted(),
+                  return core::grant_decision { response.getGranted(),
                       core::milliseconds(response.getRetryAfterMs()) };
               });
           };
-    co_return co_await ask(std::move(request));
+    co_return co_await ask(std::move(sendCall));
 }
 
 task<bool> shared_limit_client::retry(std::string service)
 {
-    call request = [service = std::move(service)](wire::EntrySession::Client& session) {
+    call sendCall = [service = std::move(service)](wire::EntrySession::Client& session) {
         auto request = session.retryRequest();
         request.setService(service);
         return request.send().then([](auto&& response) {
-            return core::cold_start_decision { response.getGranted(), core::milliseconds(0) };
+            return core::grant_decision { response.getGranted(), core::milliseconds(0) };
         });
     };
-    auto decision = co_await ask(std::move(request));
+    auto decision = co_await ask(std::move(sendCall));
     co_return decision.isGranted;
 }
 
-task<core::cold_start_decision> shared_limit_client::ask(call request)
+task<core::grant_decision> shared_limit_client::ask(call request)
 {
     auto pending = std::make_shared<pending_request>(m_io);
     pending->decision = { false, retryWithoutIssuer };
-    pending->answered.expires_after(core::coldStartGrantLifetime);
+    pending->answered.expires_after(maxAnswerTime);
     m_rpc.post([this, pending, request = std::move(request)] { send(pending, request); });
     error_code ignored;
     co_await pending->answered.async_wait(into(ignored));
@@ -86,26 +89,25 @@
 {
     KJ_IF_MAYBE (session, m_session) {
         auto generation = m_generation;
-        m_tasks->add(
-            wire::withTimeout(m_rpc, request(*session), answerTimeout)
-                .then([this, pending](core::cold_start_decision decision) { answer(pending, decision); },
-                    [this, pending, generation](kj::Exception&& exception) {
-                        answer(pending, { false, retryWithoutIssuer });
-                        if (generation != m_generation)
-                            return;
-                        runtime::log_event("shared_limit_issuer_lost", runtime::log_level::warning)
-                            .with("address", m_address)
-                            .with("reason", exception.getDescription().cStr());
-                        disconnect();
-                        connect();
-                    }));
+        m_tasks->add(wire::withTimeout(m_rpc, request(*session), answerTimeout)
+                         .then([this, pending](core::grant_decision decision) { answer(pending, decision); },
+                             [this, pending, generation](kj::Exception&& exception) {
+                                 answer(pending, { false, retryWithoutIssuer });
+                                 if (generation != m_generation)
+                                     return;
+                                 runtime::log_event("shared_limit_issuer_lost", runtime::log_level::warning)
+                                     .with("address", m_address)
+                                     .with("reason", exception.getDescription().cStr());
+                                 disconnect();
+                                 connect();
+                             }));
         return;
     }
     answer(pending, { false, retryWithoutIssuer });
 }
 
 void shared_limit_client::answer(
-    const std::shared_ptr<pending_request>& pending, core::cold_start_decision decision)
+    const std::shared_ptr<pending_request>& pending, core::grant_decision decision)
 {
     asio::post(m_io, [pending, decision] {
         pending->decision = decision;
@@ -121,11 +123,9 @@
         [this, generation](kj::Own<wire::rpc_connection> connection) -> kj::Promise<void> {
             if (generation != m_generation)
                 return kj::READY_NOW;
-            auto request = connection->bootstrap<wire::Control>().entryRequest();
-            request.setSecret(m_settings.process.clusterSecret);
-            request.setName(m_settings.process.name);
-            request.setFailureDomain(m_settings.process.failureDomain);
-            m_session = request.send().getSession();
+            m_session = wire::openEntrySession(*connection,
+                { m_settings.process.clusterSecret, m_settings.process.name,
+                    m_settings.process.failureDomain });
             m_connection = kj::mv(connection);
             return kj::READY_NOW;
         },
--- a/packages/forwarding/src/plumfold_shared_limit_client.hpp
+++ b/packages/forwarding/src/plumfold_shared_limit_client.hpp
@@ -27,28 +27,28 @@
 
     /// Asks for the start of one request on a cold target.
     /// @return the decision; refused if no answer comes in time.
-    task<core::cold_start_decision> startCold(std::string service, std::string target);
+    task<core::grant_decision> startCold(std::string service, std::string target);
 
     /// Asks for one retry beyond the share of this entry's own requests.
     /// @return whether it may be sent; false if no answer comes in time.
     task<bool> retry(std::string service);
 
 private:
-    using call = std::function<kj::Promise<core::cold_start_decision>(wire::EntrySession::Client&)>;
+    using call = std::function<kj::Promise<core::grant_decision>(wire::EntrySession::Client&)>;
     struct pending_request {
         explicit pending_request(asio::io_context& io)
             : answered(io)
         {
         }
         asio::steady_timer answered; // cancelled by the answer
-        core::cold_start_decision decision;
+        core::grant_decision decision;
     };
 
     void connect();
     void disconnect();
-    task<core::cold_start_decision> ask(call request);
+    task<core::grant_decision> ask(call request);
     void send(std::shared_ptr<pending_request> pending, const call& request);
-    void answer(const std::shared_ptr<pending_request>& pending, core::cold_start_decision decision);
+    void answer(const std::shared_ptr<pending_request>& pending, core::grant_decision decision);
 
     asio::io_context& m_io;
     wire::rpc_thread& m_rpc;
--- a/packages/runtime/include/plumfold/runtime/plumfold_settings.hpp
+++ b/packages/runtime/include/plumfold/runtime/plumfold_settings.hpp
@@ -80,8 +80,7 @@
     std::string platformAddress; ///< HTTP interface for targets and platform operators; empty for none.
     bool firstStart = false; ///< Bootstrap: the seeds form a new group.
     std::uint64_t targetSilenceMs = 6'000; ///< Age of the latest announcement above which a target is silent.
-    std::uint64_t concurrentLoadPercent
-        = 20; ///< Share of a model's targets that load weights at the same time.
+    std::uint64_t concurrentLoadPercent = 20; ///< Of a model's targets that load weights at the same time.
     std::uint64_t orderLeaseMs = 3'000; ///< Lease of the one control VM that sends load orders to targets.
     /// A cold target bears its service's cold request rate times coldOvershoot, plus coldSlack requests, in
     /// any second.
--- a/tests/core/plumfold_target_selector_tests.cpp
+++ b/tests/core/plumfold_target_selector_tests.cpp
@@ -38,6 +38,16 @@
     return out;
 }
 
+/// Limits of the tests' service, with a rate for cold targets.
+service_limits coldLimits()
+{
+    service_limits out;
+    out.name = "pool";
+    out.coldRequestsPerSecond = 9;
+    out.coldTime = milliseconds(3000);
+    return out;
+}
+
 } // namespace
 
 TEST_CASE("Requests of one conversation share a number whatever their own last part is", "[target_board]")
@@ -168,13 +178,12 @@
 {
     auto cold = engine("t1");
     cold.coldFor = milliseconds(3000);
-    service_limits limits;
-    limits.name = "pool";
     auto selector = selectorOf({ cold });
+    auto limits = coldLimits();
+    limits.coldRequestsPerSecond = 0;
     selector.setServices({ limits });
     CHECK_FALSE(selector.choose(requestOf(), start).chosen->isCold); // the service has no limit
-    limits.coldRequestsPerSecond = 9;
-    selector.setServices({ limits });
+    selector.setServices({ coldLimits() });
     for (int count = 0; count < 3; ++count) {
         CHECK(selector.choose(requestOf(), start).chosen->isCold);
         selector.onAttemptEnded("t1", attempt_result::not_started, 0, start);
@@ -193,12 +202,8 @@
 
 TEST_CASE("Targets count as cold after their failure domain is back in service", "[target_board][cold]")
 {
-    service_limits limits;
-    limits.name = "pool";
-    limits.coldRequestsPerSecond = 9;
-    limits.coldTime = milliseconds(3000);
     auto selector = selectorOf({ engine("t1") });
-    selector.setServices({ limits });
+    selector.setServices({ coldLimits() });
     selector.setOutOfService({ "a" }, start);
     selector.setOutOfService({}, start + milliseconds(1000));
     selector.applyAnnouncements(
@@ -210,15 +215,12 @@
 
 TEST_CASE("An earlier announcement does not replace a later one", "[target_board][cold]")
 {
-    service_limits limits;
-    limits.name = "pool";
-    limits.coldRequestsPerSecond = 9;
     auto cold = engine("t1");
     cold.startedAt = 100;
     cold.sequence = 5;
     cold.coldFor = milliseconds(3000);
     auto selector = selectorOf({ cold });
-    selector.setServices({ limits });
+    selector.setServices({ coldLimits() });
     auto warm = cold;
     warm.sequence = 4;
     warm.coldFor = milliseconds(0);
--- a/tests/forwarding/plumfold_shared_limit_tests.cpp
+++ b/tests/forwarding/plumfold_shared_limit_tests.cpp
@@ -3,7 +3,6 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
-#include <atomic>
 #include <chrono>
 #include <cstdlib>
 #include <map>
@@ -192,7 +191,7 @@
     "A cold target gets no more requests than it bears when each of many entries has some for it",
     "[forwarding]")
 {
-    std::this_thread::sleep_for(2s); // the entries hear of each other
+    std::this_thread::sleep_for(2s); // the lease of the shared limits is taken
     auto& cold = startTarget("t1", "shop", coldTime);
     sendFor(3s);
     CHECK(maxRequestsPerSecond(cold) <= maxColdRequests);
