Log how a target delimited its answer and what was left of an event

The log of a stream that a target broke off says outcome=answered and delivered=true, the same as that of a whole one, so it does not tell whether a closed connection or a last chunk was taken for the end of the stream. request_ended has two more fields: framing (length, chunked or connection) and partial_event_bytes. What is relayed does not change.

--- a/packages/forwarding/src/plumfold_request_attempt.cpp
+++ b/packages/forwarding/src/plumfold_request_attempt.cpp
@@ -21,6 +21,14 @@
 constexpr std::uint64_t maxResponseBytes = 64 << 20;
 constexpr unsigned statusServerError = 500;
 
+/// @return what delimits the body of a response, for the log.
+template <class Parser> const char* framingOf(const Parser& parser)
+{
+    if (parser.chunked())
+        return "chunked";
+    return parser.need_eof() ? "connection" : "length";
+}
+
 } // namespace
 
 platform::target_request_head request_forwarder::makeTargetHead(const core::placement& placement)
@@ -180,6 +188,7 @@
         bool isInterim = parser.get().result_int() / 100 == 1;
         if (isInterim)
             continue;
+        m_answerFraming = framingOf(parser);
         auto head = platform::decodeTargetResponse(parser.get().result_int(), parser.get().base());
         if (head.idleTimeout)
             connection.idleTimeout = *head.idleTimeout;
@@ -268,15 +277,17 @@
     while (!parser.is_done()) {
         if (!co_await readChunk(parser, chunk))
             co_return classifyFailure(asio::error::connection_reset);
+        auto events = m_events.feed(chunk);
         if (m_route->isResumable)
-            chunk = m_events.feed(chunk);
+            chunk = std::move(events);
         if (!chunk.empty() && !co_await relayChunk(std::move(chunk))) {
             onCallerDisconnected();
             co_return core::attempt_result::abandoned;
         }
     }
     std::string rest = m_events.takePartialEvent();
-    if (!rest.empty())
+    m_partialEventBytes = rest.size();
+    if (m_route->isResumable && !rest.empty())
         co_await relayChunk(std::move(rest));
     if (!m_streamStarted && !co_await writeStreamHead())
         co_return core::attempt_result::abandoned;
--- a/packages/forwarding/src/plumfold_request_forwarder.hpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.hpp
@@ -113,6 +113,8 @@
     double m_waitMs = 0; // predicted for the current attempt
     double m_predictedMs = 0; // predicted time to the first event of the current attempt
     core::instant m_firstByteAt {};
+    const char* m_answerFraming = "none"; // of the target's latest response, for the log
+    std::size_t m_partialEventBytes = 0; // after the last complete event of an ended stream, for the log
     std::string m_outcome; // for the log
     std::string m_reason; // for the log
 };
