Tests that fail: streams that end inside an event are delivered as complete

Real processes and scripted targets that end a stream inside its third event by closing the connection, with a last chunk or at the announced length, or end it with the connection before any event.

--- a/tests/forwarding/support/plumfold_scripted_target.cpp
+++ b/tests/forwarding/support/plumfold_scripted_target.cpp
@@ -13,6 +13,8 @@
 
 constexpr int pollMicroseconds = 20'000;
 constexpr int eventCount = 6;
+/// Two events and the beginning of a third.
+constexpr const char* cutEvents = "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\nda";
 
 } // namespace
 
@@ -24,6 +26,15 @@
     bool keepAlive = true;
 
     void send(const std::string& bytes) { socket.sendBytes(bytes.data(), static_cast<int>(bytes.size())); }
+    /// Closes the connection with a reset.
+    void reset()
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds(50)); // a reset discards what was not yet read
+        socket.setLinger(true, 0);
+        socket.close();
+        keepAlive = false;
+    }
+    bool isResumed() const { return request.headers.contains("last-event-id"); }
     std::string id() { return request.headers["request-id"]; }
     std::string head(const std::string& status, const std::string& extraHeaders)
     {
@@ -92,6 +103,13 @@
         { "events", &scripted_target::streamEvents },
         { "events-cut", &scripted_target::streamCutMidEvent },
         { "head-cut", &scripted_target::streamCutAfterHead },
+        { "events-unframed", &scripted_target::streamUnframed },
+        { "events-unframed-cut", &scripted_target::streamUnframedCutMidEvent },
+        { "events-unframed-none", &scripted_target::streamUnframedWithoutEvents },
+        { "events-chunked-cut", &scripted_target::streamChunkedEndMidEvent },
+        { "events-sized-cut", &scripted_target::streamSizedEndMidEvent },
+        { "unframed-reset", &scripted_target::resetUnframed },
+        { "events-unframed-reset", &scripted_target::resetUnframedStream },
     };
     exchange current { socket, {}, {}, true };
     try {
@@ -243,13 +261,13 @@
 
 void scripted_target::streamCutMidEvent(exchange& current)
 {
-    if (current.request.headers.contains("last-event-id")) {
+    if (current.isResumed()) {
         streamEvents(current);
         return;
     }
     current.send(
         current.head("200 OK", "Response-Signature: " + m_name + "\r\nTransfer-Encoding: chunked\r\n"));
-    current.sendChunk("id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\nda");
+    current.sendChunk(cutEvents);
     current.keepAlive = false;
 }
 
@@ -267,4 +285,65 @@
     current.keepAlive = false;
 }
 
+void scripted_target::streamUnframed(exchange& current)
+{
+    current.send(current.head("200 OK", "Response-Signature: " + m_name + "\r\n"));
+    int first = std::atoi(current.request.headers["last-event-id"].c_str()) + 1;
+    for (int id = first; id <= eventCount; ++id)
+        current.send("id: " + std::to_string(id) + "\ndata: e" + std::to_string(id) + "\n\n");
+    current.keepAlive = false;
+}
+
+void scripted_target::streamUnframedCutMidEvent(exchange& current)
+{
+    if (current.isResumed()) {
+        streamUnframed(current);
+        return;
+    }
+    current.send(current.head("200 OK", "Response-Signature: " + m_name + "\r\n") + cutEvents);
+    current.keepAlive = false;
+}
+
+void scripted_target::streamUnframedWithoutEvents(exchange& current)
+{
+    current.send(current.head("200 OK", "Response-Signature: " + m_name + "\r\n"));
+    current.keepAlive = false;
+}
+
+void scripted_target::streamChunkedEndMidEvent(exchange& current)
+{
+    if (current.isResumed()) {
+        streamEvents(current);
+        return;
+    }
+    current.send(
+        current.head("200 OK", "Response-Signature: " + m_name + "\r\nTransfer-Encoding: chunked\r\n"));
+    current.sendChunk(cutEvents);
+    current.send("0\r\n\r\n");
+}
+
+void scripted_target::streamSizedEndMidEvent(exchange& current)
+{
+    if (current.isResumed())
+        streamEvents(current);
+    else
+        current.sendResponse("200 OK", "Response-Signature: " + m_name + "\r\n", cutEvents);
+}
+
+void scripted_target::resetUnframed(exchange& current)
+{
+    current.send(current.head("200 OK", "Response-Signature: " + m_name + "\r\n") + "until the");
+    current.reset();
+}
+
+void scripted_target::resetUnframedStream(exchange& current)
+{
+    if (current.isResumed()) {
+        streamUnframed(current);
+        return;
+    }
+    current.send(current.head("200 OK", "Response-Signature: " + m_name + "\r\n") + "id: 1\ndata: e1\n\n");
+    current.reset();
+}
+
 } // namespace plumfold::tests
--- a/tests/forwarding/support/plumfold_scripted_target.hpp
+++ b/tests/forwarding/support/plumfold_scripted_target.hpp
@@ -59,6 +59,13 @@
     void streamEvents(exchange& current);
     void streamCutMidEvent(exchange& current);
     void streamCutAfterHead(exchange& current);
+    void streamUnframed(exchange& current);
+    void streamUnframedCutMidEvent(exchange& current);
+    void streamUnframedWithoutEvents(exchange& current);
+    void streamChunkedEndMidEvent(exchange& current);
+    void streamSizedEndMidEvent(exchange& current);
+    void resetUnframed(exchange& current);
+    void resetUnframedStream(exchange& current);
 
     std::string m_name;
     std::string m_address;
