Treat a stream that ends inside an event as broken off

Callers got a 200 with the target's signature, framed as complete, with a part of the events (ORDER, twice in the users' record).

Cause: the entry took the end of the message for the end of the stream. A message without length and chunks ends when its connection is closed, so the parser was done, and relayStream relayed what was left of an event and the last chunk. The same held for a last chunk or an announced length inside an event. Streams of routes that may not be resumed were not split into events at all.

Ruled out: two attempts joined badly (one target for each request of the record). A reset and a missing last chunk were told apart before.

Change: all streams are passed on event by event. One that ends inside an event, or with its connection before any event, is a lost attempt: it goes on at another target where it may be resumed, else the caller's last chunk is missing. The connection of a lost attempt is not used again.

--- a/packages/core/include/plumfold/core/plumfold_event_cursor.hpp
+++ b/packages/core/include/plumfold/core/plumfold_event_cursor.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
-#include <utility>
 
 namespace plumfold::core {
 
@@ -21,17 +21,24 @@
 
     /// Prepares for a new attempt, which continues after the last complete event. The partial event of the
     /// previous attempt is discarded.
-    void startAttempt() { m_partialEvent.clear(); }
+    void startAttempt()
+    {
+        m_partialEvent.clear();
+        m_hasEvents = false;
+    }
 
-    /// Empties the buffer.
-    /// @return the buffered bytes of a partial event.
-    std::string takePartialEvent() { return std::exchange(m_partialEvent, {}); }
+    /// @return whether the current attempt delivered a complete event.
+    bool hasEvents() const { return m_hasEvents; }
+
+    /// @return the number of bytes after the last complete event; above 0, the stream is inside an event.
+    std::size_t partialEventBytes() const { return m_partialEvent.size(); }
 
 private:
     void parseEventIds(std::string_view events);
 
     std::string m_partialEvent;
     std::optional<std::uint64_t> m_lastId;
+    bool m_hasEvents = false;
 };
 
 } // namespace plumfold::core
--- a/packages/core/src/plumfold_event_cursor.cpp
+++ b/packages/core/src/plumfold_event_cursor.cpp
@@ -18,6 +18,7 @@
         end = std::max(end, lastCrLf + 4);
     std::string complete = m_partialEvent.substr(0, end);
     m_partialEvent.erase(0, end);
+    m_hasEvents = m_hasEvents || end > 0;
     parseEventIds(complete);
     return complete;
 }
--- a/packages/forwarding/src/plumfold_request_attempt.cpp
+++ b/packages/forwarding/src/plumfold_request_attempt.cpp
@@ -204,7 +204,8 @@
         }
         if (isMismatched)
             co_return classifyFailure(http::error::partial_message);
-        if (isComplete && parser.keep_alive() && connection.buffer.size() == 0 && !m_callerDisconnected)
+        bool isReusable = isComplete && end != core::attempt_result::lost && parser.keep_alive();
+        if (isReusable && connection.buffer.size() == 0 && !m_callerDisconnected)
             m_state.connections.release(std::move(m_connection));
         co_return end;
     }
@@ -278,17 +279,17 @@
         if (!co_await readChunk(parser, chunk))
             co_return classifyFailure(asio::error::connection_reset);
         auto events = m_events.feed(chunk);
-        if (m_route->isResumable)
-            chunk = std::move(events);
-        if (!chunk.empty() && !co_await relayChunk(std::move(chunk))) {
+        if (!events.empty() && !co_await relayChunk(std::move(events))) {
             onCallerDisconnected();
             co_return core::attempt_result::abandoned;
         }
     }
-    std::string rest = m_events.takePartialEvent();
-    m_partialEventBytes = rest.size();
-    if (m_route->isResumable && !rest.empty())
-        co_await relayChunk(std::move(rest));
+    m_partialEventBytes = m_events.partialEventBytes();
+    bool endedWithoutEvents = parser.need_eof() && !m_events.hasEvents();
+    if (m_partialEventBytes > 0 || endedWithoutEvents) {
+        m_reason = "stream_truncated";
+        co_return core::attempt_result::lost;
+    }
     if (!m_streamStarted && !co_await writeStreamHead())
         co_return core::attempt_result::abandoned;
     m_streamDone = true;
--- a/tests/core/plumfold_event_cursor_tests.cpp
+++ b/tests/core/plumfold_event_cursor_tests.cpp
@@ -10,10 +10,14 @@
     event_cursor cursor;
     CHECK(cursor.feed("id: 1\ndata: a\n\nid: 2\nda") == "id: 1\ndata: a\n\n");
     CHECK(cursor.lastId() == 1);
+    CHECK(cursor.partialEventBytes() == 8);
+    CHECK(cursor.hasEvents());
     cursor.startAttempt();
+    CHECK(cursor.partialEventBytes() == 0);
+    CHECK_FALSE(cursor.hasEvents());
     CHECK(cursor.feed("id: 2\ndata: b\n\n") == "id: 2\ndata: b\n\n");
     CHECK(cursor.lastId() == 2);
-    CHECK(cursor.takePartialEvent().empty());
+    CHECK(cursor.partialEventBytes() == 0);
 }
 
 TEST_CASE("Events are passed on once complete, however the stream is split", "[event_cursor]")
