Test that fails: a service's broken answer is delivered and stored as complete

Found by looking for the same cause on the path of our own interface: an answer in chunks whose connection is closed before the last chunk, and one without a length whose connection is reset.

--- a/tests/fakes/plumfold_fake_service_main.cpp
+++ b/tests/fakes/plumfold_fake_service_main.cpp
@@ -45,6 +45,7 @@
     std::atomic<int> running { 0 };
     std::atomic<int> delayMs { 0 };
     std::atomic<bool> dropResponse { false }; // disconnects after execution
+    std::string cutResponse; // how a response is broken off: "chunked" or "reset"; empty: not at all
     std::atomic<bool> rejectRequests { false };
     std::atomic<bool> crashAfterRun { false };
     std::atomic<bool> leaving { false };
@@ -85,6 +86,10 @@
     {
         m_service.delayMs = in.value("delay_ms", 0);
         m_service.dropResponse = in.value("drop_answer", false);
+        {
+            std::lock_guard lock(m_service.mutex);
+            m_service.cutResponse = in.value("cut_answer", "");
+        }
         m_service.rejectRequests = in.value("refuse", false);
         m_service.crashAfterRun = in.value("die_after_run", false);
         m_service.leaving = in.value("leaving", false);
@@ -103,8 +108,10 @@
         std::this_thread::sleep_for(std::chrono::milliseconds(m_service.delayMs.load()));
         std::string key = request.get("Idempotency-Key", "");
         int count = 0;
+        std::string cutResponse;
         {
             std::lock_guard lock(m_service.mutex);
+            cutResponse = m_service.cutResponse;
             count = ++m_service.executions[key];
             if (m_service.log.is_open())
                 m_service.log << key << std::endl;
@@ -116,10 +123,25 @@
             static_cast<Poco::Net::HTTPServerRequestImpl&>(request).socket().shutdown();
             return;
         }
+        if (!cutResponse.empty()) {
+            sendCutResponse(static_cast<Poco::Net::HTTPServerRequestImpl&>(request).socket(), cutResponse);
+            return;
+        }
         fakes::sendJsonResponse(
             response, json { { "done", key }, { "execution", count }, { "bytes", body.size() } });
     }
 
+    static void sendCutResponse(Poco::Net::StreamSocket& socket, const std::string& how)
+    {
+        std::string bytes = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n";
+        bytes += how == "chunked" ? "Transfer-Encoding: chunked\r\n\r\n7\r\n{\"done\"\r\n" : "\r\n{\"done\"";
+        socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+        std::this_thread::sleep_for(std::chrono::milliseconds(50)); // a reset discards what was not yet read
+        if (how == "reset")
+            socket.setLinger(true, 0);
+        socket.close();
+    }
+
     fake_service& m_service;
 };
 
--- a/tests/process/plumfold_at_most_once_tests.cpp
+++ b/tests/process/plumfold_at_most_once_tests.cpp
@@ -62,6 +62,21 @@
     CHECK(order(2, "").errorType == "idempotency_key_missing");
 }
 
+TEST_CASE_METHOD(order_system,
+    "A service's answer that is broken off is neither delivered nor stored as complete",
+    "[at-most-once][truncation]")
+{
+    for (const char* how : { "chunked", "reset" }) {
+        INFO(how);
+        std::string key = std::string("cut-") + how;
+        setFaultsOnBoth({ { "cut_answer", how } });
+        CHECK(order(1, key).status != 200);
+        setFaultsOnBoth({});
+        CHECK(order(2, key).status != 200);
+        CHECK(executions(key) == 1);
+    }
+}
+
 TEST_CASE_METHOD(
     order_system, "Concurrent orders with one key through both entries run once", "[at-most-once]")
 {
