--- a/tests/forwarding/support/plumfold_scripted_target.cpp
+++ b/tests/forwarding/support/plumfold_scripted_target.cpp
@@ -110,6 +110,14 @@
         { "events-sized-cut", &scripted_target::streamSizedEndMidEvent },
         { "unframed-reset", &scripted_target::resetUnframed },
         { "events-unframed-reset", &scripted_target::resetUnframedStream },
+        { "endless-head", &scripted_target::sendEndlessHead },
+        { "endless-interim", &scripted_target::sendEndlessInterim },
+        { "endless-chunk-line", &scripted_target::sendEndlessChunkLine },
+        { "endless-body", &scripted_target::sendEndlessBody },
+        { "endless-foreign", &scripted_target::sendEndlessForeignResponses },
+        { "endless-event", &scripted_target::sendEndlessEvent },
+        { "endless-events", &scripted_target::sendEndlessEvents },
+        { "endless-drip", &scripted_target::dripBytes },
     };
     exchange current { socket, {}, {}, true };
     try {
@@ -346,4 +354,63 @@
     current.reset();
 }
 
+void scripted_target::sendEndlessly(
+    exchange& current, const std::string& bytes, std::chrono::milliseconds pause)
+{
+    while (!m_stopping) {
+        current.send(bytes);
+        std::this_thread::sleep_for(pause);
+    }
+    current.keepAlive = false;
+}
+
+void scripted_target::sendEndlessHead(exchange& current)
+{
+    current.send("HTTP/1.1 200 OK\r\n");
+    sendEndlessly(current, "Filler: " + std::string(1000, 'x') + "\r\n");
+}
+
+void scripted_target::sendEndlessInterim(exchange& current)
+{
+    sendEndlessly(current, "HTTP/1.1 102 Processing\r\n\r\n");
+}
+
+void scripted_target::sendEndlessChunkLine(exchange& current)
+{
+    current.send(
+        current.head("200 OK", "Response-Signature: " + m_name + "\r\nTransfer-Encoding: chunked\r\n")
+        + "5;");
+    sendEndlessly(current, std::string(1000, 'x'));
+}
+
+void scripted_target::sendEndlessBody(exchange& current)
+{
+    current.send(current.head("200 OK", "Response-Signature: " + m_name + "\r\n"));
+    sendEndlessly(current, std::string(64 << 10, 'x'));
+}
+
+void scripted_target::sendEndlessForeignResponses(exchange& current)
+{
+    sendEndlessly(current,
+        "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nResponse-Signature: x\r\nContent-Length: 5\r\n\r\nother");
+}
+
+void scripted_target::sendEndlessEvent(exchange& current)
+{
+    current.send(current.head("200 OK", "Response-Signature: " + m_name + "\r\n") + "id: 1\ndata: ");
+    sendEndlessly(current, std::string(1000, 'x'));
+}
+
+void scripted_target::sendEndlessEvents(exchange& current)
+{
+    current.send(current.head("200 OK", "Response-Signature: " + m_name + "\r\n"));
+    sendEndlessly(current, "id: 1\ndata: e1\n\n");
+}
+
+void scripted_target::dripBytes(exchange& current)
+{
+    current.send(current.head("200 OK", "Response-Signature: " + m_name + "\r\n"));
+    sendEndlessly(current, "x", std::chrono::milliseconds(10));
+}
+
 } // namespace plumfold::tests
--- a/tests/forwarding/support/plumfold_scripted_target.hpp
+++ b/tests/forwarding/support/plumfold_scripted_target.hpp
@@ -66,6 +66,16 @@
     void streamSizedEndMidEvent(exchange& current);
     void resetUnframed(exchange& current);
     void resetUnframedStream(exchange& current);
+    void sendEndlessHead(exchange& current);
+    void sendEndlessInterim(exchange& current);
+    void sendEndlessChunkLine(exchange& current);
+    void sendEndlessBody(exchange& current);
+    void sendEndlessForeignResponses(exchange& current);
+    void sendEndlessEvent(exchange& current);
+    void sendEndlessEvents(exchange& current);
+    void dripBytes(exchange& current);
+    /// Repeats bytes until the caller closes the connection.
+    void sendEndlessly(exchange& current, const std::string& bytes, std::chrono::milliseconds pause = {});
 
     std::string m_name;
     std::string m_address;
