End an attempt at its deadline although bytes keep arriving

Requests with a deadline of 2 s ran until the caller gave up after 10 s, streams for up to 29 s, when a target sent bytes without end.

Cause: Beast's timeout of a stream restarts its timer with each read. While the next bytes are already there, a read completes before the timer is looked at, so the timeout never fires; inside one read of a chunk line it can't be checked in between either.

Change: each request has a timer of its own for its deadline, which closes the connection to the target. An attempt does not start after the deadline.

Ruled out: the caller's side (writes to it are limited to 3 s each).

--- a/packages/forwarding/src/plumfold_request_attempt.cpp
+++ b/packages/forwarding/src/plumfold_request_attempt.cpp
@@ -111,6 +111,10 @@
         m_reason = "connect_failed";
         co_return core::attempt_result::not_reached;
     }
+    if (runtime::now() >= m_deadline) {
+        m_state.connections.release(std::move(m_connection));
+        co_return classifyFailure(beast::error::timeout);
+    }
     // The target may have become cold, or the granted start may have expired, while the connection was
     // opened.
     bool hasColdStart = placement.isCold && runtime::nowWithSuspension() < m_coldStartUntil;
@@ -343,6 +347,16 @@
     });
 }
 
+/// The timeout of a stream does not fire while bytes keep arriving, since each read restarts its timer.
+void request_forwarder::armDeadline()
+{
+    m_deadlineTimer.expires_at(m_deadline);
+    m_deadlineTimer.async_wait([this, alive = std::weak_ptr<bool>(m_alive)](const error_code& error) {
+        if (!error && !alive.expired() && m_connection)
+            m_connection->stream.close();
+    });
+}
+
 void request_forwarder::onWatchdog()
 {
     if (!m_connection)
--- a/packages/forwarding/src/plumfold_request_forwarder.cpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.cpp
@@ -46,6 +46,7 @@
     , m_deployment(state.deployment)
     , m_receivedAt(runtime::now())
     , m_watchdog(state.io)
+    , m_deadlineTimer(state.io)
 {
 }
 
@@ -60,7 +61,9 @@
         co_await waitForDeployment();
     if (admit()) {
         m_caller.watchForDisconnect([this] { onCallerDisconnected(); });
+        armDeadline();
         co_await runAttempts();
+        m_deadlineTimer.cancel();
         m_caller.stopWatchingForDisconnect();
     }
     bool delivered = false;
--- a/packages/forwarding/src/plumfold_request_forwarder.hpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.hpp
@@ -62,6 +62,7 @@
     void onCallerDisconnected();
     void armWatchdog();
     void onWatchdog();
+    void armDeadline();
     void log(bool delivered);
 
     core::placement_request placementRequest() const;
@@ -103,6 +104,7 @@
     core::event_cursor m_events;
     std::vector<std::string> m_fetchedFrom; // sources of KV parts in the current attempt
     asio::steady_timer m_watchdog;
+    asio::steady_timer m_deadlineTimer;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); // for handlers that outlive this object
     core::instant m_lastByteAt {}; // of the current attempt
     core::instant m_sentAt {}; // of the current attempt
