Limit what an entry buffers of targets' answers

A target that sends a body or the line before a chunk without end took 232 to 1034 MB of an entry (16 requests, deadline 2 s); machines have 88 to 260 MB.

Cause: a plain answer was buffered up to 64 MB each, a partial event and the bytes before the parser without a limit.

Change: buffered answers and partial events share a budget (/forwarding/responseBufferBytes, 16 MiB; 16 KiB of each are not counted). A buffer may grow up to what is still free, so any number of endless ones leaves room for others. At most 64 KiB wait for the parser. Late responses to other requests are read and dropped, 16 at most with interim ones.

Ruled out: heads (8 KB at most in the parser), interim responses (no memory).

--- a/packages/forwarding/src/plumfold_forwarding_role.cpp
+++ b/packages/forwarding/src/plumfold_forwarding_role.cpp
@@ -51,7 +51,7 @@
         , m_sharedLimits(m_io, rpc, m_settings)
         , m_state { m_io, m_settings, m_metrics, m_sharedLimits, nullptr, 0,
             core::target_selector(targetSelectorOptions(m_settings)), retryBudget(*m_settings.forwarding),
-            target_connection_pool(m_io) }
+            target_connection_pool(m_io), core::buffer_budget(m_settings.forwarding->responseBufferBytes) }
         , m_acceptor(m_io, endpointOf(m_settings.forwarding->callerAddress))
         , m_status(*m_settings.forwarding, m_metrics)
         , m_follower(rpc, m_settings, [this](control_update update) {
--- a/packages/forwarding/src/plumfold_forwarding_state.hpp
+++ b/packages/forwarding/src/plumfold_forwarding_state.hpp
@@ -5,6 +5,7 @@
 #include "plumfold_target_connection_pool.hpp"
 
 #include "plumfold/core/plumfold_admission.hpp"
+#include "plumfold/core/plumfold_buffer_budget.hpp"
 #include "plumfold/core/plumfold_deployment.hpp"
 #include "plumfold/core/plumfold_part_directory.hpp"
 #include "plumfold/core/plumfold_target_selector.hpp"
@@ -29,6 +30,7 @@
     core::target_selector targetSelector;
     core::windowed_retry_budget retryBudget;
     target_connection_pool connections;
+    core::buffer_budget responseBuffers;
     core::admission admission {};
     core::part_directory parts {};
     core::part_planner partPlanner {};
--- a/packages/forwarding/src/plumfold_request_attempt.cpp
+++ b/packages/forwarding/src/plumfold_request_attempt.cpp
@@ -20,6 +20,8 @@
 constexpr std::size_t relayBufferBytes = 16 << 10;
 constexpr std::uint64_t maxResponseBytes = 64 << 20;
 constexpr unsigned statusServerError = 500;
+/// Interim responses and late responses to earlier requests that may precede the response to a request.
+constexpr unsigned maxSkippedResponses = 16;
 
 /// @return what delimits the body of a response, for the log.
 template <class Parser> const char* framingOf(const Parser& parser)
@@ -181,7 +183,7 @@
 
 task<core::attempt_result> request_forwarder::receive(target_connection& connection)
 {
-    while (true) {
+    for (unsigned skipped = 0; skipped <= maxSkippedResponses; ++skipped) {
         target_response_parser parser;
         parser.body_limit(maxResponseBytes);
         error_code error;
@@ -199,20 +201,32 @@
         bool isMismatched = !head.requestId.empty() && head.requestId != m_head.id;
         bool isStream = !isMismatched && !head.isNotExecuted && m_route->kind == core::request_kind::stream
             && parser.get().result_int() == statusOk && !head.isEncoded && head.isSigned;
-        auto end = isStream ? co_await relayStream(parser) : co_await receiveBuffered(parser, head);
-        bool isComplete = parser.is_done() && !parser.need_eof();
-        if (isMismatched && isComplete) {
+        if (isMismatched && parser.need_eof())
+            co_return classifyFailure(http::error::partial_message);
+        if (isMismatched) {
             // A late response to an earlier request; the response to this one follows.
-            m_response.reset();
+            if (!co_await discardBody(parser))
+                co_return classifyFailure(http::error::partial_message);
             continue;
         }
-        if (isMismatched)
-            co_return classifyFailure(http::error::partial_message);
+        auto end = isStream ? co_await relayStream(parser) : co_await receiveBuffered(parser, head);
+        bool isComplete = parser.is_done() && !parser.need_eof();
         bool isReusable = isComplete && end != core::attempt_result::lost && parser.keep_alive();
         if (isReusable && connection.buffer.size() == 0 && !m_callerDisconnected)
             m_state.connections.release(std::move(m_connection));
         co_return end;
     }
+    m_reason = "too_many_responses";
+    co_return core::attempt_result::lost;
+}
+
+task<bool> request_forwarder::discardBody(target_response_parser& parser)
+{
+    std::string chunk;
+    bool isReadable = true;
+    while (isReadable && !parser.is_done())
+        isReadable = co_await readChunk(parser, chunk);
+    co_return isReadable;
 }
 
 task<bool> request_forwarder::readChunk(target_response_parser& parser, std::string& chunk)
@@ -241,6 +255,10 @@
     while (!parser.is_done()) {
         if (!co_await readChunk(parser, chunk))
             co_return classifyFailure(http::error::partial_message);
+        if (!m_buffered.resize(response.body.size() + chunk.size())) {
+            m_reason = "response_too_large";
+            co_return core::attempt_result::lost;
+        }
         response.body += chunk;
     }
     if (head.isNotExecuted) {
@@ -283,6 +301,10 @@
         if (!co_await readChunk(parser, chunk))
             co_return classifyFailure(asio::error::connection_reset);
         auto events = m_events.feed(chunk);
+        if (!m_buffered.resize(m_events.partialEventBytes())) {
+            m_reason = "event_too_large";
+            co_return core::attempt_result::lost;
+        }
         if (!events.empty() && !co_await relayChunk(std::move(events))) {
             onCallerDisconnected();
             co_return core::attempt_result::abandoned;
--- a/packages/forwarding/src/plumfold_request_forwarder.cpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.cpp
@@ -45,6 +45,7 @@
     , m_head(platform::decodeCallerRequest(m_request.base()))
     , m_deployment(state.deployment)
     , m_receivedAt(runtime::now())
+    , m_buffered(state.responseBuffers)
     , m_watchdog(state.io)
     , m_deadlineTimer(state.io)
 {
--- a/packages/forwarding/src/plumfold_request_forwarder.hpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.hpp
@@ -53,6 +53,7 @@
     task<core::attempt_result> receiveBuffered(
         target_response_parser& parser, const platform::target_response_head& head);
     task<core::attempt_result> relayStream(target_response_parser& parser);
+    task<bool> discardBody(target_response_parser& parser);
     task<bool> readChunk(target_response_parser& parser, std::string& chunk);
     task<bool> relayChunk(std::string chunk);
     task<bool> writeStreamHead();
@@ -98,6 +99,7 @@
     std::unique_ptr<target_connection> m_connection; // of the current attempt
 
     std::optional<buffered_response> m_response;
+    core::buffer_share m_buffered; // of the response, or of the partial event of a stream
     bool m_streamStarted = false;
     bool m_streamDone = false;
     http::response<http::empty_body> m_streamHead;
--- a/packages/forwarding/src/plumfold_target_connection_pool.hpp
+++ b/packages/forwarding/src/plumfold_target_connection_pool.hpp
@@ -11,6 +11,9 @@
 
 namespace plumfold::forwarding {
 
+/// Limit of the received bytes that are not parsed yet: headers, or the line that begins a chunk.
+inline constexpr std::size_t maxUnparsedBytes = 64 << 10;
+
 /// A connection to a target.
 struct target_connection {
     explicit target_connection(asio::io_context& io)
@@ -19,7 +22,7 @@
     }
 
     beast::tcp_stream stream;
-    beast::flat_buffer buffer; ///< Bytes received but not yet parsed.
+    beast::flat_buffer buffer { maxUnparsedBytes }; ///< Bytes received but not yet parsed.
     std::string key; ///< Key in the pool: target@address.
     core::instant idleSince {};
     core::milliseconds idleTimeout { 0 }; ///< Advertised by the target; 0: unknown.
--- a/packages/runtime/include/plumfold/runtime/plumfold_settings.hpp
+++ b/packages/runtime/include/plumfold/runtime/plumfold_settings.hpp
@@ -69,6 +69,8 @@
     std::uint64_t retryPercent = 20; ///< Retries to a service, as a share of its requests.
     std::uint64_t retryWindowMs = 10'000;
     std::uint64_t weightsBoundMs = 10'000; ///< Time limit for starting requests on stale weights.
+    /// Limit of all buffered parts of targets' answers beyond 16 KiB each.
+    std::uint64_t responseBufferBytes = 16 << 20;
 };
 
 /// Membership in the control group, which replicates the configuration.
--- a/packages/runtime/src/plumfold_settings.cpp
+++ b/packages/runtime/src/plumfold_settings.cpp
@@ -130,6 +130,8 @@
             100, 600'000 },
         { "weightsBoundMs", &forwarding_settings::weightsBoundMs, "milliseconds, 100 to 3600000", false,
             false, 100, maxDurationMs },
+        { "responseBufferBytes", &forwarding_settings::responseBufferBytes, "bytes, at least 1048576", false,
+            false, 1 << 20 },
     };
     return all;
 }
