Search each byte of a stream for the end of an event once

A target that sends an event without end costs the entry a search from the beginning of the event for each piece, on the thread that serves all callers: 47.0 s for 8 MiB in pieces of 1 KiB.

All line ends of server-sent events count (CR, LF, both, mixed); before, a blank line after CR alone was not seen, which now would make a stream look broken off.

--- a/packages/core/include/plumfold/core/plumfold_event_cursor.hpp
+++ b/packages/core/include/plumfold/core/plumfold_event_cursor.hpp
@@ -25,6 +25,9 @@
     {
         m_partialEvent.clear();
         m_hasEvents = false;
+        m_previous = 0;
+        m_isLineEmpty = true;
+        m_isEventEnd = false;
     }
 
     /// @return whether the current attempt delivered a complete event.
@@ -34,11 +37,17 @@
     std::size_t partialEventBytes() const { return m_partialEvent.size(); }
 
 private:
+    /// Continues the search for blank lines. Lines end with CR, LF or both.
+    /// @return the position after the last one; 0: there is none.
+    std::size_t findLastEventEnd(std::string_view bytes);
     void parseEventIds(std::string_view events);
 
     std::string m_partialEvent;
     std::optional<std::uint64_t> m_lastId;
     bool m_hasEvents = false;
+    char m_previous = 0; // the last byte that was searched
+    bool m_isLineEmpty = true; // the current line has no bytes yet
+    bool m_isEventEnd = false; // the last line was blank
 };
 
 } // namespace plumfold::core
--- a/tests/core/plumfold_event_cursor_tests.cpp
+++ b/tests/core/plumfold_event_cursor_tests.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <chrono>
+
 using plumfold::core::event_cursor;
 
 TEST_CASE(
@@ -22,7 +24,8 @@
 
 TEST_CASE("Events are passed on once complete, however the stream is split", "[event_cursor]")
 {
-    const std::string stream = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 10\ndata: c\n\n";
+    const std::string stream
+        = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\rdata: c\r\rid: 10\ndata: d\n\r\n";
     for (std::size_t size = 1; size < stream.size(); ++size) {
         event_cursor cursor;
         std::string passed;
@@ -30,5 +33,18 @@
             passed += cursor.feed(stream.substr(at, size));
         CHECK(passed == stream);
         CHECK(cursor.lastId() == 10);
+        CHECK(cursor.partialEventBytes() == 0);
     }
 }
+
+TEST_CASE("The time to split a stream grows with its length, not with its square", "[event_cursor]")
+{
+    constexpr std::size_t pieces = 8192;
+    const std::string piece(1024, 'x');
+    event_cursor cursor;
+    auto start = std::chrono::steady_clock::now();
+    for (std::size_t count = 0; count < pieces; ++count)
+        CHECK(cursor.feed(piece).empty());
+    CHECK(cursor.partialEventBytes() == pieces * piece.size());
+    CHECK(std::chrono::steady_clock::now() - start < std::chrono::seconds(1));
+}
