Decode and log the software version of targets and what a request takes up

No log told which software version a target has, since announcements were decoded without it, nor whether a request takes a stream up. The version goes with the announcement to control and entries; target_changed logs it, and request_ended logs the version of the last target, the attempt and event from which a stream is taken up and the last event passed on. A changed version is a change of the target. The choice of targets does not look at it.

--- a/packages/control/src/plumfold_deployment_feed.cpp
+++ b/packages/control/src/plumfold_deployment_feed.cpp
@@ -69,6 +69,7 @@
         .with("state", stateName(target.state))
         .with("started_at", target.startedAt)
         .with("sequence", target.sequence)
+        .with("version", target.softwareVersion.empty() ? std::string("none") : target.softwareVersion)
         .with("cold_ms", target.coldFor.count())
         .with("weights", target.models.empty() ? std::string("none") : target.models.front().version);
 }
--- a/packages/core/include/plumfold/core/plumfold_target_directory.hpp
+++ b/packages/core/include/plumfold/core/plumfold_target_directory.hpp
@@ -30,6 +30,7 @@
     unix_milliseconds startedAt = 0; ///< Identifies the incarnation.
     std::uint64_t sequence = 0; ///< Increases with each announcement of an incarnation.
     std::vector<loaded_model> models;
+    std::string softwareVersion; ///< Of the target's program, not of its weights; empty: unknown.
     auto operator<=>(const target_announcement&) const = default;
 };
 
--- a/packages/core/include/plumfold/core/plumfold_target_selector.hpp
+++ b/packages/core/include/plumfold/core/plumfold_target_selector.hpp
@@ -44,6 +44,7 @@
     std::string address;
     std::string weights; ///< Last known weight version of the target; empty for plain services.
     std::string failureDomain;
+    std::string softwareVersion; ///< As last announced; empty: unknown.
     double predictedMs = 0; ///< Predicted time to the first event; 0 for plain services.
     double waitMs = 0; ///< Part of the prediction that is caused by other requests.
     bool isHolder = false; ///< The target is listed as a holder of the shared part.
--- a/packages/core/src/plumfold_target_directory.cpp
+++ b/packages/core/src/plumfold_target_directory.cpp
@@ -15,7 +15,7 @@
 {
     auto compared = [](const target_announcement& each) {
         return std::tie(each.service, each.address, each.failureDomain, each.slots, each.state,
-            each.startedAt, each.models);
+            each.startedAt, each.models, each.softwareVersion);
     };
     bool coldChanged = (left.coldFor.count() > 0) != (right.coldFor.count() > 0);
     return coldChanged || compared(left) != compared(right);
--- a/packages/core/src/plumfold_target_selector.cpp
+++ b/packages/core/src/plumfold_target_selector.cpp
@@ -212,8 +212,8 @@
     while (target.unreportedAttempts.size() > maxUnreportedAttempts
         || now - target.unreportedAttempts.front().first > m_options.maxLoadAge)
         target.unreportedAttempts.pop_front();
-    placement out { target.last.name, target.last.address, {}, target.last.failureDomain, 0, 0,
-        isHolder(target, request), false, isCold(target, now) };
+    placement out { target.last.name, target.last.address, {}, target.last.failureDomain,
+        target.last.softwareVersion, 0, 0, isHolder(target, request), false, isCold(target, now) };
     for (const auto& loaded : target.last.models) {
         if (loaded.model == request.model)
             out.weights = loaded.version;
--- a/packages/forwarding/src/plumfold_request_forwarder.cpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.cpp
@@ -207,6 +207,7 @@
         }
         m_lastTarget = selection.chosen->target;
         m_lastWeights = selection.chosen->weights;
+        m_lastVersion = selection.chosen->softwareVersion;
         auto attemptResult = co_await attempt(*selection.chosen);
         m_connection.reset();
         m_watchdog.cancel();
@@ -354,6 +355,10 @@
         .with("sends", m_attemptCount)
         .with("cold_start_requests", m_coldStartRequests)
         .with("target", m_lastTarget.empty() ? std::string("none") : m_lastTarget)
+        .with("version", m_lastVersion.empty() ? std::string("none") : m_lastVersion)
+        .with("resumes", m_head.resumes.empty() ? std::string("none") : m_head.resumes)
+        .with("after_event", m_head.lastEventId.value_or(0))
+        .with("last_event", m_events.lastId().value_or(0))
         .with("weights", m_lastWeights.empty() ? std::string("none") : m_lastWeights)
         .with("conversation", core::conversationOf(m_head.parts))
         .with("parts", m_head.parts.size())
--- a/packages/forwarding/src/plumfold_request_forwarder.hpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.hpp
@@ -88,6 +88,7 @@
     std::set<std::string> m_unreachableTargets;
     std::string m_lastTarget;
     std::string m_lastWeights;
+    std::string m_lastVersion; // software version of the last target
     unsigned m_attemptCount = 0;
     unsigned m_coldStartRequests = 0;
     core::instant m_coldStartUntil {}; // until when a granted start may be used, with suspensions
--- a/packages/wire/schema/plumfold.capnp
+++ b/packages/wire/schema/plumfold.capnp
@@ -230,6 +230,7 @@
   startedAt @7 :UInt64;
   sequence @8 :UInt64;
   models @9 :List(LoadedModel);
+  softwareVersion @10 :Text;
 }
 # KV parts that a store or an engine holds whole, see core::part_update.
 struct PartChange { part @0 :UInt64; tokens @1 :UInt32; }
--- a/packages/wire/src/plumfold_convert_deployment.cpp
+++ b/packages/wire/src/plumfold_convert_deployment.cpp
@@ -56,6 +56,7 @@
     out.setColdForMs(static_cast<std::uint32_t>(value.coldFor.count()));
     out.setStartedAt(value.startedAt);
     out.setSequence(value.sequence);
+    out.setSoftwareVersion(value.softwareVersion);
     auto models = out.initModels(value.models.size());
     for (unsigned index = 0; index < value.models.size(); ++index) {
         models[index].setModel(value.models[index].model);
@@ -77,6 +78,7 @@
     value.coldFor = core::milliseconds(in.getColdForMs());
     value.startedAt = in.getStartedAt();
     value.sequence = in.getSequence();
+    value.softwareVersion = text(in.getSoftwareVersion());
     for (auto each : in.getModels())
         value.models.push_back(
             { text(each.getModel()), text(each.getVersion()), readTexts(each.getAdapters()) });
