Tests that fail: streams join two software versions

Real control VMs in three failure domains, four entries and targets of two versions whose events carry the version; callers take streams up with Resumes. Joined streams and the share that goes on are counted in the same run.

The disturbances of the soak of shared limits move to a header, for any number of entries.

--- a/tests/forwarding/plumfold_shared_limit_tests.cpp
+++ b/tests/forwarding/plumfold_shared_limit_tests.cpp
@@ -1,12 +1,10 @@
+#include "support/plumfold_disturbances.hpp"
 #include "support/plumfold_forwarding_system.hpp"
 
 #include <catch2/catch.hpp>
 
 #include <algorithm>
 #include <chrono>
-#include <cstdlib>
-#include <map>
-#include <random>
 #include <thread>
 
 using namespace plumfold::tests;
@@ -76,87 +74,6 @@
     }
 };
 
-/// Disturbs control VMs and entries of a system at random, one after another and overlapping.
-class disturbances {
-public:
-    disturbances(system_of_many_entries& system, unsigned seed)
-        : m_system(system)
-        , m_random(seed)
-    {
-    }
-    ~disturbances() { resumeDue(std::chrono::steady_clock::time_point::max()); }
-
-    void runFor(std::chrono::milliseconds time)
-    {
-        auto until = std::chrono::steady_clock::now() + time;
-        while (std::chrono::steady_clock::now() < until) {
-            disturb();
-            std::this_thread::sleep_for(std::chrono::milliseconds(100 + m_random() % 600));
-            resumeDue(std::chrono::steady_clock::now());
-        }
-        resumeDue(std::chrono::steady_clock::time_point::max());
-    }
-
-private:
-    void disturb()
-    {
-        auto control = static_cast<int>(1 + m_random() % 3);
-        auto entry = static_cast<int>(1 + m_random() % system_of_many_entries::entries);
-        switch (m_random() % 5) {
-        case 0:
-            pause("c" + std::to_string(control), std::chrono::milliseconds(200 + m_random() % 2'500));
-            break;
-        case 1:
-            // Longer than the others wait before they take its failure domain over.
-            pause("c" + std::to_string(control), std::chrono::milliseconds(6'000 + m_random() % 2'000));
-            break;
-        case 2:
-            if (m_paused.contains("c" + std::to_string(control)))
-                break;
-            m_system.process("c" + std::to_string(control)).kill();
-            m_system.startControl(control);
-            break;
-        case 3:
-            pause("n" + std::to_string(entry), std::chrono::milliseconds(100 + m_random() % 1'500));
-            break;
-        default:
-            if (m_paused.contains("n" + std::to_string(entry)))
-                break;
-            m_system.process("n" + std::to_string(entry)).kill();
-            m_system.startEntry(entry);
-        }
-    }
-
-    void pause(const std::string& name, std::chrono::milliseconds time)
-    {
-        if (m_paused.contains(name))
-            return;
-        m_system.process(name).pause();
-        m_paused[name] = std::chrono::steady_clock::now() + time;
-    }
-
-    void resumeDue(std::chrono::steady_clock::time_point now)
-    {
-        std::erase_if(m_paused, [&](const auto& each) {
-            if (each.second > now)
-                return false;
-            m_system.process(each.first).resume();
-            return true;
-        });
-    }
-
-    system_of_many_entries& m_system;
-    std::minstd_rand m_random;
-    std::map<std::string, std::chrono::steady_clock::time_point> m_paused; // until when
-};
-
-/// @return the seed of a soak; PLUMFOLD_SOAK_SEED replaces the default one.
-unsigned soakSeed()
-{
-    const char* seed = std::getenv("PLUMFOLD_SOAK_SEED");
-    return seed ? static_cast<unsigned>(std::strtoul(seed, nullptr, 10)) : 20261204;
-}
-
 class system_of_three_domains : public system_of_many_entries {
 public:
     system_of_three_domains()
@@ -178,7 +95,7 @@
     startAnnouncing();
     INFO("seed " << soakSeed());
     std::thread callers([this, disturbedTime, calmTime] { sendFor(disturbedTime + calmTime); });
-    disturbances(*this, soakSeed()).runFor(disturbedTime);
+    disturbances(*this, entries, soakSeed()).runFor(disturbedTime);
     std::this_thread::sleep_for(calmTime - 3s);
     auto before = first.requests().size();
     callers.join();
--- /dev/null
+++ b/tests/forwarding/plumfold_stream_version_tests.cpp
@@ -0,0 +1,248 @@
+#include "support/plumfold_disturbances.hpp"
+#include "support/plumfold_forwarding_system.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <chrono>
+#include <mutex>
+#include <random>
+#include <set>
+#include <sstream>
+#include <thread>
+#include <vector>
+
+using namespace plumfold::tests;
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr int entries = 4;
+constexpr auto maxPause = 2'000ms; // of a stream, after which its caller gives the attempt up
+
+/// A stream as a caller received it, over all of its attempts.
+struct caller_stream {
+    std::string firstId; ///< Request id of the attempt that delivered the first event.
+    int lastEvent = 0;
+    bool isComplete = false;
+    int status = 0; ///< Of the last attempt.
+    std::set<std::string> versions; ///< Software versions whose events it holds.
+};
+
+/// Counts what happened to streams and to attempts to take them up.
+struct stream_counts {
+    int attempts = 0; ///< New streams that an entry responded to.
+    int begun = 0; ///< Of these, delivered an event.
+    int takeUps = 0; ///< Attempts to take a stream up that an entry responded to.
+    int wentOn = 0; ///< Of these, delivered an event or the end of the stream.
+    int joined = 0; ///< Streams with events of two versions.
+    int gaps = 0; ///< Events that are missing or came twice.
+};
+
+/// Control VMs in three failure domains, entries, and targets of two software versions.
+class two_version_system : public forwarding_system {
+public:
+    two_version_system()
+    {
+        setFailureDomains({ "east", "north", "south" });
+        for (int number = 1; number <= 3; ++number)
+            startControl(number);
+        auto body = deployment(3);
+        for (auto& route : body["routes"])
+            route["timeout-ms"] = 8000;
+        putDeployment(1, body);
+        for (int number = 1; number <= entries; ++number)
+            startEntry(number);
+        for (const char* name : { "a1", "a2", "a3" })
+            m_started.push_back(&startTarget(name, "shop", {}, "v1"));
+        for (const char* name : { "b1", "b2", "b3" })
+            m_started.push_back(&startTarget(name, "shop", {}, "v2"));
+        startAnnouncing();
+        for (int number = 1; number <= entries; ++number)
+            waitForTarget(number);
+    }
+
+    void breakOffStreams(int interval)
+    {
+        for (auto* target : m_started)
+            target->breakOffStreams(interval);
+    }
+
+    /// Sends one attempt and adds what it delivers to the stream.
+    /// @return whether the entry responded.
+    bool attempt(int entry, caller_stream& stream, const std::string& key = "key-1")
+    {
+        auto id = nextId();
+        std::map<std::string, std::string> headers { { "Request-Deadline", "8000" }, { "Api-Key", key } };
+        if (!stream.firstId.empty()) {
+            headers["Resumes"] = stream.firstId;
+            headers["Last-Event-Id"] = std::to_string(stream.lastEvent);
+        }
+        raw_response response;
+        try {
+            raw_caller caller(callerAddress(entry));
+            caller.setReceiveTimeout(maxPause);
+            caller.send(requestBytes("/words/versioned", id, "order", headers));
+            response = caller.receive();
+        } catch (const Poco::Exception&) {
+            return false;
+        }
+        stream.status = response.status;
+        int before = stream.lastEvent;
+        if (response.status == 200)
+            add(response, stream);
+        if (stream.firstId.empty() && stream.lastEvent > 0)
+            stream.firstId = id;
+        std::lock_guard lock(m_mutex);
+        bool isTakeUp = headers.contains("Resumes");
+        bool isServed = stream.lastEvent > before || stream.isComplete;
+        if (response.status != 0) {
+            ++(isTakeUp ? m_counts.takeUps : m_counts.attempts);
+            (isTakeUp ? m_counts.wentOn : m_counts.begun) += isServed;
+        }
+        m_counts.joined += stream.versions.size() > 1 && response.status == 200;
+        return response.status != 0;
+    }
+
+    /// Begins streams at random entries and takes each up at another one until it is complete.
+    void streamFor(std::chrono::milliseconds time, unsigned callers)
+    {
+        std::vector<std::thread> threads;
+        auto until = std::chrono::steady_clock::now() + time;
+        for (unsigned number = 0; number < callers; ++number)
+            threads.emplace_back([this, number, until] {
+                std::minstd_rand random(number + 1);
+                while (std::chrono::steady_clock::now() < until) {
+                    caller_stream stream;
+                    for (int tries = 0; tries < 4 && !stream.isComplete; ++tries) {
+                        attempt(static_cast<int>(1 + random() % entries), stream);
+                        std::this_thread::sleep_for(50ms);
+                    }
+                }
+            });
+        for (auto& each : threads)
+            each.join();
+    }
+
+    stream_counts counts()
+    {
+        std::lock_guard lock(m_mutex);
+        return m_counts;
+    }
+
+private:
+    void add(const raw_response& response, caller_stream& stream)
+    {
+        std::istringstream lines(response.body);
+        std::string line;
+        int id = 0;
+        while (std::getline(lines, line)) {
+            if (line.starts_with("id: "))
+                id = std::atoi(line.c_str() + 4);
+            if (!line.starts_with("data: "))
+                continue;
+            if (id != stream.lastEvent + 1) {
+                std::lock_guard lock(m_mutex);
+                ++m_counts.gaps;
+            }
+            stream.lastEvent = id;
+            stream.versions.insert(line.substr(6));
+        }
+        stream.isComplete = response.isComplete;
+    }
+
+    std::vector<scripted_target*> m_started;
+    std::mutex m_mutex;
+    stream_counts m_counts;
+};
+
+void checkCounts(const stream_counts& counts)
+{
+    CAPTURE(counts.attempts, counts.begun, counts.takeUps, counts.wentOn, counts.joined, counts.gaps);
+    CHECK(counts.joined == 0);
+    CHECK(counts.gaps == 0);
+    REQUIRE(counts.takeUps >= 12);
+    REQUIRE(counts.begun > 0);
+    double wentOn = static_cast<double>(counts.wentOn) / counts.takeUps;
+    double begun = static_cast<double>(counts.begun) / counts.attempts;
+    CHECK(wentOn >= begun / 2);
+}
+
+} // namespace
+
+TEST_CASE_METHOD(two_version_system,
+    "A stream whose target breaks off goes on at the software version that began it",
+    "[forwarding][versions]")
+{
+    breakOffStreams(2);
+    streamFor(4s, 12);
+    checkCounts(counts());
+}
+
+TEST_CASE_METHOD(two_version_system,
+    "A stream that is taken up at another entry goes on at the software version that began it",
+    "[forwarding][versions]")
+{
+    for (int round = 0; round < 3; ++round) {
+        std::thread callers([this] { streamFor(2s, 16); });
+        std::this_thread::sleep_for(1s);
+        process("n1").kill();
+        process("n2").kill();
+        startEntry(1);
+        startEntry(2);
+        callers.join();
+        for (int number = 1; number <= entries; ++number)
+            waitForTarget(number);
+    }
+    checkCounts(counts());
+}
+
+TEST_CASE_METHOD(two_version_system,
+    "A stream of an unknown software version is refused as not run while two versions serve",
+    "[forwarding][versions]")
+{
+    caller_stream foreign;
+    foreign.firstId = "request-of-nobody";
+    foreign.lastEvent = 3;
+    REQUIRE(attempt(1, foreign));
+    CHECK(foreign.status == 503);
+    CHECK(counts().wentOn == 0);
+
+    auto body = deployment(4);
+    body["tenants"].push_back({ { "name", "samvinna" }, { "api-keys", { "key-2" } } });
+    REQUIRE(putDeployment(1, body));
+    std::this_thread::sleep_for(500ms);
+    breakOffStreams(1);
+    caller_stream stream;
+    for (int tries = 0; tries < 20 && (stream.lastEvent == 0 || stream.isComplete); ++tries) {
+        stream = {};
+        attempt(1, stream);
+        std::this_thread::sleep_for(500ms);
+    }
+    REQUIRE(stream.lastEvent > 0);
+    REQUIRE_FALSE(stream.isComplete);
+    breakOffStreams(0);
+    std::this_thread::sleep_for(1s);
+    auto before = counts().wentOn;
+    auto other = stream;
+    attempt(2, other, "key-2");
+    CHECK(other.status == 503);
+    CHECK(counts().wentOn == before); // another customer does not learn the version
+    attempt(2, stream);
+    CHECK(counts().wentOn == before + 1);
+    CHECK(stream.versions.size() == 1);
+}
+
+TEST_CASE_METHOD(two_version_system,
+    "No stream joins two software versions while entries and control VMs stop, restart and are suspended",
+    "[forwarding][versions][soak]")
+{
+    constexpr auto disturbedTime = 14s;
+    breakOffStreams(6);
+    INFO("seed " << soakSeed());
+    std::thread callers([this, disturbedTime] { streamFor(disturbedTime + 3s, 24); });
+    disturbances(*this, entries, soakSeed()).runFor(disturbedTime);
+    callers.join();
+    checkCounts(counts());
+}
--- a/tests/forwarding/support/plumfold_forwarding_system.cpp
+++ b/tests/forwarding/support/plumfold_forwarding_system.cpp
@@ -39,6 +39,11 @@
     m_socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
 }
 
+void raw_caller::setReceiveTimeout(std::chrono::milliseconds time)
+{
+    m_socket.setReceiveTimeout(Poco::Timespan(time.count() * 1000));
+}
+
 void raw_caller::close()
 {
     m_socket.close();
@@ -199,11 +204,11 @@
                     { "controlPort", rpcPort } } } });
 }
 
-scripted_target& forwarding_system::startTarget(
-    const std::string& name, const std::string& service, std::chrono::milliseconds coldFor)
+scripted_target& forwarding_system::startTarget(const std::string& name, const std::string& service,
+    std::chrono::milliseconds coldFor, const std::string& version)
 {
     auto host = firstTargetHost + static_cast<int>(m_targets.size());
-    m_targets[name] = { std::make_unique<scripted_target>(name, address(host, 8080)), service,
+    m_targets[name] = { std::make_unique<scripted_target>(name, address(host, 8080), version), service,
         std::chrono::steady_clock::now() + coldFor };
     announce(name);
     return *m_targets[name].server;
@@ -234,7 +239,7 @@
     auto coldFor = std::chrono::duration_cast<std::chrono::milliseconds>(
         announced.coldUntil - std::chrono::steady_clock::now());
     json body { { "service", announced.service }, { "address", announced.server->address() },
-        { "zone", "east" }, { "version", "v1" }, { "slots", 8 }, { "state", state },
+        { "zone", "east" }, { "version", announced.server->version() }, { "slots", 8 }, { "state", state },
         { "cold-remaining-ms", std::max<std::int64_t>(coldFor.count(), 0) }, { "sequence", ++m_sequence },
         { "born", 1000 } };
     for (int control = 1; control <= controlVms; ++control) {
--- a/tests/forwarding/support/plumfold_forwarding_system.hpp
+++ b/tests/forwarding/support/plumfold_forwarding_system.hpp
@@ -32,6 +32,8 @@
     explicit raw_caller(const std::string& address);
     void send(const std::string& bytes);
     raw_response receive();
+    /// Limits the time without a byte after which receive() returns what it has.
+    void setReceiveTimeout(std::chrono::milliseconds time);
     /// @return whether the peer closes the connection within the time.
     bool isClosedWithin(int milliseconds);
     void close();
@@ -59,8 +61,9 @@
     /// Connects the standard output of a process that is started later to a pipe that is never read.
     void blockOutput(const std::string& name);
     /// @param coldFor how long the target announces itself as cold.
-    scripted_target& startTarget(
-        const std::string& name, const std::string& service = "shop", std::chrono::milliseconds coldFor = {});
+    /// @param version software version that it announces.
+    scripted_target& startTarget(const std::string& name, const std::string& service = "shop",
+        std::chrono::milliseconds coldFor = {}, const std::string& version = "v1");
 
     /// Calls the platform interface of a control VM.
     /// @return HTTP status and body; status 0 when there was no response.
--- a/tests/forwarding/support/plumfold_scripted_target.cpp
+++ b/tests/forwarding/support/plumfold_scripted_target.cpp
@@ -52,9 +52,10 @@
     }
 };
 
-scripted_target::scripted_target(std::string name, std::string address)
+scripted_target::scripted_target(std::string name, std::string address, std::string version)
     : m_name(std::move(name))
     , m_address(std::move(address))
+    , m_version(std::move(version))
     , m_listener(Poco::Net::SocketAddress(m_address))
     , m_thread([this] { accept(); })
 {
@@ -118,6 +119,7 @@
         { "endless-event", &scripted_target::sendEndlessEvent },
         { "endless-events", &scripted_target::sendEndlessEvents },
         { "endless-drip", &scripted_target::dripBytes },
+        { "versioned", &scripted_target::streamVersionedEvents },
     };
     exchange current { socket, {}, {}, true };
     try {
@@ -354,6 +356,26 @@
     current.reset();
 }
 
+void scripted_target::streamVersionedEvents(exchange& current)
+{
+    constexpr int versionedEventCount = 12;
+    int interval = m_breakOffInterval;
+    bool isBrokenOff = interval > 0 && m_versionedStreams++ % interval == 0;
+    current.send(
+        current.head("200 OK", "Response-Signature: " + m_name + "\r\nTransfer-Encoding: chunked\r\n"));
+    int first = std::atoi(current.request.headers["last-event-id"].c_str()) + 1;
+    for (int id = first; id <= versionedEventCount; ++id) {
+        if (isBrokenOff && id == first + 3) {
+            current.sendChunk("id: " + std::to_string(id) + "\nda");
+            current.keepAlive = false;
+            return;
+        }
+        current.sendChunk("id: " + std::to_string(id) + "\ndata: " + m_version + "\n\n");
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    }
+    current.send("0\r\n\r\n");
+}
+
 void scripted_target::sendEndlessly(
     exchange& current, const std::string& bytes, std::chrono::milliseconds pause)
 {
--- a/tests/forwarding/support/plumfold_scripted_target.hpp
+++ b/tests/forwarding/support/plumfold_scripted_target.hpp
@@ -25,10 +25,14 @@
 class scripted_target {
 public:
     /// @param address ip:port
-    scripted_target(std::string name, std::string address);
+    /// @param version software version, which the events of the behaviour "versioned" carry.
+    scripted_target(std::string name, std::string address, std::string version = "v1");
     ~scripted_target();
 
     const std::string& name() const { return m_name; }
+    const std::string& version() const { return m_version; }
+    /// Breaks off one in `interval` streams of the behaviour "versioned" inside an event; 0: none.
+    void breakOffStreams(int interval) { m_breakOffInterval = interval; }
     const std::string& address() const { return m_address; }
 
     std::vector<recorded_request> requests() const;
@@ -74,11 +78,15 @@
     void sendEndlessEvent(exchange& current);
     void sendEndlessEvents(exchange& current);
     void dripBytes(exchange& current);
+    void streamVersionedEvents(exchange& current);
     /// Repeats bytes until the caller closes the connection.
     void sendEndlessly(exchange& current, const std::string& bytes, std::chrono::milliseconds pause = {});
 
     std::string m_name;
     std::string m_address;
+    std::string m_version;
+    std::atomic<int> m_breakOffInterval { 0 };
+    std::atomic<int> m_versionedStreams { 0 };
     Poco::Net::ServerSocket m_listener;
     mutable std::mutex m_mutex;
     std::vector<recorded_request> m_requests;
