Let a stream go on within one answer only at its software version

Callers got streams whose events come from two software versions of a service (ORDER).

Cause, first part: after a target broke a stream off, the entry let it go on at any target of the service; nothing in the choice of a target knew the version.

Change: the entry keeps the version of the target that delivered the first event and lets the stream go on only at targets of this version; one whose version was not announced goes on nowhere. If a target was restarted under its name since it was chosen, it delivers no event to a stream that has begun, and the version of a stream that it begins is unknown.

--- a/packages/core/include/plumfold/core/plumfold_target_selector.hpp
+++ b/packages/core/include/plumfold/core/plumfold_target_selector.hpp
@@ -35,6 +35,8 @@
     std::vector<std::string> holders; ///< Addresses of targets that hold the shared part.
     std::set<std::string> excluded; ///< Targets that were already tried.
     bool isWarmOnly = false; ///< Excludes cold targets.
+    /// Only targets with this software version; an empty one matches none. Nothing: any.
+    std::optional<std::string> softwareVersion;
     milliseconds timeLeft { 0 }; ///< Until the caller's deadline.
 };
 
@@ -45,6 +47,7 @@
     std::string weights; ///< Last known weight version of the target; empty for plain services.
     std::string failureDomain;
     std::string softwareVersion; ///< As last announced; empty: unknown.
+    unix_milliseconds startedAt = 0; ///< Incarnation of the target.
     double predictedMs = 0; ///< Predicted time to the first event; 0 for plain services.
     double waitMs = 0; ///< Part of the prediction that is caused by other requests.
     bool isHolder = false; ///< The target is listed as a holder of the shared part.
@@ -166,6 +169,9 @@
     /// @return whether a target is cold and its service limits the requests to cold targets.
     bool isCold(const std::string& target, instant now) const;
 
+    /// @return whether a target is still known in this incarnation.
+    bool isIncarnation(const std::string& target, unix_milliseconds startedAt) const;
+
     std::size_t size() const { return m_targets.size(); }
 
 private:
--- a/packages/core/src/plumfold_target_selector.cpp
+++ b/packages/core/src/plumfold_target_selector.cpp
@@ -150,12 +150,21 @@
         return false;
     if (m_outOfService.contains(target.last.failureDomain) || request.excluded.contains(target.last.name))
         return false;
+    const auto& version = request.softwareVersion;
+    if (version && (version->empty() || *version != target.last.softwareVersion))
+        return false;
     if (target.weightsUnconfirmed && now - target.unconfirmedSince < unconfirmedWeightsBackoff)
         return false;
     bool isBusy = target.load && target.load->isBusy && now - target.loadAt < m_options.maxLoadAge;
     return !isBusy && now >= target.backoffUntil;
 }
 
+bool target_selector::isIncarnation(const std::string& target, unix_milliseconds startedAt) const
+{
+    auto found = m_targets.find(target);
+    return found != m_targets.end() && found->second.last.startedAt == startedAt;
+}
+
 bool target_selector::isCold(const std::string& target, instant now) const
 {
     auto found = m_targets.find(target);
@@ -213,7 +222,8 @@
         || now - target.unreportedAttempts.front().first > m_options.maxLoadAge)
         target.unreportedAttempts.pop_front();
     placement out { target.last.name, target.last.address, {}, target.last.failureDomain,
-        target.last.softwareVersion, 0, 0, isHolder(target, request), false, isCold(target, now) };
+        target.last.softwareVersion, target.last.startedAt, 0, 0, isHolder(target, request), false,
+        isCold(target, now) };
     for (const auto& loaded : target.last.models) {
         if (loaded.model == request.model)
             out.weights = loaded.version;
--- a/packages/forwarding/src/plumfold_request_attempt.cpp
+++ b/packages/forwarding/src/plumfold_request_attempt.cpp
@@ -297,10 +297,22 @@
         platform::copyResponseHeaders(parser.get().base(), m_streamHead);
     }
     std::string chunk;
+    bool isFirstEvent = true;
     while (!parser.is_done()) {
         if (!co_await readChunk(parser, chunk))
             co_return classifyFailure(asio::error::connection_reset);
         auto events = m_events.feed(chunk);
+        if (isFirstEvent && !events.empty()) {
+            isFirstEvent = false;
+            // A target that was restarted under its name may have another software version.
+            bool isKnownTarget = m_state.targetSelector.isIncarnation(m_lastTarget, m_lastStart);
+            if (m_origin && !isKnownTarget) {
+                m_reason = "target_restarted";
+                co_return core::attempt_result::lost;
+            }
+            if (!m_origin)
+                beginStream(isKnownTarget ? m_lastVersion : std::string());
+        }
         if (!m_buffered.resize(m_events.partialEventBytes())) {
             m_reason = "event_too_large";
             co_return core::attempt_result::lost;
@@ -324,6 +336,13 @@
     co_return core::attempt_result::answered;
 }
 
+/// Keeps where the stream begins, before its first event is passed on.
+/// @param softwareVersion of the target that delivers it; empty: unknown.
+void request_forwarder::beginStream(std::string softwareVersion)
+{
+    m_origin = core::stream_origin { m_service, std::move(softwareVersion) };
+}
+
 task<bool> request_forwarder::writeStreamHead()
 {
     m_streamStarted = true;
--- a/packages/forwarding/src/plumfold_request_forwarder.cpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.cpp
@@ -12,7 +12,6 @@
 
 constexpr core::milliseconds retryAfterNoDeployment { 400 };
 constexpr core::milliseconds retryAfterRejection { 500 };
-constexpr core::milliseconds defaultDeadline { 30'000 };
 constexpr core::milliseconds placementPollInterval { 25 };
 /// A request waits for the entry's first deployment for at most its deadline divided by this.
 constexpr int deploymentWaitDivisor = 2;
@@ -139,6 +138,8 @@
     out.excluded = m_attemptedTargets;
     out.excluded.insert(m_unreachableTargets.begin(), m_unreachableTargets.end());
     out.isWarmOnly = m_coldStartRequests >= maxColdStartRequests;
+    if (m_origin)
+        out.softwareVersion = m_origin->softwareVersion;
     if (!m_route->hasSessions)
         return out;
     out.session = core::conversationOf(m_head.parts);
@@ -208,6 +209,7 @@
         m_lastTarget = selection.chosen->target;
         m_lastWeights = selection.chosen->weights;
         m_lastVersion = selection.chosen->softwareVersion;
+        m_lastStart = selection.chosen->startedAt;
         auto attemptResult = co_await attempt(*selection.chosen);
         m_connection.reset();
         m_watchdog.cancel();
--- a/packages/forwarding/src/plumfold_request_forwarder.hpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.hpp
@@ -4,6 +4,7 @@
 #include "plumfold_forwarding_state.hpp"
 
 #include "plumfold/core/plumfold_event_cursor.hpp"
+#include "plumfold/core/plumfold_stream_origin.hpp"
 #include "plumfold/platform/plumfold_platform_requests.hpp"
 
 #include <optional>
@@ -12,6 +13,7 @@
 
 /// Limit for each write to a caller.
 inline constexpr core::milliseconds callerWriteTimeout { 3'000 };
+inline constexpr core::milliseconds defaultDeadline { 30'000 }; ///< Of requests without one.
 inline constexpr unsigned httpVersion = 11;
 inline constexpr unsigned statusOk = 200;
 
@@ -38,6 +40,7 @@
     task<void> waitForDeployment();
     bool admit();
     void reject(http::status status, std::string reason, std::optional<core::milliseconds> retryAfter = {});
+    void beginStream(std::string softwareVersion);
     task<void> runAttempts();
     bool mayRetry() const;
     task<bool> takeRetryBudget();
@@ -89,6 +92,8 @@
     std::string m_lastTarget;
     std::string m_lastWeights;
     std::string m_lastVersion; // software version of the last target
+    core::unix_milliseconds m_lastStart = 0; // incarnation of the last target
+    std::optional<core::stream_origin> m_origin; // of a stream that has begun or is taken up
     unsigned m_attemptCount = 0;
     unsigned m_coldStartRequests = 0;
     core::instant m_coldStartUntil {}; // until when a granted start may be used, with suspensions
