Let a stream that is taken up go on only at the software version that began it

Change: an entry records the service and version of each resumable stream when its first event is passed on, without waiting, at two control VMs, one in its failure domain and one in another; records that were not taken are sent again, and all that are still wanted go to a new holder. A request with Resumes or Last-Event-Id asks all control VMs at once; the first that knows the stream decides. If none does, it goes on only if every control VM of the group has answered and all have heard of one version only; else it is refused as not run. The number of a stream hashes customer and id, and a number that is recorded with two origins is unknown. The service is that of the stream too, also where a route divides its traffic.

Ruled out: a token in the events (nobody returns one); records in the replicated log (a quorum and a sync for each stream; a lost record is only refused); entries as holders (they die with the streams, and have no way to each other).

A stream of an unknown id or of another customer is refused.

--- a/packages/control/src/plumfold_control_role.cpp
+++ b/packages/control/src/plumfold_control_role.cpp
@@ -58,8 +58,8 @@
         m_rpc.run([&] {
             m_leader = std::make_unique<leader_client>(m_rpc, m_settings, *m_node, *m_feed);
             m_sharedLimits = std::make_unique<shared_limit_issuer>(m_settings, *m_feed, *m_leader);
-            m_context = std::make_unique<service_context>(
-                service_context { m_settings, *m_node, m_rpc, *m_feed, *m_leader, *m_sharedLimits, {} });
+            m_context = std::make_unique<service_context>(service_context { m_settings, *m_node, m_rpc,
+                *m_feed, *m_leader, *m_sharedLimits, {}, core::stream_origin_table(maxStreams) });
             m_listener = std::make_unique<wire::rpc_listener>(
                 m_rpc, m_settings.control->address, makeControlService(*m_context));
             m_tasks->add(feedLoop());
--- a/packages/control/src/plumfold_control_service.cpp
+++ b/packages/control/src/plumfold_control_service.cpp
@@ -8,6 +8,7 @@
 #include "plumfold/wire/plumfold_convert.hpp"
 
 #include <algorithm>
+#include <set>
 
 namespace plumfold::control {
 
@@ -145,7 +146,38 @@
         return kj::READY_NOW;
     }
 
+    kj::Promise<void> recordStreams(RecordStreamsContext call) override
+    {
+        for (auto each : call.getParams().getStreams())
+            m_context.streams.record(wire::read(each), runtime::now());
+        return kj::READY_NOW;
+    }
+
+    kj::Promise<void> findStream(FindStreamContext call) override
+    {
+        auto stream = call.getParams().getStream();
+        auto origin = m_context.streams.find(stream, runtime::now());
+        auto out = call.getResults();
+        out.setFound(origin.has_value());
+        if (origin)
+            wire::write(out.initRecord(), core::stream_record { stream, *origin, {} });
+        auto versions = m_context.feed.directory().softwareVersions(call.getParams().getService().cStr());
+        writeTextList(out.initSoftwareVersions(versions.size()), versions);
+        std::set<std::string> members;
+        for (const auto& member : m_context.feed.view().members.members)
+            members.insert(member.address);
+        writeTextList(out.initMembers(members.size()), members);
+        return kj::READY_NOW;
+    }
+
 private:
+    static void writeTextList(capnp::List<capnp::Text>::Builder out, const std::set<std::string>& values)
+    {
+        unsigned index = 0;
+        for (const auto& value : values)
+            out.set(index++, value);
+    }
+
     void writeFollowResults(FollowContext& call, std::uint64_t change)
     {
         const auto& feed = m_context.feed;
--- a/packages/core/include/plumfold/core/plumfold_target_directory.hpp
+++ b/packages/core/include/plumfold/core/plumfold_target_directory.hpp
@@ -6,7 +6,9 @@
 #include <compare>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace plumfold::core {
@@ -75,7 +77,7 @@
     /// some time.
     void restartAnnouncementTimeouts(instant now);
 
-    /// Removes leaving and silent targets that were last seen longer ago than maxAge.
+    /// Removes leaving and silent targets, and software versions, that were last seen longer ago than maxAge.
     void removeStale(instant now, milliseconds maxAge);
 
     /// @return the number of the latest change.
@@ -85,10 +87,16 @@
     /// @return the entries that changed after it.
     std::vector<entry> changedAfter(std::uint64_t change) const;
 
+    /// @return the software versions that targets of a service have announced; each until removeStale() finds
+    /// that it was last announced too long ago.
+    std::set<std::string> softwareVersions(const std::string& service) const;
+
     const std::map<std::string, entry>& entries() const { return m_entries; }
 
 private:
     std::map<std::string, entry> m_entries;
+    /// When a target of a service last announced a software version.
+    std::map<std::pair<std::string, std::string>, instant> m_versionsSeenAt;
     std::uint64_t m_latestChange = 0;
 };
 
--- a/packages/core/src/plumfold_target_directory.cpp
+++ b/packages/core/src/plumfold_target_directory.cpp
@@ -57,6 +57,7 @@
     known.last = std::move(applied);
     known.lastSeenAt = now;
     known.isDirect = isDirect;
+    m_versionsSeenAt[{ next.service, next.softwareVersion }] = now;
     if (changed)
         known.change = ++m_latestChange;
     return true;
@@ -125,6 +126,17 @@
     std::erase_if(m_entries, [&](const auto& each) {
         return each.second.last.state != target_state::ready && now - each.second.lastSeenAt > maxAge;
     });
+    std::erase_if(m_versionsSeenAt, [&](const auto& each) { return now - each.second > maxAge; });
+}
+
+std::set<std::string> target_directory::softwareVersions(const std::string& service) const
+{
+    std::set<std::string> versions;
+    for (const auto& [key, seenAt] : m_versionsSeenAt) {
+        if (key.first == service)
+            versions.insert(key.second);
+    }
+    return versions;
 }
 
 std::vector<target_directory::entry> target_directory::changedAfter(std::uint64_t change) const
--- a/packages/forwarding/src/plumfold_deployment_follower.cpp
+++ b/packages/forwarding/src/plumfold_deployment_follower.cpp
@@ -153,6 +153,7 @@
     m_feedId = response.getFeed();
     m_knownChange = response.getChange();
     applyControlAddresses(response.getControl());
+    update.control = m_controlDomains;
     if (isNewFeed)
         runtime::log_event("control_followed")
             .with("address", m_address)
--- a/packages/forwarding/src/plumfold_deployment_follower.hpp
+++ b/packages/forwarding/src/plumfold_deployment_follower.hpp
@@ -23,6 +23,7 @@
     std::vector<core::target_announcement> targets; ///< Changed targets; all targets in a snapshot.
     bool isSnapshot = false; ///< The list of targets is complete.
     std::uint32_t entries = 1; ///< Number of entries that follow any control VM.
+    std::map<std::string, std::string> control; ///< Failure domain by address of the control VMs in service.
     std::string sharedLimitIssuer; ///< Control VM that grants what shared limits allow: ip:port.
     std::vector<core::part_update> parts;
     std::vector<core::target_load> loads;
--- a/packages/forwarding/src/plumfold_forwarding_role.cpp
+++ b/packages/forwarding/src/plumfold_forwarding_role.cpp
@@ -49,7 +49,8 @@
     impl(const runtime::settings& settings, wire::rpc_thread& rpc)
         : m_settings(settings)
         , m_sharedLimits(m_io, rpc, m_settings)
-        , m_state { m_io, m_settings, m_metrics, m_sharedLimits, nullptr, 0,
+        , m_streamOrigins(m_io, rpc, m_settings)
+        , m_state { m_io, m_settings, m_metrics, m_sharedLimits, m_streamOrigins, nullptr, 0,
             core::target_selector(targetSelectorOptions(m_settings)), retryBudget(*m_settings.forwarding),
             target_connection_pool(m_io), core::buffer_budget(m_settings.forwarding->responseBufferBytes) }
         , m_acceptor(m_io, endpointOf(m_settings.forwarding->callerAddress))
@@ -112,6 +113,7 @@
         m_state.targetSelector.applyLoads(update.loads, now);
         m_state.targetSelector.setEntryCount(update.entries);
         m_sharedLimits.setIssuer(update.sharedLimitIssuer);
+        m_streamOrigins.setControl(update.control);
         for (const auto& holder : update.parts)
             m_state.parts.apply(holder, now);
         m_state.targetClockMs = update.targetClockMs;
@@ -188,6 +190,7 @@
     asio::io_context m_io { 1 };
     runtime::metrics m_metrics;
     shared_limit_client m_sharedLimits;
+    stream_origin_client m_streamOrigins;
     forwarding_state m_state;
     asio::ip::tcp::acceptor m_acceptor;
     status_listener m_status;
--- a/packages/forwarding/src/plumfold_forwarding_state.hpp
+++ b/packages/forwarding/src/plumfold_forwarding_state.hpp
@@ -2,6 +2,7 @@
 
 #include "plumfold_asio.hpp"
 #include "plumfold_shared_limit_client.hpp"
+#include "plumfold_stream_origin_client.hpp"
 #include "plumfold_target_connection_pool.hpp"
 
 #include "plumfold/core/plumfold_admission.hpp"
@@ -25,6 +26,7 @@
     const runtime::settings& settings;
     runtime::metrics& metrics;
     shared_limit_client& sharedLimits;
+    stream_origin_client& streamOrigins;
     std::shared_ptr<const core::deployment> deployment; ///< Null until the first one is received.
     std::uint64_t deploymentRevision = 0;
     core::target_selector targetSelector;
--- a/packages/forwarding/src/plumfold_request_attempt.cpp
+++ b/packages/forwarding/src/plumfold_request_attempt.cpp
@@ -20,6 +20,7 @@
 constexpr std::size_t relayBufferBytes = 16 << 10;
 constexpr std::uint64_t maxResponseBytes = 64 << 20;
 constexpr unsigned statusServerError = 500;
+constexpr core::milliseconds streamRecordMargin { 2'000 }; // for a caller that is late at its deadline
 /// Interim responses and late responses to earlier requests that may precede the response to a request.
 constexpr unsigned maxSkippedResponses = 16;
 
@@ -336,11 +337,15 @@
     co_return core::attempt_result::answered;
 }
 
-/// Keeps where the stream begins, before its first event is passed on.
+/// Records where the stream begins, before its first event is passed on.
 /// @param softwareVersion of the target that delivers it; empty: unknown.
 void request_forwarder::beginStream(std::string softwareVersion)
 {
     m_origin = core::stream_origin { m_service, std::move(softwareVersion) };
+    if (!m_route->isResumable || m_origin->softwareVersion.empty())
+        return;
+    auto keepFor = m_head.deadline.value_or(defaultDeadline) + streamRecordMargin;
+    m_state.streamOrigins.record({ core::streamNumber(customerName(), m_head.id), *m_origin, keepFor });
 }
 
 task<bool> request_forwarder::writeStreamHead()
--- a/packages/forwarding/src/plumfold_request_forwarder.cpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.cpp
@@ -62,7 +62,8 @@
     if (admit()) {
         m_caller.watchForDisconnect([this] { onCallerDisconnected(); });
         armDeadline();
-        co_await runAttempts();
+        if (!isTakeUp() || co_await findOrigin())
+            co_await runAttempts();
         m_deadlineTimer.cancel();
         m_caller.stopWatchingForDisconnect();
     }
@@ -118,6 +119,35 @@
     return true;
 }
 
+bool request_forwarder::isTakeUp() const
+{
+    return m_route->kind == core::request_kind::stream
+        && (!m_head.resumes.empty() || m_head.lastEventId.value_or(0) > 0);
+}
+
+std::string request_forwarder::customerName() const
+{
+    return m_customer ? m_customer->name : std::string();
+}
+
+/// @return whether it is known where the stream began that the caller takes up.
+task<bool> request_forwarder::findOrigin()
+{
+    const auto& shares = m_route->shares;
+    auto number = m_head.resumes.empty() ? 0 : core::streamNumber(customerName(), m_head.resumes);
+    auto onlyService = shares.size() == 1 ? shares.front().service : std::string();
+    m_origin = co_await m_state.streamOrigins.find(number, onlyService);
+    bool isOnRoute = m_origin && std::any_of(shares.begin(), shares.end(), [&](const auto& share) {
+        return share.service == m_origin->service;
+    });
+    if (!isOnRoute) {
+        reject(http::status::service_unavailable, m_origin ? "stream_not_on_route" : "stream_origin_unknown");
+        co_return false;
+    }
+    m_service = m_origin->service;
+    co_return true;
+}
+
 void request_forwarder::reject(
     http::status status, std::string reason, std::optional<core::milliseconds> retryAfter)
 {
--- a/packages/forwarding/src/plumfold_request_forwarder.hpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.hpp
@@ -40,6 +40,9 @@
     task<void> waitForDeployment();
     bool admit();
     void reject(http::status status, std::string reason, std::optional<core::milliseconds> retryAfter = {});
+    bool isTakeUp() const;
+    std::string customerName() const;
+    task<bool> findOrigin();
     void beginStream(std::string softwareVersion);
     task<void> runAttempts();
     bool mayRetry() const;
--- /dev/null
+++ b/packages/forwarding/src/plumfold_stream_origin_client.cpp
@@ -0,0 +1,269 @@
+#include "plumfold_stream_origin_client.hpp"
+
+#include "plumfold/core/plumfold_hash.hpp"
+#include "plumfold/runtime/plumfold_clock.hpp"
+#include "plumfold/runtime/plumfold_log.hpp"
+#include "plumfold/wire/plumfold_convert.hpp"
+#include "plumfold/wire/plumfold_entry_session.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace plumfold::forwarding {
+
+namespace {
+
+constexpr std::chrono::milliseconds connectTimeout { 250 };
+constexpr std::chrono::milliseconds answerTimeout { 150 };
+constexpr core::milliseconds searchTimeout { 400 };
+constexpr core::milliseconds failureBackoff { 1'000 };
+constexpr auto retryInterval = 200 * kj::MILLISECONDS;
+constexpr std::size_t holderCount = 2;
+constexpr std::size_t maxOwnRecords = 20'000;
+constexpr std::size_t maxRecordsPerCall = 500;
+
+} // namespace
+
+/// A search that is waited for on the event loop thread.
+struct stream_origin_client::search {
+    search(asio::io_context& io, std::uint64_t stream, std::string service)
+        : stream(stream)
+        , service(service)
+        , answers(std::move(service))
+        , finished(io)
+    {
+    }
+
+    std::uint64_t stream;
+    std::string service;
+    core::origin_search answers; // on the RPC thread
+    std::size_t openCalls = 0; // on the RPC thread
+    bool isFinished = false; // on the RPC thread
+    asio::steady_timer finished; // cancelled by the result
+    std::optional<core::stream_origin> result;
+};
+
+stream_origin_client::stream_origin_client(
+    asio::io_context& io, wire::rpc_thread& rpc, const runtime::settings& settings)
+    : m_io(io)
+    , m_rpc(rpc)
+    , m_settings(settings)
+    , m_own(maxOwnRecords)
+{
+    m_rpc.run([this] {
+        m_tasks = kj::heap<wire::task_group>();
+        m_tasks->add(retryLoop());
+    });
+}
+
+stream_origin_client::~stream_origin_client()
+{
+    m_rpc.run([this] {
+        m_tasks = nullptr;
+        m_links.clear();
+    });
+}
+
+void stream_origin_client::setControl(const std::map<std::string, std::string>& domains)
+{
+    if (domains == m_lastControl)
+        return;
+    m_lastControl = domains;
+    m_rpc.post([this, domains] {
+        m_control = domains;
+        sendRecords();
+    });
+}
+
+void stream_origin_client::record(core::stream_record record)
+{
+    m_rpc.post([this, record = std::move(record)] {
+        auto now = runtime::now();
+        m_own.record(record, now);
+        while (
+            !m_records.empty() && (m_records.front().keptUntil <= now || m_records.size() >= maxOwnRecords))
+            m_records.pop_front();
+        m_records.push_back({ ++m_latestRecord, record, now + record.keepFor });
+        sendRecords();
+    });
+}
+
+/// @return the control VMs that this entry's records are sent to: one in its failure domain and one in
+/// another, if there are any in service.
+std::vector<std::string> stream_origin_client::holders() const
+{
+    auto now = runtime::now();
+    auto hash = core::hashBytes(m_settings.process.name);
+    auto rank = [&](const auto& each) {
+        auto known = m_links.find(each.first);
+        bool hasFailed = known != m_links.end() && now - known->second.failedAt < failureBackoff;
+        bool isRemote = each.second != m_settings.process.failureDomain;
+        return std::tuple(hasFailed, isRemote, core::hashBytes(each.first, hash));
+    };
+    std::vector<std::pair<std::string, std::string>> ranked(m_control.begin(), m_control.end());
+    std::sort(ranked.begin(), ranked.end(),
+        [&](const auto& left, const auto& right) { return rank(left) < rank(right); });
+    std::vector<std::string> chosen;
+    for (const auto& [address, domain] : ranked) {
+        bool isSameDomain = !chosen.empty() && m_control.at(chosen.front()) == domain;
+        if (chosen.size() < holderCount && !isSameDomain)
+            chosen.push_back(address);
+    }
+    return chosen;
+}
+
+void stream_origin_client::sendRecords()
+{
+    for (const auto& address : holders())
+        sendRecordsTo(address, m_links[address]);
+}
+
+void stream_origin_client::sendRecordsTo(const std::string& address, link& to)
+{
+    if (to.isSending || to.recordsSent == m_latestRecord)
+        return;
+    to.isSending = true;
+    auto sent = sessionAt(address).then([this, address](wire::EntrySession::Client session) {
+        auto now = runtime::now();
+        auto after = m_links[address].recordsSent;
+        std::vector<const own_record*> due;
+        for (const auto& each : m_records) {
+            if (each.number > after && each.keptUntil > now && due.size() < maxRecordsPerCall)
+                due.push_back(&each);
+        }
+        auto last = due.size() < maxRecordsPerCall ? m_latestRecord : due.back()->number;
+        auto request = session.recordStreamsRequest();
+        auto streams = request.initStreams(due.size());
+        for (unsigned index = 0; index < due.size(); ++index) {
+            auto record = due[index]->record;
+            record.keepFor = std::chrono::duration_cast<core::milliseconds>(due[index]->keptUntil - now);
+            wire::write(streams[index], record);
+        }
+        return wire::withTimeout(m_rpc, request.send().ignoreResult(), answerTimeout).then([last] {
+            return last;
+        });
+    });
+    m_tasks->add(sent.then(
+        [this, address](std::uint64_t last) {
+            auto& known = m_links[address];
+            known.recordsSent = last;
+            known.isSending = false;
+            sendRecords();
+        },
+        [this, address](kj::Exception&& exception) {
+            runtime::log_event("stream_records_not_sent", runtime::log_level::warning)
+                .with("address", address)
+                .with("reason", exception.getDescription().cStr());
+            m_links[address].isSending = false;
+            drop(address);
+            sendRecords();
+        }));
+}
+
+/// Sends records whose call failed again, also when no stream begins.
+kj::Promise<void> stream_origin_client::retryLoop()
+{
+    return m_rpc.timer().afterDelay(retryInterval).then([this] {
+        sendRecords();
+        return retryLoop();
+    });
+}
+
+task<std::optional<core::stream_origin>> stream_origin_client::find(std::uint64_t stream, std::string service)
+{
+    auto pending = std::make_shared<search>(m_io, stream, std::move(service));
+    pending->finished.expires_after(searchTimeout);
+    m_rpc.post([this, pending] { startSearch(pending); });
+    error_code ignored;
+    co_await pending->finished.async_wait(into(ignored));
+    co_return pending->result;
+}
+
+void stream_origin_client::startSearch(std::shared_ptr<search> search)
+{
+    core::origin_answer own;
+    own.origin = m_own.find(search->stream, runtime::now());
+    if (own.origin || m_control.empty()) {
+        search->answers.addAnswer({}, own);
+        finishSearch(search);
+        return;
+    }
+    search->openCalls = m_control.size();
+    for (const auto& [address, domain] : m_control)
+        m_tasks->add(ask(address, search));
+}
+
+kj::Promise<void> stream_origin_client::ask(const std::string& address, std::shared_ptr<search> search)
+{
+    auto asked = sessionAt(address).then([this, search](wire::EntrySession::Client session) {
+        auto request = session.findStreamRequest();
+        request.setStream(search->stream);
+        request.setService(search->service);
+        return wire::withTimeout(m_rpc, request.send().dropPipeline(), answerTimeout);
+    });
+    return asked.then(
+        [this, address, search](capnp::Response<wire::EntrySession::FindStreamResults> response) {
+            core::origin_answer answer;
+            if (response.getFound())
+                answer.origin = wire::read(response.getRecord()).origin;
+            for (auto version : response.getSoftwareVersions())
+                answer.softwareVersions.insert(version.cStr());
+            for (auto member : response.getMembers())
+                answer.members.insert(member.cStr());
+            search->answers.addAnswer(address, answer);
+            if (--search->openCalls == 0 || answer.origin)
+                finishSearch(search);
+        },
+        [this, address, search](kj::Exception&& exception) {
+            runtime::log_event("stream_origin_not_answered", runtime::log_level::warning)
+                .with("address", address)
+                .with("reason", exception.getDescription().cStr());
+            drop(address);
+            if (--search->openCalls == 0)
+                finishSearch(search);
+        });
+}
+
+void stream_origin_client::finishSearch(const std::shared_ptr<search>& search)
+{
+    if (std::exchange(search->isFinished, true))
+        return;
+    asio::post(m_io, [search, result = search->answers.result()] {
+        search->result = result;
+        search->finished.cancel();
+    });
+}
+
+kj::Promise<wire::EntrySession::Client> stream_origin_client::sessionAt(const std::string& address)
+{
+    KJ_IF_MAYBE (session, m_links[address].session) {
+        return wire::EntrySession::Client(*session);
+    }
+    auto connecting = wire::rpc_connection::connect(m_rpc, address, connectTimeout);
+    return connecting.then([this, address](kj::Own<wire::rpc_connection> connection) {
+        auto& known = m_links[address];
+        // Of connections that were opened concurrently, the first is kept.
+        if (known.session == nullptr) {
+            known.session = wire::openEntrySession(*connection,
+                { m_settings.process.clusterSecret, m_settings.process.name,
+                    m_settings.process.failureDomain });
+            known.connection = kj::mv(connection);
+            known.recordsSent = 0; // the control VM may have been restarted
+        } else {
+            m_tasks->add(kj::evalLater([old = kj::mv(connection)] {}));
+        }
+        return wire::EntrySession::Client(KJ_ASSERT_NONNULL(known.session));
+    });
+}
+
+void stream_origin_client::drop(const std::string& address)
+{
+    auto& failed = m_links[address];
+    failed.session = nullptr;
+    failed.recordsSent = 0;
+    failed.failedAt = runtime::now();
+    // The connection must not be destroyed inside one of its own callbacks.
+    m_tasks->add(kj::evalLater([old = kj::mv(failed.connection)] {}));
+}
+
+} // namespace plumfold::forwarding
--- a/packages/wire/include/plumfold/wire/plumfold_convert.hpp
+++ b/packages/wire/include/plumfold/wire/plumfold_convert.hpp
@@ -5,6 +5,7 @@
 #include "plumfold/core/plumfold_dispatch_types.hpp"
 #include "plumfold/core/plumfold_part_directory.hpp"
 #include "plumfold/core/plumfold_raft_types.hpp"
+#include "plumfold/core/plumfold_stream_origin.hpp"
 #include "plumfold/core/plumfold_suspect_registry.hpp"
 #include "plumfold/core/plumfold_target_directory.hpp"
 #include "plumfold/core/plumfold_target_report.hpp"
@@ -100,6 +101,9 @@
 void write(TargetLoad::Builder out, const core::target_load& value);
 core::target_load read(TargetLoad::Reader in);
 
+void write(StreamRecord::Builder out, const core::stream_record& value);
+core::stream_record read(StreamRecord::Reader in);
+
 void write(PartNews::Builder out, const core::part_update& value);
 core::part_update read(PartNews::Reader in);
 
--- a/packages/wire/schema/plumfold.capnp
+++ b/packages/wire/schema/plumfold.capnp
@@ -216,8 +216,17 @@
   startCold @3 (service :Text, target :Text) -> (granted :Bool, retryAfterMs :UInt32);
   # Asks the same control VM for one retry beyond the share of the entry's own requests.
   retry @4 (service :Text) -> (granted :Bool);
+  # Records where streams began, so that they can go on at another entry.
+  recordStreams @5 (streams :List(StreamRecord)) -> ();
+  # Returns where a stream began, if this control VM knows it. In any case, it returns the software versions of all
+  # targets of the service that it has heard of recently, and the addresses of all control VMs of the group.
+  findStream @6 (stream :UInt64, service :Text)
+      -> (found :Bool, record :StreamRecord, softwareVersions :List(Text), members :List(Text));
 }
 
+# Where a stream began, see core::stream_record.
+struct StreamRecord { stream @0 :UInt64; service @1 :Text; softwareVersion @2 :Text; keepForMs @3 :UInt32; }
+
 # A target as it announced itself, see core::target_announcement.
 struct AnnouncedTarget {
   name @0 :Text;
--- a/packages/wire/src/plumfold_convert_deployment.cpp
+++ b/packages/wire/src/plumfold_convert_deployment.cpp
@@ -101,6 +101,20 @@
         core::milliseconds(in.getAgeMs()), in.getBusy() };
 }
 
+void write(StreamRecord::Builder out, const core::stream_record& value)
+{
+    out.setStream(value.stream);
+    out.setService(value.origin.service);
+    out.setSoftwareVersion(value.origin.softwareVersion);
+    out.setKeepForMs(static_cast<std::uint32_t>(value.keepFor.count()));
+}
+
+core::stream_record read(StreamRecord::Reader in)
+{
+    return core::stream_record { in.getStream(), { text(in.getService()), text(in.getSoftwareVersion()) },
+        core::milliseconds(in.getKeepForMs()) };
+}
+
 void write(PartNews::Builder out, const core::part_update& value)
 {
     out.setHolder(value.holder);
