Ask all control VMs that were in service recently where a stream began

In the soak, 9 to 23 of 48 to 65 take-ups were refused because nobody was found to know the stream, also while a quorum was in service.

Cause, from the entries' logs: a control VM that had been suspended lists only itself for a while, and its followers asked and told nobody else; a control VM that was down was tried again at once, up to 745 times in 17 s, and each failure was logged.

Change: control VMs that were in service in the last minute are asked too; one that failed is left out for 300 ms and logged once. stream_taken_up logs whether the origin is known, inferred or unknown, how many control VMs answered and how long it took.

--- a/packages/core/include/plumfold/core/plumfold_stream_origin.hpp
+++ b/packages/core/include/plumfold/core/plumfold_stream_origin.hpp
@@ -91,6 +91,11 @@
     /// one software version only, that version; else nothing.
     std::optional<stream_origin> result() const;
 
+    /// @return the number of control VMs that have answered.
+    std::size_t answers() const { return m_answered.size(); }
+    /// @return the number of control VMs of the group, as far as the answers name them.
+    std::size_t members() const { return m_members.size(); }
+
 private:
     std::string m_service;
     std::optional<stream_origin> m_known;
--- a/packages/forwarding/src/plumfold_request_forwarder.cpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.cpp
@@ -136,7 +136,21 @@
     const auto& shares = m_route->shares;
     auto number = m_head.resumes.empty() ? 0 : core::streamNumber(customerName(), m_head.resumes);
     auto onlyService = shares.size() == 1 ? shares.front().service : std::string();
-    m_origin = co_await m_state.streamOrigins.find(number, onlyService);
+    auto searchedAt = runtime::now();
+    auto search = co_await m_state.streamOrigins.find(number, onlyService);
+    m_origin = search.result();
+    auto took = std::chrono::duration_cast<core::milliseconds>(runtime::now() - searchedAt);
+    runtime::log_event("stream_taken_up")
+        .with("request", m_head.id)
+        .with("resumes", m_head.resumes.empty() ? std::string("none") : m_head.resumes)
+        .with("origin",
+            search.known() ? "known"
+                : m_origin ? "only_version"
+                           : "unknown")
+        .with("version", m_origin ? m_origin->softwareVersion : std::string("none"))
+        .with("answers", search.answers())
+        .with("members", search.members())
+        .with("took_ms", took.count());
     bool isOnRoute = m_origin && std::any_of(shares.begin(), shares.end(), [&](const auto& share) {
         return share.service == m_origin->service;
     });
--- a/packages/forwarding/src/plumfold_stream_origin_client.cpp
+++ b/packages/forwarding/src/plumfold_stream_origin_client.cpp
@@ -7,7 +7,7 @@
 #include "plumfold/wire/plumfold_entry_session.hpp"
 
 #include <algorithm>
-#include <tuple>
+#include <utility>
 
 namespace plumfold::forwarding {
 
@@ -16,9 +16,10 @@
 constexpr std::chrono::milliseconds connectTimeout { 250 };
 constexpr std::chrono::milliseconds answerTimeout { 150 };
 constexpr core::milliseconds searchTimeout { 400 };
-constexpr core::milliseconds failureBackoff { 1'000 };
+constexpr core::milliseconds failureBackoff { 300 };
+/// A control VM that was in service this recently is asked for origins: it may only be cut off from others.
+constexpr core::milliseconds maxAbsence { 60'000 };
 constexpr auto retryInterval = 200 * kj::MILLISECONDS;
-constexpr std::size_t holderCount = 2;
 constexpr std::size_t maxOwnRecords = 20'000;
 constexpr std::size_t maxRecordsPerCall = 500;
 
@@ -29,8 +30,9 @@
     search(asio::io_context& io, std::uint64_t stream, std::string service)
         : stream(stream)
         , service(service)
-        , answers(std::move(service))
+        , answers(service)
         , finished(io)
+        , result(std::move(service))
     {
     }
 
@@ -40,7 +42,7 @@
     std::size_t openCalls = 0; // on the RPC thread
     bool isFinished = false; // on the RPC thread
     asio::steady_timer finished; // cancelled by the result
-    std::optional<core::stream_origin> result;
+    core::origin_search result;
 };
 
 stream_origin_client::stream_origin_client(
@@ -70,7 +72,15 @@
         return;
     m_lastControl = domains;
     m_rpc.post([this, domains] {
-        m_control = domains;
+        auto now = runtime::now();
+        for (auto& [address, each] : m_links)
+            each.isInService = domains.contains(address);
+        for (const auto& [address, domain] : domains) {
+            auto& known = m_links[address];
+            known.failureDomain = domain;
+            known.isInService = true;
+            known.seenAt = now;
+        }
         sendRecords();
     });
 }
@@ -95,19 +105,25 @@
     auto now = runtime::now();
     auto hash = core::hashBytes(m_settings.process.name);
     auto rank = [&](const auto& each) {
-        auto known = m_links.find(each.first);
-        bool hasFailed = known != m_links.end() && now - known->second.failedAt < failureBackoff;
-        bool isRemote = each.second != m_settings.process.failureDomain;
-        return std::tuple(hasFailed, isRemote, core::hashBytes(each.first, hash));
+        bool isRemote = each->second.failureDomain != m_settings.process.failureDomain;
+        return std::pair(isRemote, core::hashBytes(each->first, hash));
     };
-    std::vector<std::pair<std::string, std::string>> ranked(m_control.begin(), m_control.end());
-    std::sort(ranked.begin(), ranked.end(),
+    std::vector<std::map<std::string, link>::const_iterator> usable;
+    for (auto each = m_links.begin(); each != m_links.end(); ++each) {
+        if (each->second.isInService && now - each->second.failedAt >= failureBackoff)
+            usable.push_back(each);
+    }
+    std::sort(usable.begin(), usable.end(),
         [&](const auto& left, const auto& right) { return rank(left) < rank(right); });
     std::vector<std::string> chosen;
-    for (const auto& [address, domain] : ranked) {
-        bool isSameDomain = !chosen.empty() && m_control.at(chosen.front()) == domain;
-        if (chosen.size() < holderCount && !isSameDomain)
-            chosen.push_back(address);
+    std::string firstDomain;
+    for (const auto& each : usable) {
+        bool isSecond = chosen.size() == 1 && each->second.failureDomain != firstDomain;
+        if (!chosen.empty() && !isSecond)
+            continue;
+        chosen.push_back(each->first);
+        if (chosen.size() == 1)
+            firstDomain = each->second.failureDomain;
     }
     return chosen;
 }
@@ -148,14 +164,12 @@
             auto& known = m_links[address];
             known.recordsSent = last;
             known.isSending = false;
+            known.isFailing = false;
             sendRecords();
         },
         [this, address](kj::Exception&& exception) {
-            runtime::log_event("stream_records_not_sent", runtime::log_level::warning)
-                .with("address", address)
-                .with("reason", exception.getDescription().cStr());
             m_links[address].isSending = false;
-            drop(address);
+            drop(address, exception);
             sendRecords();
         }));
 }
@@ -169,7 +183,7 @@
     });
 }
 
-task<std::optional<core::stream_origin>> stream_origin_client::find(std::uint64_t stream, std::string service)
+task<core::origin_search> stream_origin_client::find(std::uint64_t stream, std::string service)
 {
     auto pending = std::make_shared<search>(m_io, stream, std::move(service));
     pending->finished.expires_after(searchTimeout);
@@ -183,13 +197,20 @@
 {
     core::origin_answer own;
     own.origin = m_own.find(search->stream, runtime::now());
-    if (own.origin || m_control.empty()) {
+    if (own.origin) {
         search->answers.addAnswer({}, own);
         finishSearch(search);
         return;
     }
-    search->openCalls = m_control.size();
-    for (const auto& [address, domain] : m_control)
+    std::vector<std::string> asked;
+    for (const auto& [address, each] : m_links) {
+        if (each.isInService || runtime::now() - each.seenAt < maxAbsence)
+            asked.push_back(address);
+    }
+    search->openCalls = asked.size();
+    if (asked.empty())
+        finishSearch(search);
+    for (const auto& address : asked)
         m_tasks->add(ask(address, search));
 }
 
@@ -215,10 +236,7 @@
                 finishSearch(search);
         },
         [this, address, search](kj::Exception&& exception) {
-            runtime::log_event("stream_origin_not_answered", runtime::log_level::warning)
-                .with("address", address)
-                .with("reason", exception.getDescription().cStr());
-            drop(address);
+            drop(address, exception);
             if (--search->openCalls == 0)
                 finishSearch(search);
         });
@@ -228,7 +246,7 @@
 {
     if (std::exchange(search->isFinished, true))
         return;
-    asio::post(m_io, [search, result = search->answers.result()] {
+    asio::post(m_io, [search, result = search->answers] {
         search->result = result;
         search->finished.cancel();
     });
@@ -256,9 +274,13 @@
     });
 }
 
-void stream_origin_client::drop(const std::string& address)
+void stream_origin_client::drop(const std::string& address, const kj::Exception& reason)
 {
     auto& failed = m_links[address];
+    if (!std::exchange(failed.isFailing, true))
+        runtime::log_event("stream_origins_unreachable", runtime::log_level::warning)
+            .with("address", address)
+            .with("reason", reason.getDescription().cStr());
     failed.session = nullptr;
     failed.recordsSent = 0;
     failed.failedAt = runtime::now();
--- a/packages/forwarding/src/plumfold_stream_origin_client.hpp
+++ b/packages/forwarding/src/plumfold_stream_origin_client.hpp
@@ -34,17 +34,21 @@
     /// Searches the origin of a stream.
     /// @param stream 0: unknown, only the software versions decide.
     /// @param service the only service that can have begun it; empty: there are several.
-    /// @return the origin, or nothing if it is not known for certain.
-    task<std::optional<core::stream_origin>> find(std::uint64_t stream, std::string service);
+    /// @return the answers that came in time.
+    task<core::origin_search> find(std::uint64_t stream, std::string service);
 
 private:
-    /// A connection to one control VM.
+    /// A control VM.
     struct link {
+        std::string failureDomain;
+        bool isInService = false;
+        core::instant seenAt {}; // last time that it was in service
         kj::Own<wire::rpc_connection> connection;
         kj::Maybe<wire::EntrySession::Client> session;
         std::uint64_t recordsSent = 0; // number of the last record that the control VM has
         bool isSending = false;
         core::instant failedAt {};
+        bool isFailing = false; // the latest call failed
     };
     /// A record of this entry that may have to be sent again.
     struct own_record {
@@ -55,7 +59,7 @@
     struct search;
 
     kj::Promise<wire::EntrySession::Client> sessionAt(const std::string& address);
-    void drop(const std::string& address);
+    void drop(const std::string& address, const kj::Exception& reason);
     std::vector<std::string> holders() const;
     void sendRecords();
     void sendRecordsTo(const std::string& address, link& to);
@@ -70,8 +74,7 @@
     std::map<std::string, std::string> m_lastControl; // as last set
 
     // Used on the RPC thread only.
-    std::map<std::string, std::string> m_control; // failure domain by address
-    std::map<std::string, link> m_links;
+    std::map<std::string, link> m_links; // by address
     core::stream_origin_table m_own;
     std::deque<own_record> m_records; // by number
     std::uint64_t m_latestRecord = 0;
--- a/tests/forwarding/support/plumfold_disturbances.hpp
+++ b/tests/forwarding/support/plumfold_disturbances.hpp
@@ -2,6 +2,7 @@
 
 #include "plumfold_forwarding_system.hpp"
 
+#include <atomic>
 #include <chrono>
 #include <cstdlib>
 #include <map>
@@ -34,6 +35,9 @@
         resumeDue(std::chrono::steady_clock::time_point::max());
     }
 
+    /// @return whether at most one of the three control VMs is suspended.
+    bool isMajorityRunning() const { return m_pausedControls <= 1; }
+
 private:
     void disturb()
     {
@@ -69,6 +73,7 @@
         if (m_paused.contains(name))
             return;
         m_system.process(name).pause();
+        m_pausedControls += name.front() == 'c';
         m_paused[name] = std::chrono::steady_clock::now() + time;
     }
 
@@ -78,6 +83,7 @@
             if (each.second > now)
                 return false;
             m_system.process(each.first).resume();
+            m_pausedControls -= each.first.front() == 'c';
             return true;
         });
     }
@@ -85,6 +91,7 @@
     forwarding_system& m_system;
     int m_entries;
     std::minstd_rand m_random;
+    std::atomic<int> m_pausedControls { 0 };
     std::map<std::string, std::chrono::steady_clock::time_point> m_paused; // until when
 };
 
