Test that fails: control reads without end what a target sends without end

Reports, events and lists whose head, interim responses, chunk line or body goes on, or that come byte by byte. On the present code a report does not end while the line before a chunk goes on; the run was stopped after 40 s.

--- a/tests/forwarding/plumfold_endless_answers_tests.cpp
+++ b/tests/forwarding/plumfold_endless_answers_tests.cpp
@@ -1,10 +1,13 @@
 #include "support/plumfold_serving_system.hpp"
 
+#include "plumfold/platform/plumfold_platform_target_calls.hpp"
+
 #include <catch2/catch.hpp>
 
 #include <algorithm>
 #include <chrono>
 #include <fstream>
+#include <functional>
 #include <future>
 #include <thread>
 #include <unistd.h>
@@ -112,3 +115,31 @@
             checkBounds(std::string(route) + behaviour);
     }
 }
+
+TEST_CASE("What control reads of a target costs bounded time and memory, whatever the target sends",
+    "[forwarding][endless]")
+{
+    constexpr auto timeout = 400ms;
+    constexpr auto maxCallTime = timeout + 2'000ms;
+    scripted_target target("endless", "127.0.0.77:0");
+    for (const char* behaviour :
+        { "endless-head", "endless-interim", "endless-chunk-line", "endless-body", "endless-drip" }) {
+        INFO(behaviour);
+        target.setControlBehaviour(behaviour);
+        auto before = residentBytesOf(::getpid());
+        auto check = [&](const char* call, const std::function<bool()>& succeeds) {
+            INFO(call);
+            auto start = clock_type::now();
+            CHECK_FALSE(succeeds());
+            CHECK(clock_type::now() - start <= maxCallTime);
+            CHECK(residentBytesOf(::getpid()) <= before + maxGrowthBytes);
+        };
+        plumfold::platform::target_client client(timeout);
+        check("report", [&] { return client.readReport(target.address(), "endless").ok(); });
+        plumfold::platform::target_report_reader reports(target.address(), "endless");
+        check("repeated report", [&] { return reports.read(timeout).ok(); });
+        plumfold::platform::part_event_reader events(target.address());
+        check("events", [&] { return events.read(0, 0ms).ok(); });
+        check("list", [&] { return events.list().ok(); });
+    }
+}
--- a/tests/forwarding/support/plumfold_scripted_target.cpp
+++ b/tests/forwarding/support/plumfold_scripted_target.cpp
@@ -59,6 +59,7 @@
     , m_listener(Poco::Net::SocketAddress(m_address))
     , m_thread([this] { accept(); })
 {
+    m_address = m_listener.address().toString(); // port 0 lets the system choose
 }
 
 scripted_target::~scripted_target()
@@ -130,7 +131,9 @@
                 m_requests.push_back(current.request);
             }
             const auto& path = current.request.path;
-            auto found = behaviours.find(path.substr(path.rfind('/') + 1));
+            bool isControlCall = path.starts_with("/report") || path.starts_with("/kv-");
+            auto found
+                = behaviours.find(isControlCall ? m_controlBehaviour : path.substr(path.rfind('/') + 1));
             (this->*(found == behaviours.end() ? &scripted_target::respondComplete : found->second))(current);
         }
     } catch (const Poco::Exception&) {
--- a/tests/forwarding/support/plumfold_scripted_target.hpp
+++ b/tests/forwarding/support/plumfold_scripted_target.hpp
@@ -31,6 +31,8 @@
 
     const std::string& name() const { return m_name; }
     const std::string& version() const { return m_version; }
+    /// Sets the behaviour that responds to requests for reports, events and lists.
+    void setControlBehaviour(std::string name) { m_controlBehaviour = std::move(name); }
     /// Breaks off one in `interval` streams of the behaviour "versioned" inside an event; 0: none.
     void breakOffStreams(int interval) { m_breakOffInterval = interval; }
     const std::string& address() const { return m_address; }
@@ -85,6 +87,7 @@
     std::string m_name;
     std::string m_address;
     std::string m_version;
+    std::string m_controlBehaviour { "whole" };
     std::atomic<int> m_breakOffInterval { 0 };
     std::atomic<int> m_versionedStreams { 0 };
     Poco::Net::ServerSocket m_listener;
