Limit the time and memory of what control reads of a target

A target whose report, events or list goes on without end held a control VM's poller, and any amount of its memory.

Cause: Poco's sessions limit each read, not the response, and copyToString takes what comes.

Ruled out: connecting and sending, which have their own timeouts.

--- a/packages/entry/src/plumfold_http_target_adapter.cpp
+++ b/packages/entry/src/plumfold_http_target_adapter.cpp
@@ -3,10 +3,6 @@
 #include "plumfold/runtime/plumfold_clock.hpp"
 #include "plumfold/runtime/plumfold_http.hpp"
 
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
-
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/NetException.h>
@@ -22,7 +18,6 @@
 namespace http = boost::beast::http;
 
 using json = nlohmann::json;
-using response_parser = http::response_parser<http::string_body>;
 using core::attempt_outcome;
 using core::milliseconds;
 
@@ -31,7 +26,6 @@
 constexpr milliseconds probeTimeout { 200 };
 constexpr std::size_t maxIdlePerTarget = 32;
 constexpr std::size_t maxEventBytes = 1 << 20;
-constexpr std::size_t responseReadBytes = 16 << 10;
 constexpr std::string_view eventPrefix = "data: ";
 constexpr std::string_view endOfStream = "[DONE]";
 
@@ -72,33 +66,6 @@
     return out.good();
 }
 
-/// Reads a response to its end. Unlike Poco's streams, the parser tells the end of a body from a closed
-/// connection.
-/// @return an error if the response is truncated, malformed or beyond the parser's limits.
-/// @throws Poco::Exception on a reset connection or a timeout.
-boost::system::error_code readResponse(Poco::Net::StreamSocket& socket, response_parser& parser)
-{
-    boost::system::error_code error;
-    boost::beast::flat_buffer buffer;
-    parser.eager(true);
-    while (!parser.is_done() && !error) {
-        auto space = buffer.prepare(responseReadBytes);
-        int received = socket.receiveBytes(space.data(), static_cast<int>(space.size()));
-        if (received <= 0) {
-            if (parser.got_some())
-                parser.put_eof(error);
-            else
-                error = http::error::end_of_stream;
-            break;
-        }
-        buffer.commit(static_cast<std::size_t>(received));
-        buffer.consume(parser.put(buffer.data(), error));
-        if (error == http::error::need_more)
-            error = {};
-    }
-    return error;
-}
-
 enum class event_kind { token, finish, done, failure };
 
 event_kind handleEvent(std::string_view data, completion_result& result, token_sink& sink)
@@ -280,10 +247,12 @@
         result.outcome = attempt_outcome::lost;
         if (!send(*used, request, call.body))
             return result;
-        response_parser parser;
+        runtime::response_parser parser;
         parser.body_limit(call.maxResponseBytes);
         parser.skip(call.method == "HEAD");
-        if (auto error = readResponse(used->socket(), parser)) {
+        auto error
+            = runtime::readResponse(used->socket(), parser, call.timeout, runtime::now() + call.timeout);
+        if (error && error != http::error::unexpected_body) {
             result.failure = error.message();
             return result;
         }
