Keep the position of a stream that did not go on at a restarted target

Found by reading the change: a stream that was about to go on at a target that had been restarted under its name counted that target's events as delivered before it turned them away, so a third target left them out; likewise complete events in front of one that exceeds the buffers.

Change: the target's start is compared before its bytes are split into events, and complete events are passed on before the size of the rest is checked. A take-up whose origin some control VM may still know gets a Retry-After.

--- a/packages/forwarding/src/plumfold_request_attempt.cpp
+++ b/packages/forwarding/src/plumfold_request_attempt.cpp
@@ -298,30 +298,27 @@
         platform::copyResponseHeaders(parser.get().base(), m_streamHead);
     }
     std::string chunk;
-    bool isFirstEvent = true;
     while (!parser.is_done()) {
         if (!co_await readChunk(parser, chunk))
             co_return classifyFailure(asio::error::connection_reset);
-        auto events = m_events.feed(chunk);
-        if (isFirstEvent && !events.empty()) {
-            isFirstEvent = false;
-            // A target that was restarted under its name may have another software version.
-            bool isKnownTarget = m_state.targetSelector.isIncarnation(m_lastTarget, m_lastStart);
-            if (m_origin && !isKnownTarget) {
-                m_reason = "target_restarted";
-                co_return core::attempt_result::lost;
-            }
-            if (!m_origin)
-                beginStream(isKnownTarget ? m_lastVersion : std::string());
-        }
-        if (!m_buffered.resize(m_events.partialEventBytes())) {
-            m_reason = "event_too_large";
+        // A target that was restarted under its name may have another software version.
+        bool isSameTarget
+            = m_events.hasEvents() || m_state.targetSelector.isIncarnation(m_lastTarget, m_lastStart);
+        if (m_origin && !isSameTarget) {
+            m_reason = "target_restarted";
             co_return core::attempt_result::lost;
         }
+        auto events = m_events.feed(chunk);
+        if (!m_origin && !events.empty())
+            beginStream(isSameTarget ? m_lastVersion : std::string());
         if (!events.empty() && !co_await relayChunk(std::move(events))) {
             onCallerDisconnected();
             co_return core::attempt_result::abandoned;
         }
+        if (!m_buffered.resize(m_events.partialEventBytes())) {
+            m_reason = "event_too_large";
+            co_return core::attempt_result::lost;
+        }
     }
     m_partialEventBytes = m_events.partialEventBytes();
     bool endedWithoutEvents = parser.need_eof() && !m_events.hasEvents();
--- a/packages/forwarding/src/plumfold_request_forwarder.cpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.cpp
@@ -155,7 +155,11 @@
         return share.service == m_origin->service;
     });
     if (!isOnRoute) {
-        reject(http::status::service_unavailable, m_origin ? "stream_not_on_route" : "stream_origin_unknown");
+        // A control VM that did not answer may know the stream.
+        bool haveAllAnswered = search.answers() > 0 && search.answers() >= search.members();
+        auto retryAfter = haveAllAnswered ? std::nullopt : std::optional(retryAfterRejection);
+        reject(http::status::service_unavailable, m_origin ? "stream_not_on_route" : "stream_origin_unknown",
+            retryAfter);
         co_return false;
     }
     m_service = m_origin->service;
--- a/tests/forwarding/plumfold_stream_version_tests.cpp
+++ b/tests/forwarding/plumfold_stream_version_tests.cpp
@@ -240,6 +240,29 @@
     CHECK(stream.versions.size() == 1);
 }
 
+TEST_CASE_METHOD(two_version_system,
+    "No event is lost when the target at which a stream goes on was restarted meanwhile",
+    "[forwarding][versions]")
+{
+    auto body = deployment(4);
+    body["routes"][2]["max-attempts"] = 3;
+    REQUIRE(putDeployment(1, body));
+    std::this_thread::sleep_for(500ms);
+    std::thread restarts([this] {
+        std::this_thread::sleep_for(100ms);
+        announceRestarts();
+        for (const char* name : { "a1", "a2", "a3", "b1", "b2", "b3" })
+            announce(name);
+    });
+    auto response = request(1, "/words/events-cut-slow");
+    restarts.join();
+    CHECK(logOf("n1").find("sends=3") != std::string::npos);
+    CHECK(response.body
+        == "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\ndata: e3\n\nid: 4\ndata: e4\n\n"
+           "id: 5\ndata: e5\n\nid: 6\ndata: e6\n\n");
+    CHECK(response.isComplete);
+}
+
 TEST_CASE_METHOD(two_version_system,
     "No stream joins two software versions while entries and control VMs stop, restart and are suspended",
     "[forwarding][versions][soak]")
--- a/tests/forwarding/support/plumfold_forwarding_system.cpp
+++ b/tests/forwarding/support/plumfold_forwarding_system.cpp
@@ -241,7 +241,7 @@
     json body { { "service", announced.service }, { "address", announced.server->address() },
         { "zone", "east" }, { "version", announced.server->version() }, { "slots", 8 }, { "state", state },
         { "cold-remaining-ms", std::max<std::int64_t>(coldFor.count(), 0) }, { "sequence", ++m_sequence },
-        { "born", 1000 } };
+        { "born", m_targetStart.load() } };
     for (int control = 1; control <= controlVms; ++control) {
         if (call(control, "PUT", "/instances/" + target, body.dump()).first == 200)
             return;
--- a/tests/forwarding/support/plumfold_forwarding_system.hpp
+++ b/tests/forwarding/support/plumfold_forwarding_system.hpp
@@ -70,6 +70,8 @@
     std::pair<int, std::string> call(
         int control, const std::string& method, const std::string& path, const std::string& body = {});
     void announce(const std::string& target, const std::string& state = "ready");
+    /// Lets all targets announce a later start from now on.
+    void announceRestarts() { ++m_targetStart; }
     /// Announces all targets periodically until destruction, as real targets do.
     void startAnnouncing();
 
@@ -115,6 +117,7 @@
     std::map<std::string, test_process> m_processes;
     std::vector<int> m_pipes;
     std::uint64_t m_sequence = 0;
+    std::atomic<std::uint64_t> m_targetStart { 1000 };
     std::atomic<bool> m_stopping { false };
     std::thread m_announcer;
 };
--- a/tests/forwarding/support/plumfold_scripted_target.cpp
+++ b/tests/forwarding/support/plumfold_scripted_target.cpp
@@ -121,6 +121,7 @@
         { "endless-events", &scripted_target::sendEndlessEvents },
         { "endless-drip", &scripted_target::dripBytes },
         { "versioned", &scripted_target::streamVersionedEvents },
+        { "events-cut-slow", &scripted_target::streamSlowlyWhenResumed },
     };
     exchange current { socket, {}, {}, true };
     try {
@@ -379,6 +380,13 @@
     current.send("0\r\n\r\n");
 }
 
+void scripted_target::streamSlowlyWhenResumed(exchange& current)
+{
+    if (current.isResumed())
+        std::this_thread::sleep_for(std::chrono::milliseconds(400));
+    streamCutMidEvent(current);
+}
+
 void scripted_target::sendEndlessly(
     exchange& current, const std::string& bytes, std::chrono::milliseconds pause)
 {
--- a/tests/forwarding/support/plumfold_scripted_target.hpp
+++ b/tests/forwarding/support/plumfold_scripted_target.hpp
@@ -81,6 +81,7 @@
     void sendEndlessEvents(exchange& current);
     void dripBytes(exchange& current);
     void streamVersionedEvents(exchange& current);
+    void streamSlowlyWhenResumed(exchange& current);
     /// Repeats bytes until the caller closes the connection.
     void sendEndlessly(exchange& current, const std::string& bytes, std::chrono::milliseconds pause = {});
 
