Remember until when a control VM was in service

Found by reading the change: the time at which a control VM was last in service was set when the list of control VMs changed, not when it left the list. One that had been listed for more than a minute was not asked where a stream began as soon as it was cut off from the others, so that streams of which it had the only record were refused. It has no test of its own; the soak has it only in parts. Also, a caller's deadline beyond ten minutes can't overflow the time for which an origin is kept.

--- a/packages/core/include/plumfold/core/plumfold_stream_origin.hpp
+++ b/packages/core/include/plumfold/core/plumfold_stream_origin.hpp
@@ -13,6 +13,9 @@
 
 namespace plumfold::core {
 
+/// The origin of a stream is kept for this time at most.
+inline constexpr milliseconds maxStreamKeepTime { 600'000 };
+
 /// Where a stream began. It may go on only there, since the events of two software versions do not fit
 /// together.
 struct stream_origin {
--- a/packages/core/src/plumfold_stream_origin.cpp
+++ b/packages/core/src/plumfold_stream_origin.cpp
@@ -6,12 +6,6 @@
 
 namespace plumfold::core {
 
-namespace {
-
-constexpr milliseconds maxKeepTime { 600'000 };
-
-} // namespace
-
 std::uint64_t streamNumber(const std::string& customer, const std::string& requestId)
 {
     return hashBytes(requestId, hashBytes(customer));
@@ -21,7 +15,7 @@
 {
     while (!m_expiries.empty() && m_expiries.begin()->first <= now)
         dropFirst();
-    auto keptUntil = now + std::min(record.keepFor, maxKeepTime);
+    auto keptUntil = now + std::min(record.keepFor, maxStreamKeepTime);
     auto [place, isNew] = m_streams.try_emplace(record.stream, known_stream { record.origin, keptUntil });
     auto& known = place->second;
     if (isNew) {
--- a/packages/forwarding/src/plumfold_request_attempt.cpp
+++ b/packages/forwarding/src/plumfold_request_attempt.cpp
@@ -341,7 +341,8 @@
     m_origin = core::stream_origin { m_service, std::move(softwareVersion) };
     if (!m_route->isResumable || m_origin->softwareVersion.empty())
         return;
-    auto keepFor = m_head.deadline.value_or(defaultDeadline) + streamRecordMargin;
+    auto deadline = m_head.deadline.value_or(defaultDeadline);
+    auto keepFor = std::min(deadline, core::maxStreamKeepTime) + streamRecordMargin;
     m_state.streamOrigins.record({ core::streamNumber(customerName(), m_head.id), *m_origin, keepFor });
 }
 
--- a/packages/forwarding/src/plumfold_stream_origin_client.cpp
+++ b/packages/forwarding/src/plumfold_stream_origin_client.cpp
@@ -73,13 +73,15 @@
     m_lastControl = domains;
     m_rpc.post([this, domains] {
         auto now = runtime::now();
-        for (auto& [address, each] : m_links)
+        for (auto& [address, each] : m_links) {
+            if (each.isInService)
+                each.seenAt = now;
             each.isInService = domains.contains(address);
+        }
         for (const auto& [address, domain] : domains) {
             auto& known = m_links[address];
             known.failureDomain = domain;
             known.isInService = true;
-            known.seenAt = now;
         }
         sendRecords();
     });
--- a/packages/forwarding/src/plumfold_stream_origin_client.hpp
+++ b/packages/forwarding/src/plumfold_stream_origin_client.hpp
@@ -42,7 +42,7 @@
     struct link {
         std::string failureDomain;
         bool isInService = false;
-        core::instant seenAt {}; // last time that it was in service
+        core::instant seenAt {}; // until when it was in service, if it no longer is
         kj::Own<wire::rpc_connection> connection;
         kj::Maybe<wire::EntrySession::Client> session;
         std::uint64_t recordsSent = 0; // number of the last record that the control VM has
