--- a/tests/forwarding/plumfold_stream_version_tests.cpp
+++ b/tests/forwarding/plumfold_stream_version_tests.cpp
@@ -256,7 +256,7 @@
     });
     auto response = request(1, "/words/events-cut-slow");
     restarts.join();
-    CHECK(logOf("n1").find("sends=3") != std::string::npos);
+    CHECK(eventually([&] { return logOf("n1").find("sends=3") != std::string::npos; }, 3));
     CHECK(response.body
         == "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\ndata: e3\n\nid: 4\ndata: e4\n\n"
            "id: 5\ndata: e5\n\nid: 6\ndata: e6\n\n");
