--- a/tests/forwarding/support/plumfold_forwarding_system.hpp
+++ b/tests/forwarding/support/plumfold_forwarding_system.hpp
@@ -81,6 +81,8 @@
     bool isReady(int entry);
     void waitForTarget(int entry, const std::string& path = "/shop/whole");
 
+    /// @return an address in the network of this system: ip:port.
+    std::string address(int host, int port) const;
     std::string callerAddress(int entry) const { return address(20 + entry, 8000); }
     std::string targetAddress(const std::string& name) const { return m_targets.at(name).server->address(); }
     raw_response request(int entry, const std::string& path, const std::string& body = "order",
@@ -97,7 +99,6 @@
     static std::string nextId();
 
 private:
-    std::string address(int host, int port) const;
     void start(const std::string& name, const nlohmann::json& settings);
     std::vector<std::string> seeds() const;
 
--- a/tests/forwarding/support/plumfold_scripted_target.cpp
+++ b/tests/forwarding/support/plumfold_scripted_target.cpp
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <sstream>
+#include <sys/socket.h>
 
 namespace plumfold::tests {
 
@@ -13,6 +14,8 @@
 
 constexpr int pollMicroseconds = 20'000;
 constexpr int eventCount = 6;
+constexpr std::chrono::milliseconds timeUntilCrash { 40 };
+constexpr std::chrono::milliseconds workTime { 100 };
 /// Two events and the beginning of a third.
 constexpr const char* cutEvents = "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\nda";
 
@@ -81,11 +84,40 @@
     while (!m_stopping) {
         if (!m_listener.poll(Poco::Timespan(0, pollMicroseconds), Poco::Net::Socket::SELECT_READ))
             continue;
-        auto socket = m_listener.acceptConnection();
-        m_connections.emplace_back([this, socket]() mutable { serve(socket); });
+        try {
+            auto socket = m_listener.acceptConnection();
+            {
+                std::lock_guard lock(m_mutex);
+                m_sockets.push_back(socket);
+            }
+            m_connections.emplace_back([this, socket]() mutable { serve(socket); });
+        } catch (const Poco::Exception&) {
+            return; // crashed
+        }
     }
 }
 
+void scripted_target::crash()
+{
+    if (m_crashed.exchange(true))
+        return;
+    m_stopping = true;
+    ::shutdown(m_listener.impl()->sockfd(), SHUT_RDWR);
+    std::lock_guard lock(m_mutex);
+    for (auto& each : m_sockets)
+        ::shutdown(each.impl()->sockfd(), SHUT_RDWR);
+}
+
+void scripted_target::crashWhileServing(exchange& current)
+{
+    if (current.request.path.find("/events") != std::string::npos)
+        current.send(
+            current.head("200 OK", "Response-Signature: " + m_name + "\r\nTransfer-Encoding: chunked\r\n"));
+    std::this_thread::sleep_for(timeUntilCrash);
+    crash();
+    current.keepAlive = false;
+}
+
 void scripted_target::serve(Poco::Net::StreamSocket socket)
 {
     static const std::map<std::string, behaviour> behaviours {
@@ -100,6 +132,7 @@
         { "not-run", &scripted_target::respondNotExecuted },
         { "busy", &scripted_target::respondBusy },
         { "slow", &scripted_target::respondSlowly },
+        { "work", &scripted_target::respondAfterWork },
         { "never", &scripted_target::neverRespond },
         { "drop", &scripted_target::dropConnection },
         { "events", &scripted_target::streamEvents },
@@ -131,6 +164,10 @@
                 current.request.receivedAt = std::chrono::steady_clock::now();
                 m_requests.push_back(current.request);
             }
+            if (m_crashCondition && m_crashCondition(current.request)) {
+                crashWhileServing(current);
+                continue;
+            }
             const auto& path = current.request.path;
             bool isControlCall = path.starts_with("/report") || path.starts_with("/kv-");
             auto found
@@ -140,6 +177,8 @@
     } catch (const Poco::Exception&) {
         ++m_abandoned;
     }
+    std::lock_guard lock(m_mutex);
+    std::erase_if(m_sockets, [&](const auto& each) { return each.impl() == socket.impl(); });
 }
 
 bool scripted_target::readRequest(exchange& current)
@@ -244,6 +283,12 @@
     respondComplete(current);
 }
 
+void scripted_target::respondAfterWork(exchange& current)
+{
+    std::this_thread::sleep_for(workTime);
+    respondComplete(current);
+}
+
 void scripted_target::neverRespond(exchange& current)
 {
     char byte = 0;
--- a/tests/forwarding/support/plumfold_scripted_target.hpp
+++ b/tests/forwarding/support/plumfold_scripted_target.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
 #include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/StreamSocket.h>
 
 #include <atomic>
 #include <chrono>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <string>
@@ -37,6 +39,16 @@
     void breakOffStreams(int interval) { m_breakOffInterval = interval; }
     const std::string& address() const { return m_address; }
 
+    /// Lets the target crash while it runs a request for which the condition holds. Call it before the target
+    /// serves requests.
+    void setCrashCondition(std::function<bool(const recorded_request&)> condition)
+    {
+        m_crashCondition = std::move(condition);
+    }
+    /// Ends the target as the end of its process would: all connections are closed and new ones are refused.
+    void crash();
+    bool hasCrashed() const { return m_crashed; }
+
     std::vector<recorded_request> requests() const;
     /// @return number of connections that the entry closed while a request was being served.
     int abandoned() const { return m_abandoned; }
@@ -48,6 +60,7 @@
     void accept();
     void serve(Poco::Net::StreamSocket socket);
     bool readRequest(exchange& current);
+    void crashWhileServing(exchange& current);
 
     void respondComplete(exchange& current);
     void respondTruncated(exchange& current);
@@ -60,6 +73,7 @@
     void respondNotExecuted(exchange& current);
     void respondBusy(exchange& current);
     void respondSlowly(exchange& current);
+    void respondAfterWork(exchange& current);
     void neverRespond(exchange& current);
     void dropConnection(exchange& current);
     void streamEvents(exchange& current);
@@ -96,6 +110,9 @@
     std::vector<recorded_request> m_requests;
     std::atomic<int> m_abandoned { 0 };
     std::atomic<bool> m_stopping { false };
+    std::atomic<bool> m_crashed { false };
+    std::function<bool(const recorded_request&)> m_crashCondition;
+    std::vector<Poco::Net::StreamSocket> m_sockets; // of all connections
     std::vector<std::thread> m_connections;
     std::thread m_thread;
 };
