Tests that fail: a request that crashes targets is sent to target after target

Three control VMs, four entries in three failure domains, eight targets that are back under another name after 1.5 s; the crashing request four times a second beside twelve sound ones of the same customer.

Before: 43 arrivals later than 3 s after the third crash (3 allowed), 61 crashes, 39 of 72 sound requests begin at the first attempt; after the restart of all entries 18 too late, after that of all processes 25. A fourth test passes and has to go on passing: 16 crashes that no request causes lead to no verdict.

--- /dev/null
+++ b/tests/forwarding/plumfold_crashing_request_tests.cpp
@@ -0,0 +1,102 @@
+#include "support/plumfold_crashing_system.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace plumfold::tests;
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto propagationTime = 3'000ms; // after the last crash that is needed for a verdict
+constexpr std::size_t crashesForVerdict = 3;
+constexpr std::size_t maxLateArrivals = 3;
+constexpr const char* crashingBody = "crash";
+
+/// Targets that crash when they run requests with one body.
+class system_with_crashing_body : public crashing_system {
+public:
+    system_with_crashing_body()
+        : crashing_system([](const recorded_request& request) { return request.body == crashingBody; })
+    {
+    }
+
+    void sendCrashing(int entry) { request(entry, "/stock/work", crashingBody); }
+
+    /// @return the number of arrivals of the crashing request that came too late.
+    std::size_t lateArrivals() const { return arrivalsAfter(crashesForVerdict, propagationTime); }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(system_with_crashing_body,
+    "A request that crashes its targets is sent to few more of them once it has crashed three",
+    "[forwarding][crashes]")
+{
+    auto calm = sendSoundFor(3s, "/stock/work");
+    std::thread crashing([this] { sendCrashingFor(14s, [this](int entry) { sendCrashing(entry); }); });
+    sendSoundFor(8s, "/stock/work");
+    auto later = sendSoundFor(6s, "/stock/work");
+    crashing.join();
+    CAPTURE(
+        fleet().crashes().size(), fleet().arrivals().size(), calm.sent, calm.begun, later.sent, later.begun);
+    REQUIRE(fleet().crashes().size() >= crashesForVerdict);
+    CHECK(lateArrivals() <= maxLateArrivals);
+    REQUIRE(calm.begun * 10 >= calm.sent * 9);
+    CHECK(later.share() >= calm.share() / 2);
+    CHECK(soundRefusedByVerdict() == 0);
+}
+
+TEST_CASE_METHOD(system_with_crashing_body,
+    "An entry that starts after a request has crashed targets does not send it to more of them",
+    "[forwarding][crashes]")
+{
+    std::thread sound([this] { sendSoundFor(16s, "/stock/work"); });
+    sendCrashingFor(7s, [this](int entry) { sendCrashing(entry); });
+    std::size_t before = fleet().arrivals().size();
+    for (int number = 1; number <= entries; ++number) {
+        process("n" + std::to_string(number)).kill();
+        startEntry(number);
+        eventually([&] { return isReady(number); });
+        for (int repeat = 0; repeat < 4; ++repeat)
+            sendCrashing(number);
+    }
+    sound.join();
+    CAPTURE(fleet().crashes().size(), before, fleet().arrivals().size());
+    REQUIRE(fleet().crashes().size() >= crashesForVerdict);
+    CHECK(lateArrivals() <= maxLateArrivals);
+    CHECK(soundRefusedByVerdict() == 0);
+}
+
+TEST_CASE_METHOD(system_with_crashing_body,
+    "The verdict on a request that crashes targets outlasts the end of all processes",
+    "[forwarding][crashes]")
+{
+    sendCrashingFor(6s, [this](int entry) { sendCrashing(entry); });
+    restartAll();
+    sendCrashingFor(4s, [this](int entry) { sendCrashing(entry); });
+    auto calm = sendSoundFor(3s, "/stock/work");
+    CAPTURE(fleet().crashes().size(), fleet().arrivals().size(), calm.sent, calm.begun);
+    REQUIRE(fleet().crashes().size() >= crashesForVerdict);
+    CHECK(lateArrivals() <= maxLateArrivals);
+    CHECK(calm.share() > 0.9);
+}
+
+TEST_CASE_METHOD(
+    system_with_crashing_body, "Crashes that no request causes lead to no verdict", "[forwarding][crashes]")
+{
+    constexpr int crashes = 16;
+    std::thread crashing([this] {
+        for (int count = 0; count < crashes; ++count) {
+            std::this_thread::sleep_for(200ms);
+            fleet().crash(count % fleetSize);
+        }
+    });
+    sendSoundFor(4s, "/stock/work", 3);
+    crashing.join();
+    auto later = sendSoundFor(4s, "/stock/work", 3);
+    CAPTURE(fleet().crashes().size(), later.sent, later.begun);
+    REQUIRE(fleet().crashes().size() >= fleetSize);
+    CHECK(later.share() > 0.9);
+    CHECK(soundRefusedByVerdict() == 0);
+}
