--- a/packages/forwarding/src/plumfold_forwarding_role.cpp
+++ b/packages/forwarding/src/plumfold_forwarding_role.cpp
@@ -49,7 +49,9 @@
     impl(const runtime::settings& settings, wire::rpc_thread& rpc)
         : m_settings(settings)
         , m_sharedLimits(m_io, rpc, m_settings)
-        , m_streamOrigins(m_io, rpc, m_settings)
+        , m_rpc(rpc)
+        , m_controlSessions(m_rpc.run([&] { return std::make_unique<control_sessions>(rpc, m_settings); }))
+        , m_streamOrigins(m_io, rpc, *m_controlSessions, m_settings)
         , m_state { m_io, m_settings, m_metrics, m_sharedLimits, m_streamOrigins, nullptr, 0,
             core::target_selector(targetSelectorOptions(m_settings)), retryBudget(*m_settings.forwarding),
             target_connection_pool(m_io), core::buffer_budget(m_settings.forwarding->responseBufferBytes) }
@@ -69,6 +71,8 @@
         m_io.stop();
         if (m_thread.joinable())
             m_thread.join();
+        m_streamOrigins.stop();
+        m_rpc.run([this] { m_controlSessions.reset(); });
     }
 
     void drain()
@@ -113,7 +117,7 @@
         m_state.targetSelector.applyLoads(update.loads, now);
         m_state.targetSelector.setEntryCount(update.entries);
         m_sharedLimits.setIssuer(update.sharedLimitIssuer);
-        m_streamOrigins.setControl(update.control);
+        setControl(update.control);
         for (const auto& holder : update.parts)
             m_state.parts.apply(holder, now);
         m_state.targetClockMs = update.targetClockMs;
@@ -123,6 +127,14 @@
         m_metrics.set("plumfold_known_targets", static_cast<double>(m_state.targetSelector.size()));
     }
 
+    void setControl(const std::map<std::string, std::string>& domains)
+    {
+        if (domains == m_control)
+            return;
+        m_control = domains;
+        m_rpc.post([this, domains] { m_controlSessions->setControl(domains); });
+    }
+
     void applyDeployment(const core::deployment_state& next, core::instant now)
     {
         m_state.targetSelector.setOutOfService(next.outOfService, now);
@@ -190,6 +202,9 @@
     asio::io_context m_io { 1 };
     runtime::metrics m_metrics;
     shared_limit_client m_sharedLimits;
+    wire::rpc_thread& m_rpc;
+    std::map<std::string, std::string> m_control; // failure domains of control VMs in service, as last set
+    std::unique_ptr<control_sessions> m_controlSessions; // used and destroyed on the RPC thread
     stream_origin_client m_streamOrigins;
     forwarding_state m_state;
     asio::ip::tcp::acceptor m_acceptor;
--- a/packages/forwarding/src/plumfold_stream_origin_client.cpp
+++ b/packages/forwarding/src/plumfold_stream_origin_client.cpp
@@ -2,9 +2,7 @@
 
 #include "plumfold/core/plumfold_hash.hpp"
 #include "plumfold/runtime/plumfold_clock.hpp"
-#include "plumfold/runtime/plumfold_log.hpp"
 #include "plumfold/wire/plumfold_convert.hpp"
-#include "plumfold/wire/plumfold_entry_session.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -13,7 +11,6 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds connectTimeout { 250 };
 constexpr std::chrono::milliseconds answerTimeout { 150 };
 constexpr core::milliseconds searchTimeout { 400 };
 constexpr core::milliseconds failureBackoff { 300 };
@@ -45,10 +42,11 @@
     core::origin_search result;
 };
 
-stream_origin_client::stream_origin_client(
-    asio::io_context& io, wire::rpc_thread& rpc, const runtime::settings& settings)
+stream_origin_client::stream_origin_client(asio::io_context& io, wire::rpc_thread& rpc,
+    control_sessions& sessions, const runtime::settings& settings)
     : m_io(io)
     , m_rpc(rpc)
+    , m_sessions(sessions)
     , m_settings(settings)
     , m_own(maxOwnRecords)
 {
@@ -58,33 +56,9 @@
     });
 }
 
-stream_origin_client::~stream_origin_client()
+void stream_origin_client::stop()
 {
-    m_rpc.run([this] {
-        m_tasks = nullptr;
-        m_links.clear();
-    });
-}
-
-void stream_origin_client::setControl(const std::map<std::string, std::string>& domains)
-{
-    if (domains == m_lastControl)
-        return;
-    m_lastControl = domains;
-    m_rpc.post([this, domains] {
-        auto now = runtime::now();
-        for (auto& [address, each] : m_links) {
-            if (each.isInService)
-                each.seenAt = now;
-            each.isInService = domains.contains(address);
-        }
-        for (const auto& [address, domain] : domains) {
-            auto& known = m_links[address];
-            known.failureDomain = domain;
-            known.isInService = true;
-        }
-        sendRecords();
-    });
+    m_rpc.run([this] { m_tasks = nullptr; });
 }
 
 void stream_origin_client::record(core::stream_record record)
@@ -110,8 +84,9 @@
         bool isRemote = each->second.failureDomain != m_settings.process.failureDomain;
         return std::pair(isRemote, core::hashBytes(each->first, hash));
     };
-    std::vector<std::map<std::string, link>::const_iterator> usable;
-    for (auto each = m_links.begin(); each != m_links.end(); ++each) {
+    const auto& links = m_sessions.links();
+    std::vector<std::map<std::string, control_sessions::link>::const_iterator> usable;
+    for (auto each = links.begin(); each != links.end(); ++each) {
         if (each->second.isInService && now - each->second.failedAt >= failureBackoff)
             usable.push_back(each);
     }
@@ -133,17 +108,23 @@
 void stream_origin_client::sendRecords()
 {
     for (const auto& address : holders())
-        sendRecordsTo(address, m_links[address]);
+        sendRecordsTo(address);
 }
 
-void stream_origin_client::sendRecordsTo(const std::string& address, link& to)
+void stream_origin_client::sendRecordsTo(const std::string& address)
 {
+    auto& to = m_sent[address];
     if (to.isSending || to.recordsSent == m_latestRecord)
         return;
     to.isSending = true;
-    auto sent = sessionAt(address).then([this, address](wire::EntrySession::Client session) {
+    auto sent = m_sessions.at(address).then([this, address](wire::EntrySession::Client session) {
         auto now = runtime::now();
-        auto after = m_links[address].recordsSent;
+        auto& to = m_sent[address];
+        auto generation = m_sessions.links().at(address).generation;
+        // The control VM may have been restarted.
+        if (std::exchange(to.generation, generation) != generation)
+            to.recordsSent = 0;
+        auto after = to.recordsSent;
         std::vector<const own_record*> due;
         for (const auto& each : m_records) {
             if (each.number > after && each.keptUntil > now && due.size() < maxRecordsPerCall)
@@ -163,15 +144,16 @@
     });
     m_tasks->add(sent.then(
         [this, address](std::uint64_t last) {
-            auto& known = m_links[address];
-            known.recordsSent = last;
-            known.isSending = false;
-            known.isFailing = false;
+            auto& to = m_sent[address];
+            to.recordsSent = last;
+            to.isSending = false;
+            m_sessions.onSuccess(address);
             sendRecords();
         },
         [this, address](kj::Exception&& exception) {
-            m_links[address].isSending = false;
-            drop(address, exception);
+            m_sent[address].isSending = false;
+            m_sent[address].recordsSent = 0;
+            m_sessions.drop(address, exception);
             sendRecords();
         }));
 }
@@ -205,7 +187,7 @@
         return;
     }
     std::vector<std::string> asked;
-    for (const auto& [address, each] : m_links) {
+    for (const auto& [address, each] : m_sessions.links()) {
         if (each.isInService || runtime::now() - each.seenAt < maxAbsence)
             asked.push_back(address);
     }
@@ -218,7 +200,7 @@
 
 kj::Promise<void> stream_origin_client::ask(const std::string& address, std::shared_ptr<search> search)
 {
-    auto asked = sessionAt(address).then([this, search](wire::EntrySession::Client session) {
+    auto asked = m_sessions.at(address).then([this, search](wire::EntrySession::Client session) {
         auto request = session.findStreamRequest();
         request.setStream(search->stream);
         request.setService(search->service);
@@ -238,7 +220,7 @@
                 finishSearch(search);
         },
         [this, address, search](kj::Exception&& exception) {
-            drop(address, exception);
+            m_sessions.drop(address, exception);
             if (--search->openCalls == 0)
                 finishSearch(search);
         });
@@ -254,40 +236,4 @@
     });
 }
 
-kj::Promise<wire::EntrySession::Client> stream_origin_client::sessionAt(const std::string& address)
-{
-    KJ_IF_MAYBE (session, m_links[address].session) {
-        return wire::EntrySession::Client(*session);
-    }
-    auto connecting = wire::rpc_connection::connect(m_rpc, address, connectTimeout);
-    return connecting.then([this, address](kj::Own<wire::rpc_connection> connection) {
-        auto& known = m_links[address];
-        // Of connections that were opened concurrently, the first is kept.
-        if (known.session == nullptr) {
-            known.session = wire::openEntrySession(*connection,
-                { m_settings.process.clusterSecret, m_settings.process.name,
-                    m_settings.process.failureDomain });
-            known.connection = kj::mv(connection);
-            known.recordsSent = 0; // the control VM may have been restarted
-        } else {
-            m_tasks->add(kj::evalLater([old = kj::mv(connection)] {}));
-        }
-        return wire::EntrySession::Client(KJ_ASSERT_NONNULL(known.session));
-    });
-}
-
-void stream_origin_client::drop(const std::string& address, const kj::Exception& reason)
-{
-    auto& failed = m_links[address];
-    if (!std::exchange(failed.isFailing, true))
-        runtime::log_event("stream_origins_unreachable", runtime::log_level::warning)
-            .with("address", address)
-            .with("reason", reason.getDescription().cStr());
-    failed.session = nullptr;
-    failed.recordsSent = 0;
-    failed.failedAt = runtime::now();
-    // The connection must not be destroyed inside one of its own callbacks.
-    m_tasks->add(kj::evalLater([old = kj::mv(failed.connection)] {}));
-}
-
 } // namespace plumfold::forwarding
