Log which request ran on a target that ended

An entry that loses a connection to a target probes its address: refused, with no idle connection left, means that the target has ended. It then logs target_ended with the request and its fingerprint, which request_ended has too.

--- a/packages/forwarding/src/plumfold_forwarding_role.cpp
+++ b/packages/forwarding/src/plumfold_forwarding_role.cpp
@@ -187,6 +187,7 @@
         while (true) {
             co_await pause(housekeepingInterval);
             m_state.connections.closeExpired();
+            m_state.crashes.expire(runtime::now());
             m_state.parts.expire(runtime::now(), partsExpiryTime);
         }
     }
--- a/packages/forwarding/src/plumfold_forwarding_state.hpp
+++ b/packages/forwarding/src/plumfold_forwarding_state.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "plumfold_asio.hpp"
+#include "plumfold_crash_detector.hpp"
 #include "plumfold_shared_limit_client.hpp"
 #include "plumfold_stream_origin_client.hpp"
 #include "plumfold_target_connection_pool.hpp"
@@ -33,6 +34,7 @@
     core::windowed_retry_budget retryBudget;
     target_connection_pool connections;
     core::buffer_budget responseBuffers;
+    crash_detector crashes { io, connections };
     core::admission admission {};
     core::part_directory parts {};
     core::part_planner partPlanner {};
--- a/packages/forwarding/src/plumfold_request_attempt.cpp
+++ b/packages/forwarding/src/plumfold_request_attempt.cpp
@@ -135,6 +135,7 @@
     m_isPredictionReliable = placement.predictedMs > 0 && !placement.isTargetUnderLoad;
     m_lastByteAt = m_sentAt;
     m_targetUnresponsive = false;
+    m_mayTargetHaveEnded = false;
     armWatchdog();
     ++m_attemptCount;
     bool mayHaveExecutedBefore = m_mayHaveExecuted;
@@ -169,6 +170,7 @@
 {
     if (m_callerDisconnected)
         return core::attempt_result::abandoned;
+    m_mayTargetHaveEnded = true;
     if (m_targetUnresponsive) {
         m_reason = "target_silent";
         return core::attempt_result::lost;
@@ -324,6 +326,7 @@
     bool endedWithoutEvents = parser.need_eof() && !m_events.hasEvents();
     if (m_partialEventBytes > 0 || endedWithoutEvents) {
         m_reason = "stream_truncated";
+        m_mayTargetHaveEnded = true;
         co_return core::attempt_result::lost;
     }
     if (!m_streamStarted && !co_await writeStreamHead())
--- a/packages/forwarding/src/plumfold_request_forwarder.cpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.cpp
@@ -1,6 +1,7 @@
 #include "plumfold_request_forwarder.hpp"
 
 #include "plumfold/core/plumfold_hash.hpp"
+#include "plumfold/core/plumfold_request_fingerprint.hpp"
 #include "plumfold/runtime/plumfold_clock.hpp"
 #include "plumfold/runtime/plumfold_log.hpp"
 
@@ -111,6 +112,7 @@
     }
     if (m_route->isPublic)
         m_customer = m_head.apiKey.empty() ? nullptr : m_customer;
+    m_fingerprint = computeFingerprint();
     auto callerTimeout = m_head.deadline.value_or(defaultDeadline);
     m_deadline = m_receivedAt + std::min(callerTimeout, m_route->timeout);
     const auto* service = core::chooseService(*m_route, core::hashBytes(m_head.id));
@@ -130,6 +132,14 @@
     return m_customer ? m_customer->name : std::string();
 }
 
+std::uint64_t request_forwarder::computeFingerprint() const
+{
+    auto host = hostOf(m_request);
+    auto customer = customerName();
+    return core::fingerprintOf({ customer, host, view(m_request.method_string()), view(m_request.target()),
+        m_request.body(), m_head.parts });
+}
+
 /// @return whether it is known where the stream began that the caller takes up.
 task<bool> request_forwarder::findOrigin()
 {
@@ -265,6 +275,8 @@
             core::target_selector::expectedTokens(request), runtime::now());
         if (attemptResult == core::attempt_result::not_started)
             continue;
+        if (attemptResult == core::attempt_result::lost && m_mayTargetHaveEnded)
+            co_await onTargetLost(*selection.chosen);
         bool final = attemptResult == core::attempt_result::answered
             || attemptResult == core::attempt_result::abandoned;
         if (final)
@@ -302,6 +314,21 @@
     co_return true;
 }
 
+/// Finds out whether the target has ended while it ran this request.
+task<void> request_forwarder::onTargetLost(const core::placement& placement)
+{
+    bool hasEnded
+        = co_await m_state.crashes.hasEnded(placement.target, placement.startedAt, placement.address);
+    if (!hasEnded)
+        co_return;
+    runtime::log_event("target_ended")
+        .with("target", placement.target)
+        .with("started_at", placement.startedAt)
+        .with("request", m_head.id)
+        .with("fingerprint", m_fingerprint);
+    m_state.metrics.count("plumfold_requests_lost_with_target_total");
+}
+
 std::uint32_t request_forwarder::priority() const
 {
     return m_customer ? m_customer->priority.value_or(m_route->priority) : m_route->priority;
@@ -396,6 +423,7 @@
         .with("request", m_head.id)
         .with("route", m_route ? m_route->name : std::string("none"))
         .with("customer", m_customer ? m_customer->name : std::string("none"))
+        .with("fingerprint", m_fingerprint)
         .with("outcome", m_outcome)
         .with("reason", m_reason.empty() ? std::string("none") : m_reason)
         .with("status", m_response ? m_response->status : (m_streamStarted ? statusOk : 0))
--- a/packages/forwarding/src/plumfold_request_forwarder.hpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.hpp
@@ -42,12 +42,14 @@
     void reject(http::status status, std::string reason, std::optional<core::milliseconds> retryAfter = {});
     bool isTakeUp() const;
     std::string customerName() const;
+    std::uint64_t computeFingerprint() const;
     task<bool> findOrigin();
     void beginStream(std::string softwareVersion);
     task<void> runAttempts();
     bool mayRetry() const;
     task<bool> takeRetryBudget();
     task<bool> requestColdStart(const core::placement& placement);
+    task<void> onTargetLost(const core::placement& placement);
     bool rejectOverload(const core::placement& placement);
     std::uint32_t priority() const;
     void rejectWithoutTarget(const core::placement_result& selection);
@@ -87,6 +89,7 @@
     const core::route* m_route = nullptr;
     const core::customer_access* m_customer = nullptr;
     std::string m_service;
+    std::uint64_t m_fingerprint = 0;
     core::instant m_receivedAt;
     core::instant m_deadline {};
 
@@ -103,6 +106,7 @@
     bool m_mayHaveExecuted = false;
     bool m_timedOut = false;
     bool m_targetUnresponsive = false; // why the current attempt was abandoned
+    bool m_mayTargetHaveEnded = false; // the current attempt was lost with its connection
     bool m_isPredictionReliable = false;
     bool m_callerDisconnected = false;
     std::unique_ptr<target_connection> m_connection; // of the current attempt
--- a/packages/forwarding/src/plumfold_target_connection_pool.cpp
+++ b/packages/forwarding/src/plumfold_target_connection_pool.cpp
@@ -2,6 +2,7 @@
 
 #include "plumfold/runtime/plumfold_clock.hpp"
 
+#include <algorithm>
 #include <sys/socket.h>
 
 namespace plumfold::forwarding {
@@ -49,6 +50,14 @@
     return nullptr;
 }
 
+bool target_connection_pool::hasUsable(const std::string& target, const std::string& address) const
+{
+    auto found = m_idle.find(target + '@' + address);
+    return found != m_idle.end()
+        && std::any_of(
+            found->second.begin(), found->second.end(), [](const auto& each) { return isReusable(*each); });
+}
+
 task<std::unique_ptr<target_connection>> target_connection_pool::open(
     std::string target, std::string address, core::milliseconds timeout)
 {
--- a/packages/forwarding/src/plumfold_target_connection_pool.hpp
+++ b/packages/forwarding/src/plumfold_target_connection_pool.hpp
@@ -41,6 +41,9 @@
     /// @return an idle connection that is still usable, or null.
     std::unique_ptr<target_connection> acquireIdle(const std::string& target, const std::string& address);
 
+    /// @return whether any idle connection to a target is still usable.
+    bool hasUsable(const std::string& target, const std::string& address) const;
+
     /// Opens a connection.
     /// @param address ip:port
     /// @return the connection, or null when connecting fails or times out.
