Recognize requests that crash targets, at all entries, and reject them

Cause: the forwarding path kept nothing of a request beyond its attempt. Each attempt, each repeat and each entry began from nothing.

Change: entries report the requests that ran on a target that ended to all control VMs. These blame each crash on the request that ran in most of the unexplained ones, clear what succeeds, and condemn after three crashes, or five if targets also end without the request. The verdict goes to the entries with their next poll and into the replicated log, so that entries and control VMs that start later have it before they serve. A condemned request gets 503 as not run, with the verdict's time as Retry-After. One that is known to have crashed a target is not retried within an attempt. Withdrawn verdicts are kept as withdrawn, so that no process keeps one.

--- a/packages/control/src/plumfold_control_node.cpp
+++ b/packages/control/src/plumfold_control_node.cpp
@@ -158,6 +158,7 @@
     m_view.leaderAddress = std::move(leader);
     m_view.members = m_raft.members();
     m_view.leaseHolders = std::move(leaseHolders);
+    m_view.verdicts = m_state.verdicts();
     m_onViewChanged(m_view);
 }
 
@@ -223,7 +224,10 @@
     else
         response.update.full = config.records();
     response.isCaughtUp = m_raft.isCaughtUp(runtime::now());
-    response.verdicts = m_state.verdicts();
+    for (const auto& verdict : m_state.verdicts()) {
+        if (!verdict.isWithdrawn)
+            response.verdicts.push_back(verdict);
+    }
     return response;
 }
 
--- a/packages/control/src/plumfold_control_role.cpp
+++ b/packages/control/src/plumfold_control_role.cpp
@@ -1,6 +1,7 @@
 #include "plumfold/control/plumfold_control_role.hpp"
 
 #include "plumfold_control_service.hpp"
+#include "plumfold_crash_judge.hpp"
 #include "plumfold_load_poller.hpp"
 #include "plumfold_part_pollers.hpp"
 #include "plumfold_peer_links.hpp"
@@ -58,8 +59,9 @@
         m_rpc.run([&] {
             m_leader = std::make_unique<leader_client>(m_rpc, m_settings, *m_node, *m_feed);
             m_sharedLimits = std::make_unique<shared_limit_issuer>(m_settings, *m_feed, *m_leader);
+            m_crashes = std::make_unique<crash_judge>(*m_feed, *m_leader);
             m_context = std::make_unique<service_context>(service_context { m_settings, *m_node, m_rpc,
-                *m_feed, *m_leader, *m_sharedLimits, {}, core::stream_origin_table(maxStreams) });
+                *m_feed, *m_leader, *m_sharedLimits, *m_crashes, {}, core::stream_origin_table(maxStreams) });
             m_listener = std::make_unique<wire::rpc_listener>(
                 m_rpc, m_settings.control->address, makeControlService(*m_context));
             m_tasks->add(feedLoop());
@@ -85,6 +87,7 @@
         m_rpc.flush();
         m_rpc.run([&] {
             m_tasks.reset();
+            m_crashes.reset();
             m_sharedLimits.reset();
             m_leader.reset();
             m_links.reset();
@@ -98,6 +101,7 @@
     kj::Promise<void> feedLoop()
     {
         m_feed->tick();
+        m_crashes->tick();
         m_links->share(*m_feed);
         if (!m_settings.control->platformAddress.empty())
             m_sharedLimits->tick();
@@ -111,6 +115,7 @@
     std::unique_ptr<deployment_feed> m_feed;
     std::unique_ptr<leader_client> m_leader;
     std::unique_ptr<shared_limit_issuer> m_sharedLimits;
+    std::unique_ptr<crash_judge> m_crashes;
     std::unique_ptr<wire::task_group> m_tasks;
     std::unique_ptr<service_context> m_context;
     std::unique_ptr<wire::rpc_listener> m_listener;
--- a/packages/control/src/plumfold_control_service.cpp
+++ b/packages/control/src/plumfold_control_service.cpp
@@ -124,7 +124,8 @@
             // Change numbers restart with each incarnation of a feed, so an unknown one gets a snapshot.
             std::uint64_t change = params.getFeed() == m_context.feed.id() ? params.getKnownChange() : 0;
             auto wait = std::min(params.getWaitMs(), maxWatchMs) * kj::MILLISECONDS;
-            return m_context.feed.waitForUpdate(params.getKnownDeployment(), change, wait)
+            return m_context.feed
+                .waitForUpdate(params.getKnownDeployment(), change, params.getKnownVerdicts(), wait)
                 .then([this, call, change]() mutable { writeFollowResults(call, change); });
         });
     }
@@ -170,6 +171,18 @@
         return kj::READY_NOW;
     }
 
+    kj::Promise<void> reportCrashes(ReportCrashesContext call) override
+    {
+        auto params = call.getParams();
+        for (auto each : params.getCrashes())
+            m_context.crashes.addReport(m_name, wire::read(each));
+        for (auto each : params.getSuccesses())
+            m_context.crashes.addSuccess(m_name, wire::read(each));
+        for (auto fingerprint : params.getRejected())
+            m_context.crashes.onRejected(fingerprint);
+        return kj::READY_NOW;
+    }
+
 private:
     static void writeTextList(capnp::List<capnp::Text>::Builder out, const std::set<std::string>& values)
     {
@@ -195,6 +208,7 @@
         for (unsigned index = 0; index < changed.size(); ++index)
             writeTarget(targets[index], changed[index]);
         writeParts(call);
+        writeVerdicts(call);
         auto domains = feed.controlDomains();
         auto control = out.initControl(domains.size());
         unsigned index = 0;
@@ -225,6 +239,23 @@
             wire::write(outLoads[at], loads[at]);
     }
 
+    void writeVerdicts(FollowContext& call)
+    {
+        const auto& feed = m_context.feed;
+        auto out = call.getResults();
+        out.setVerdictsDigest(feed.verdictsDigest());
+        if (feed.verdictsDigest() != call.getParams().getKnownVerdicts()) {
+            auto verdicts = feed.crashVerdicts();
+            auto outVerdicts = out.initVerdicts(verdicts.size());
+            for (unsigned index = 0; index < verdicts.size(); ++index)
+                wire::write(outVerdicts[index], verdicts[index]);
+        }
+        const auto& suspects = feed.crashSuspects();
+        auto outSuspects = out.initSuspects(suspects.size());
+        for (unsigned index = 0; index < suspects.size(); ++index)
+            wire::write(outSuspects[index], suspects[index]);
+    }
+
     static void writeTarget(wire::AnnouncedTarget::Builder out, const core::target_directory::entry& entry)
     {
         wire::write(out, entry.announcementAt(runtime::now()));
--- a/packages/control/src/plumfold_control_service.hpp
+++ b/packages/control/src/plumfold_control_service.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "plumfold_crash_judge.hpp"
 #include "plumfold_deployment_feed.hpp"
 #include "plumfold_leader_client.hpp"
 #include "plumfold_shared_limit_issuer.hpp"
@@ -35,6 +36,7 @@
     deployment_feed& feed;
     leader_client& leader;
     shared_limit_issuer& sharedLimits;
+    crash_judge& crashes;
     std::map<std::string, entry_status> entries; ///< By name.
     core::stream_origin_table streams { maxStreams };
 };
--- a/packages/control/src/plumfold_deployment_feed.cpp
+++ b/packages/control/src/plumfold_deployment_feed.cpp
@@ -1,5 +1,6 @@
 #include "plumfold_deployment_feed.hpp"
 
+#include "plumfold/core/plumfold_hash.hpp"
 #include "plumfold/platform/plumfold_platform_deployment.hpp"
 #include "plumfold/runtime/plumfold_clock.hpp"
 #include "plumfold/runtime/plumfold_log.hpp"
@@ -274,6 +275,33 @@
     m_followers[entry] = runtime::now();
 }
 
+void deployment_feed::setCrashVerdicts(
+    std::vector<core::verdict> verdicts, std::vector<core::crash_suspect> suspects)
+{
+    m_suspects = std::move(suspects);
+    if (verdicts == m_verdicts)
+        return;
+    m_verdicts = std::move(verdicts);
+    m_verdictsDigest = 0;
+    for (const auto& each : m_verdicts) {
+        auto text = std::to_string(each.fingerprint) + ' ' + std::to_string(each.until) + ' '
+            + std::to_string(each.isWithdrawn);
+        m_verdictsDigest = core::hashBytes(text, m_verdictsDigest);
+    }
+    wake();
+}
+
+std::vector<core::crash_verdict> deployment_feed::crashVerdicts() const
+{
+    std::vector<core::crash_verdict> out;
+    auto now = runtime::unixNow();
+    for (const auto& each : m_verdicts) {
+        core::milliseconds keepFor(each.until > now ? each.until - now : 0);
+        out.push_back({ each.fingerprint, each.crashes, keepFor, each.isWithdrawn });
+    }
+    return out;
+}
+
 void deployment_feed::tick()
 {
     auto now = runtime::now();
@@ -346,11 +374,11 @@
 }
 
 kj::Promise<void> deployment_feed::waitForUpdate(
-    std::uint64_t deployment, std::uint64_t change, kj::Duration atMost)
+    std::uint64_t deployment, std::uint64_t change, std::uint64_t verdicts, kj::Duration atMost)
 {
-    auto changed = waitUntil([this, deployment, change] {
+    auto changed = waitUntil([this, deployment, change, verdicts] {
         return m_view.deployment->revision > deployment || m_directory.latestChange() != change
-            || !m_view.isCaughtUp;
+            || m_verdictsDigest != verdicts || !m_view.isCaughtUp;
     });
     return changed.exclusiveJoin(m_rpc.timer().afterDelay(atMost));
 }
--- a/packages/control/src/plumfold_deployment_feed.hpp
+++ b/packages/control/src/plumfold_deployment_feed.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "plumfold/control/plumfold_control_node.hpp"
+#include "plumfold/core/plumfold_crash_registry.hpp"
+#include "plumfold/core/plumfold_crash_screen.hpp"
 #include "plumfold/core/plumfold_part_directory.hpp"
 #include "plumfold/core/plumfold_target_directory.hpp"
 #include "plumfold/core/plumfold_target_selector.hpp"
@@ -68,10 +70,18 @@
     /// Records that an entry follows this control VM.
     void recordFollower(const std::string& entry);
 
+    /// Replaces the verdicts on requests that crash targets, and the suspects.
+    void setCrashVerdicts(std::vector<core::verdict> verdicts, std::vector<core::crash_suspect> suspects);
+
     /// Applies the timeouts: marks targets as silent and removes stale data. Call it periodically.
     void tick();
 
     const core::target_directory& directory() const { return m_directory; }
+    /// @return a number that differs for different verdicts; 0 for none.
+    std::uint64_t verdictsDigest() const { return m_verdictsDigest; }
+    /// @return the verdicts, with the time for which they stay in force.
+    std::vector<core::crash_verdict> crashVerdicts() const;
+    const std::vector<core::crash_suspect>& crashSuspects() const { return m_suspects; }
     const core::part_directory& parts() const { return m_parts; }
     /// @param directOnly only those that this control VM polled itself.
     /// @return the loads that are not stale.
@@ -106,8 +116,10 @@
     /// Waits until the feed differs from what an entry knows or this control VM has lost the quorum.
     /// @param deployment the known revision of the deployment.
     /// @param change the known number of the latest target change.
+    /// @param verdicts the known digest of the verdicts.
     /// @return a promise that is fulfilled then, or after atMost at the latest.
-    kj::Promise<void> waitForUpdate(std::uint64_t deployment, std::uint64_t change, kj::Duration atMost);
+    kj::Promise<void> waitForUpdate(
+        std::uint64_t deployment, std::uint64_t change, std::uint64_t verdicts, kj::Duration atMost);
     /// @return a promise that is fulfilled when the log is applied up to an index, and rejected after atMost.
     kj::Promise<void> waitForApplied(std::uint64_t index, kj::Duration atMost);
 
@@ -144,6 +156,9 @@
     core::instant m_targetClockReadAt {};
     std::map<std::string, control_peer_state> m_peers; // by address
     std::map<std::string, core::instant> m_followers; // last seen, by entry name
+    std::vector<core::verdict> m_verdicts;
+    std::uint64_t m_verdictsDigest = 0;
+    std::vector<core::crash_suspect> m_suspects;
     std::list<waiter> m_waiters;
 };
 
--- a/packages/core/include/plumfold/core/plumfold_control_state.hpp
+++ b/packages/core/include/plumfold/core/plumfold_control_state.hpp
@@ -48,6 +48,7 @@
     std::uint64_t fingerprint = 0; ///< Hash that identifies the request.
     std::uint32_t crashes = 0; ///< Number of targets that it crashed.
     unix_milliseconds until = 0; ///< When the verdict expires.
+    bool isWithdrawn = false; ///< An operator has lifted it; kept so that all processes learn of it.
     auto operator<=>(const verdict&) const = default;
 };
 
--- a/packages/core/src/plumfold_control_state.cpp
+++ b/packages/core/src/plumfold_control_state.cpp
@@ -10,7 +10,8 @@
 constexpr std::size_t maxRetainedResults = 8192;
 constexpr std::size_t maxRetainedAuditRecords = 8192;
 constexpr unix_milliseconds claimRetentionMs = 24ull * 3600 * 1000;
-constexpr unix_milliseconds verdictRetentionMs = 3600ull * 1000;
+constexpr unix_milliseconds verdictRetentionMs = 24ull * 3600 * 1000;
+constexpr std::size_t maxVerdicts = 4'096;
 constexpr std::uint32_t minRetryAfterMs = 100;
 constexpr std::uint32_t maxRetryAfterMs = 5000;
 
@@ -208,14 +209,16 @@
 
 command_result control_state::applyCommand(const verdict_command& next, unix_milliseconds at)
 {
-    if (next.withdraw) {
-        m_verdicts.erase(next.fingerprint);
-        return {};
-    }
     auto& kept = m_verdicts[next.fingerprint];
+    bool isNew = kept.crashes == 0 || kept.isWithdrawn;
     kept.fingerprint = next.fingerprint;
-    kept.crashes = std::max(kept.crashes, next.crashes);
+    kept.crashes = isNew ? next.crashes : std::max(kept.crashes, next.crashes);
     kept.until = at + verdictRetentionMs;
+    kept.isWithdrawn = next.withdraw;
+    if (m_verdicts.size() <= maxVerdicts)
+        return {};
+    m_verdicts.erase(std::min_element(m_verdicts.begin(), m_verdicts.end(),
+        [](const auto& left, const auto& right) { return left.second.until < right.second.until; }));
     return {};
 }
 
--- a/packages/forwarding/src/plumfold_deployment_follower.cpp
+++ b/packages/forwarding/src/plumfold_deployment_follower.cpp
@@ -112,6 +112,7 @@
     request.setKnownDeployment(m_knownDeployment);
     request.setFeed(m_feedId);
     request.setKnownChange(m_knownChange);
+    request.setKnownVerdicts(m_knownVerdicts);
     request.setWaitMs(m_justConnected ? 0 : longPollWaitMs);
     auto timeout = !m_confirmed ? quorumConfirmTimeout : m_justConnected ? firstPollTimeout : pollTimeout;
     request.setConfirmed(!m_confirmed);
@@ -137,6 +138,11 @@
     update.targetClockMs = response.getClock();
     for (auto each : response.getLoads())
         update.loads.push_back(wire::read(each));
+    for (auto each : response.getVerdicts())
+        update.verdicts.push_back(wire::read(each));
+    m_knownVerdicts = response.getVerdictsDigest();
+    for (auto each : response.getSuspects())
+        update.suspects.push_back({ each.getFingerprint(), each.getCrashes() });
     for (auto each : response.getParts()) {
         update.parts.push_back(wire::read(each));
         const auto& received = update.parts.back();
--- a/packages/forwarding/src/plumfold_deployment_follower.hpp
+++ b/packages/forwarding/src/plumfold_deployment_follower.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "plumfold/core/plumfold_crash_screen.hpp"
 #include "plumfold/core/plumfold_deployment_state.hpp"
 #include "plumfold/core/plumfold_part_directory.hpp"
 #include "plumfold/core/plumfold_target_directory.hpp"
@@ -27,6 +28,8 @@
     std::string sharedLimitIssuer; ///< Control VM that grants what shared limits allow: ip:port.
     std::vector<core::part_update> parts;
     std::vector<core::target_load> loads;
+    std::vector<core::crash_verdict> verdicts; ///< All of them if any has changed; else empty.
+    std::vector<core::crash_suspect> suspects; ///< All of them.
     std::uint64_t targetClockMs = 0; ///< The targets' clock; 0: unknown.
 };
 
@@ -65,6 +68,7 @@
     std::uint64_t m_knownDeployment = 0;
     std::uint64_t m_feedId = 0;
     std::uint64_t m_knownChange = 0;
+    std::uint64_t m_knownVerdicts = 0; // digest
     bool m_confirmed = false; // a quorum has confirmed an update at least once
     bool m_justConnected = true;
     bool m_prefersLocal = false; // switch to a control VM in the local failure domain
--- a/packages/forwarding/src/plumfold_forwarding_role.cpp
+++ b/packages/forwarding/src/plumfold_forwarding_role.cpp
@@ -52,7 +52,8 @@
         , m_rpc(rpc)
         , m_controlSessions(m_rpc.run([&] { return std::make_unique<control_sessions>(rpc, m_settings); }))
         , m_streamOrigins(m_io, rpc, *m_controlSessions, m_settings)
-        , m_state { m_io, m_settings, m_metrics, m_sharedLimits, m_streamOrigins, nullptr, 0,
+        , m_crashReports(rpc, *m_controlSessions)
+        , m_state { m_io, m_settings, m_metrics, m_sharedLimits, m_streamOrigins, m_crashReports, nullptr, 0,
             core::target_selector(targetSelectorOptions(m_settings)), retryBudget(*m_settings.forwarding),
             target_connection_pool(m_io), core::buffer_budget(m_settings.forwarding->responseBufferBytes) }
         , m_acceptor(m_io, endpointOf(m_settings.forwarding->callerAddress))
@@ -72,6 +73,7 @@
         if (m_thread.joinable())
             m_thread.join();
         m_streamOrigins.stop();
+        m_crashReports.stop();
         m_rpc.run([this] { m_controlSessions.reset(); });
     }
 
@@ -118,6 +120,7 @@
         m_state.targetSelector.setEntryCount(update.entries);
         m_sharedLimits.setIssuer(update.sharedLimitIssuer);
         setControl(update.control);
+        applyVerdicts(update, now);
         for (const auto& holder : update.parts)
             m_state.parts.apply(holder, now);
         m_state.targetClockMs = update.targetClockMs;
@@ -127,6 +130,18 @@
         m_metrics.set("plumfold_known_targets", static_cast<double>(m_state.targetSelector.size()));
     }
 
+    void applyVerdicts(const control_update& update, core::instant now)
+    {
+        for (const auto& verdict : m_state.crashScreen.applyVerdicts(update.verdicts, now))
+            runtime::log_event("verdict_in_force")
+                .with("fingerprint", verdict.fingerprint)
+                .with("crashes", verdict.crashes)
+                .with("keep_for_ms", verdict.keepFor.count());
+        m_state.crashScreen.setSuspects(update.suspects);
+        m_state.reportSuccesses(now);
+        m_metrics.set("plumfold_condemned_requests", static_cast<double>(m_state.crashScreen.verdicts()));
+    }
+
     void setControl(const std::map<std::string, std::string>& domains)
     {
         if (domains == m_control)
@@ -207,6 +222,7 @@
     std::map<std::string, std::string> m_control; // failure domains of control VMs in service, as last set
     std::unique_ptr<control_sessions> m_controlSessions; // used and destroyed on the RPC thread
     stream_origin_client m_streamOrigins;
+    crash_report_client m_crashReports;
     forwarding_state m_state;
     asio::ip::tcp::acceptor m_acceptor;
     status_listener m_status;
--- a/packages/forwarding/src/plumfold_forwarding_state.hpp
+++ b/packages/forwarding/src/plumfold_forwarding_state.hpp
@@ -2,12 +2,14 @@
 
 #include "plumfold_asio.hpp"
 #include "plumfold_crash_detector.hpp"
+#include "plumfold_crash_report_client.hpp"
 #include "plumfold_shared_limit_client.hpp"
 #include "plumfold_stream_origin_client.hpp"
 #include "plumfold_target_connection_pool.hpp"
 
 #include "plumfold/core/plumfold_admission.hpp"
 #include "plumfold/core/plumfold_buffer_budget.hpp"
+#include "plumfold/core/plumfold_crash_screen.hpp"
 #include "plumfold/core/plumfold_deployment.hpp"
 #include "plumfold/core/plumfold_part_directory.hpp"
 #include "plumfold/core/plumfold_target_selector.hpp"
@@ -28,6 +30,7 @@
     runtime::metrics& metrics;
     shared_limit_client& sharedLimits;
     stream_origin_client& streamOrigins;
+    crash_report_client& crashReports;
     std::shared_ptr<const core::deployment> deployment; ///< Null until the first one is received.
     std::uint64_t deploymentRevision = 0;
     core::target_selector targetSelector;
@@ -35,6 +38,7 @@
     target_connection_pool connections;
     core::buffer_budget responseBuffers;
     crash_detector crashes { io, connections };
+    core::crash_screen crashScreen {};
     core::admission admission {};
     core::part_directory parts {};
     core::part_planner partPlanner {};
@@ -43,6 +47,14 @@
     bool stopping = false; ///< Graceful shutdown: responses close their connections.
     std::size_t openRequests = 0;
     std::set<caller_connection*> callerConnections {}; ///< Open connections; each adds and removes itself.
+
+    /// Tells control VMs of suspects that have succeeded here.
+    void reportSuccesses(core::instant now)
+    {
+        auto successes = crashScreen.takeSuccesses(now);
+        if (!successes.empty())
+            crashReports.send({ {}, std::move(successes), {} });
+    }
 };
 
 } // namespace plumfold::forwarding
--- a/packages/forwarding/src/plumfold_request_forwarder.cpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.cpp
@@ -118,7 +118,7 @@
     const auto* service = core::chooseService(*m_route, core::hashBytes(m_head.id));
     m_service = service ? *service : std::string();
     m_state.retryBudget.onRequest(m_service, m_receivedAt);
-    return true;
+    return !rejectCondemned();
 }
 
 bool request_forwarder::isTakeUp() const
@@ -221,7 +221,7 @@
 {
     bool idempotent = m_route->kind == core::request_kind::idempotent
         || (m_route->kind == core::request_kind::stream && m_route->isResumable);
-    return !m_callerDisconnected && !m_timedOut && (idempotent || !m_mayHaveExecuted)
+    return !m_callerDisconnected && !m_timedOut && !m_isSuspect && (idempotent || !m_mayHaveExecuted)
         && m_attemptedTargets.size() < m_route->maxAttempts;
 }
 
@@ -239,6 +239,8 @@
     auto waitUntil = m_receivedAt + m_route->latencyTarget / placementWaitDivisor;
     asio::steady_timer timer(m_state.io);
     while (true) {
+        if (rejectCondemned())
+            co_return;
         auto request = placementRequest();
         auto selection = m_state.targetSelector.choose(request, runtime::now());
         if (!selection.chosen) {
@@ -277,6 +279,12 @@
             continue;
         if (attemptResult == core::attempt_result::lost && m_mayTargetHaveEnded)
             co_await onTargetLost(*selection.chosen);
+        bool hasSurvived = attemptResult == core::attempt_result::answered
+            || attemptResult == core::attempt_result::failed;
+        if (hasSurvived) {
+            m_state.crashScreen.onSuccess(m_fingerprint, runtime::now());
+            m_state.reportSuccesses(runtime::now());
+        }
         bool final = attemptResult == core::attempt_result::answered
             || attemptResult == core::attempt_result::abandoned;
         if (final)
@@ -327,6 +335,31 @@
         .with("request", m_head.id)
         .with("fingerprint", m_fingerprint);
     m_state.metrics.count("plumfold_requests_lost_with_target_total");
+    auto now = runtime::now();
+    if (!m_state.crashScreen.mayHaveCrashed(m_fingerprint, now))
+        co_return;
+    // The caller decides whether to repeat a request that has crashed targets before.
+    m_isSuspect = m_state.crashScreen.crashesOf(m_fingerprint) > 0;
+    m_state.crashReports.send(
+        { { { placement.target, placement.startedAt, m_service, { { m_fingerprint } } } }, {}, {} });
+}
+
+/// Rejects a request that is known to crash targets. If a target has begun to run it, it ends as lost.
+/// @return whether it must not be sent.
+bool request_forwarder::rejectCondemned()
+{
+    auto now = runtime::now();
+    auto keepFor = m_state.crashScreen.condemnedFor(m_fingerprint, now);
+    if (!keepFor)
+        return false;
+    if (m_state.crashScreen.takeRejection(m_fingerprint, now))
+        m_state.crashReports.send({ {}, {}, { m_fingerprint } });
+    m_reason = "crashes_targets";
+    if (m_mayHaveExecuted || m_streamStarted)
+        finishUnanswered();
+    else
+        reject(http::status::service_unavailable, m_reason, keepFor);
+    return true;
 }
 
 std::uint32_t request_forwarder::priority() const
--- a/packages/forwarding/src/plumfold_request_forwarder.hpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.hpp
@@ -50,6 +50,7 @@
     task<bool> takeRetryBudget();
     task<bool> requestColdStart(const core::placement& placement);
     task<void> onTargetLost(const core::placement& placement);
+    bool rejectCondemned();
     bool rejectOverload(const core::placement& placement);
     std::uint32_t priority() const;
     void rejectWithoutTarget(const core::placement_result& selection);
@@ -106,6 +107,7 @@
     bool m_mayHaveExecuted = false;
     bool m_timedOut = false;
     bool m_targetUnresponsive = false; // why the current attempt was abandoned
+    bool m_isSuspect = false; // crashed a target, as others have seen before
     bool m_mayTargetHaveEnded = false; // the current attempt was lost with its connection
     bool m_isPredictionReliable = false;
     bool m_callerDisconnected = false;
--- a/packages/wire/include/plumfold/wire/plumfold_convert.hpp
+++ b/packages/wire/include/plumfold/wire/plumfold_convert.hpp
@@ -2,6 +2,7 @@
 
 #include "plumfold/core/plumfold_configuration_view.hpp"
 #include "plumfold/core/plumfold_control_state.hpp"
+#include "plumfold/core/plumfold_crash_screen.hpp"
 #include "plumfold/core/plumfold_dispatch_types.hpp"
 #include "plumfold/core/plumfold_part_directory.hpp"
 #include "plumfold/core/plumfold_raft_types.hpp"
@@ -104,6 +105,20 @@
 void write(StreamRecord::Builder out, const core::stream_record& value);
 core::stream_record read(StreamRecord::Reader in);
 
+void write(Suspect::Builder out, const core::crash_suspect& value);
+
+void write(CrashVictim::Builder out, const core::crash_victim& value);
+core::crash_victim read(CrashVictim::Reader in);
+
+void write(CrashReport::Builder out, const core::crash_report& value);
+core::crash_report read(CrashReport::Reader in);
+
+void write(SuspectSuccess::Builder out, const core::suspect_success& value);
+core::suspect_success read(SuspectSuccess::Reader in);
+
+void write(CrashVerdict::Builder out, const core::crash_verdict& value);
+core::crash_verdict read(CrashVerdict::Reader in);
+
 void write(PartNews::Builder out, const core::part_update& value);
 core::part_update read(PartNews::Reader in);
 
--- a/packages/wire/schema/plumfold.capnp
+++ b/packages/wire/schema/plumfold.capnp
@@ -139,7 +139,7 @@
 struct RememberedResult { operatorName @0 :Text; requestId @1 :Text; result @2 :ChangeResult; }
 struct AuditRecord { at @0 :UInt64; operatorName @1 :Text; requestId @2 :Text; delta @3 :Delta; }
 struct UsageSource { source @0 :Text; incarnation @1 :UInt64; sequence @2 :UInt64; }
-struct Verdict { fingerprint @0 :UInt64; crashes @1 :UInt32; until @2 :UInt64; }
+struct Verdict { fingerprint @0 :UInt64; crashes @1 :UInt32; until @2 :UInt64; withdrawn @3 :Bool; }
 struct ControlSnapshot {
   revision @0 :UInt64;
   records @1 :List(Record);
@@ -206,12 +206,14 @@
   submit @1 (command :Command) -> (reply :Reply, result :CommandResult);
   # Answers as soon as the deployment or a target differs from what is known, or after waitMs. With confirmed,
   # a quorum has first confirmed that no newer revision is deployed. sharedLimits is the address of the control VM
-  # that serves startCold and retry for this entry.
+  # that serves startCold and retry for this entry. The verdicts are all that are in force or were withdrawn
+  # recently; they are left out if their digest is the known one. The suspects are always listed.
   follow @2 (knownDeployment :UInt64, feed :UInt64, knownChange :UInt64, waitMs :UInt32, confirmed :Bool,
-      parts :List(PartCursor))
+      parts :List(PartCursor), knownVerdicts :UInt64)
       -> (fresh :Bool, deployment :DeploymentState, feed :UInt64, change :UInt64, everything :Bool,
           targets :List(AnnouncedTarget), control :List(ControlAddress), entries :UInt32, parts :List(PartNews), clock :UInt64,
-          loads :List(TargetLoad), sharedLimits :Text);
+          loads :List(TargetLoad), sharedLimits :Text, verdictsDigest :UInt64, verdicts :List(CrashVerdict),
+          suspects :List(Suspect));
   # Asks the holder of the lease shared-limits/ and the entry's failure domain for one start on a cold target.
   startCold @3 (service :Text, target :Text) -> (granted :Bool, retryAfterMs :UInt32);
   # Asks the same control VM for one retry beyond the share of the entry's own requests.
@@ -222,8 +224,17 @@
   # targets of the service that it has heard of recently, and the addresses of all control VMs of the group.
   findStream @6 (stream :UInt64, service :Text)
       -> (found :Bool, record :StreamRecord, softwareVersions :List(Text), members :List(Text));
+  # Reports targets that ended while they ran requests of this entry, successes of suspects, and condemned requests that
+  # were rejected.
+  reportCrashes @7 (crashes :List(CrashReport), successes :List(SuspectSuccess), rejected :List(UInt64)) -> ();
 }
 
+# Requests that crash targets, see core::crash_report, core::suspect_success and core::crash_verdict.
+struct CrashVictim { fingerprint @0 :UInt64; }
+struct CrashReport { target @0 :Text; startedAt @1 :UInt64; service @2 :Text; victims @3 :List(CrashVictim); ageMs @4 :UInt32; }
+struct SuspectSuccess { fingerprint @0 :UInt64; ageMs @1 :UInt32; }
+struct CrashVerdict { fingerprint @0 :UInt64; crashes @1 :UInt32; keepForMs @2 :UInt32; withdrawn @3 :Bool; }
+
 # Where a stream began, see core::stream_record.
 struct StreamRecord { stream @0 :UInt64; service @1 :Text; softwareVersion @2 :Text; keepForMs @3 :UInt32; }
 
--- a/packages/wire/src/plumfold_convert_commands.cpp
+++ b/packages/wire/src/plumfold_convert_commands.cpp
@@ -334,11 +334,12 @@
     out.setFingerprint(value.fingerprint);
     out.setCrashes(value.crashes);
     out.setUntil(value.until);
+    out.setWithdrawn(value.isWithdrawn);
 }
 
 core::verdict read(Verdict::Reader in)
 {
-    return core::verdict { in.getFingerprint(), in.getCrashes(), in.getUntil() };
+    return core::verdict { in.getFingerprint(), in.getCrashes(), in.getUntil(), in.getWithdrawn() };
 }
 
 void write(ControlSnapshot::Builder out, const core::control_snapshot& value)
--- /dev/null
+++ b/packages/wire/src/plumfold_convert_crashes.cpp
@@ -0,0 +1,74 @@
+#include "plumfold_convert_support.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace plumfold::wire {
+
+namespace {
+
+std::uint32_t millisecondsOf(core::milliseconds time)
+{
+    constexpr std::int64_t most = std::numeric_limits<std::uint32_t>::max();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(time.count(), 0, most));
+}
+
+} // namespace
+
+void write(Suspect::Builder out, const core::crash_suspect& value)
+{
+    out.setFingerprint(value.fingerprint);
+    out.setCrashes(value.crashes);
+}
+
+void write(CrashVictim::Builder out, const core::crash_victim& value)
+{
+    out.setFingerprint(value.fingerprint);
+}
+
+core::crash_victim read(CrashVictim::Reader in)
+{
+    return core::crash_victim { in.getFingerprint() };
+}
+
+void write(CrashReport::Builder out, const core::crash_report& value)
+{
+    out.setTarget(value.target);
+    out.setStartedAt(value.startedAt);
+    out.setService(value.service);
+    writeList(out.initVictims(value.victims.size()), value.victims);
+    out.setAgeMs(millisecondsOf(value.age));
+}
+
+core::crash_report read(CrashReport::Reader in)
+{
+    return core::crash_report { text(in.getTarget()), in.getStartedAt(), text(in.getService()),
+        readList(in.getVictims()), core::milliseconds(in.getAgeMs()) };
+}
+
+void write(SuspectSuccess::Builder out, const core::suspect_success& value)
+{
+    out.setFingerprint(value.fingerprint);
+    out.setAgeMs(millisecondsOf(value.age));
+}
+
+core::suspect_success read(SuspectSuccess::Reader in)
+{
+    return core::suspect_success { in.getFingerprint(), core::milliseconds(in.getAgeMs()) };
+}
+
+void write(CrashVerdict::Builder out, const core::crash_verdict& value)
+{
+    out.setFingerprint(value.fingerprint);
+    out.setCrashes(value.crashes);
+    out.setKeepForMs(millisecondsOf(value.keepFor));
+    out.setWithdrawn(value.isWithdrawn);
+}
+
+core::crash_verdict read(CrashVerdict::Reader in)
+{
+    return core::crash_verdict { in.getFingerprint(), in.getCrashes(), core::milliseconds(in.getKeepForMs()),
+        in.getWithdrawn() };
+}
+
+} // namespace plumfold::wire
--- a/tests/core/plumfold_control_state_tests.cpp
+++ b/tests/core/plumfold_control_state_tests.cpp
@@ -151,6 +151,22 @@
     CHECK(restored.usage()[0].requests == 2);
 }
 
+TEST_CASE("A withdrawn verdict is kept as withdrawn until new crashes renew it", "[control][crashes]")
+{
+    constexpr unix_milliseconds day = 24ull * 3600 * 1000;
+    control_state state;
+    state.apply({ 1, verdict_command { 7, 3, false } });
+    state.apply({ 2, verdict_command { 7, 5, false } });
+    REQUIRE(state.verdicts() == std::vector<verdict> { { 7, 5, 2 + day, false } });
+    state.apply({ 3, verdict_command { 7, 0, true } });
+    CHECK(state.verdicts() == std::vector<verdict> { { 7, 5, 3 + day, true } });
+    CHECK(control_state(state.snapshot()).verdicts() == state.verdicts());
+    state.apply({ 4, verdict_command { 7, 3, false } });
+    CHECK(state.verdicts() == std::vector<verdict> { { 7, 3, 4 + day, false } });
+    state.apply({ 5 + day, barrier_command {} });
+    CHECK(state.verdicts().empty());
+}
+
 TEST_CASE("Deltas update any retained revision to the current one", "[control][property]")
 {
     rc::prop("deltas and snapshot give the same configuration", [] {
--- a/tests/forwarding/plumfold_crashing_request_tests.cpp
+++ b/tests/forwarding/plumfold_crashing_request_tests.cpp
@@ -1,4 +1,5 @@
 #include "support/plumfold_crashing_system.hpp"
+#include "support/plumfold_disturbances.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -11,13 +12,14 @@
 constexpr auto propagationTime = 3'000ms; // after the last crash that is needed for a verdict
 constexpr std::size_t crashesForVerdict = 3;
 constexpr std::size_t maxLateArrivals = 3;
-constexpr const char* crashingBody = "crash";
+const std::string crashingBody = "crash";
 
-/// Targets that crash when they run requests with one body.
+/// Targets that crash when they run requests whose body begins in a certain way.
 class system_with_crashing_body : public crashing_system {
 public:
     system_with_crashing_body()
-        : crashing_system([](const recorded_request& request) { return request.body == crashingBody; })
+        : crashing_system(
+            [](const recorded_request& request) { return request.body.starts_with(crashingBody); })
     {
     }
 
@@ -100,3 +102,33 @@
     CHECK(later.share() > 0.9);
     CHECK(soundRefusedByVerdict() == 0);
 }
+
+TEST_CASE_METHOD(system_with_crashing_body,
+    "A request that crashes its targets stops arriving although control VMs and entries stop, restart and "
+    "are "
+    "suspended",
+    "[forwarding][crashes][soak]")
+{
+    constexpr auto disturbedTime = 12s;
+    constexpr auto calmTime = 6s; // until each of the crashing requests has come again
+    INFO("seed " << soakSeed());
+    std::thread crashing([this, disturbedTime, calmTime] {
+        auto start = std::chrono::steady_clock::now();
+        sendCrashingFor(disturbedTime + 2 * calmTime, [this, start](int entry) {
+            auto number = (std::chrono::steady_clock::now() - start) / 2s % 3;
+            request(entry, "/stock/work", crashingBody + std::to_string(number));
+        });
+    });
+    std::thread sound([this, disturbedTime] { sendSoundFor(disturbedTime, "/stock/work", 3); });
+    disturbances(*this, entries, soakSeed()).runFor(disturbedTime);
+    sound.join();
+    std::this_thread::sleep_for(calmTime);
+    auto before = fleet().arrivals().size();
+    auto later = sendSoundFor(calmTime - 1s, "/stock/work");
+    crashing.join();
+    CAPTURE(fleet().crashes().size(), before, fleet().arrivals().size(), later.sent, later.begun);
+    REQUIRE(fleet().crashes().size() >= crashesForVerdict);
+    CHECK(fleet().arrivals().size() - before == 0);
+    CHECK(later.share() > 0.9);
+    CHECK(soundRefusedByVerdict() == 0);
+}
