--- a/packages/control/src/plumfold_control_service.cpp
+++ b/packages/control/src/plumfold_control_service.cpp
@@ -178,8 +178,8 @@
             m_context.crashes.addReport(m_name, wire::read(each));
         for (auto each : params.getSuccesses())
             m_context.crashes.addSuccess(m_name, wire::read(each));
-        for (auto fingerprint : params.getRejected())
-            m_context.crashes.onRejected(fingerprint);
+        for (auto verdict : params.getRejected())
+            m_context.crashes.onRejected(verdict);
         return kj::READY_NOW;
     }
 
--- a/packages/control/src/plumfold_crash_judge.cpp
+++ b/packages/control/src/plumfold_crash_judge.cpp
@@ -1,10 +1,13 @@
 #include "plumfold_crash_judge.hpp"
 
+#include "plumfold/core/plumfold_hash.hpp"
 #include "plumfold/runtime/plumfold_clock.hpp"
 #include "plumfold/runtime/plumfold_log.hpp"
 
 #include <absl/strings/str_join.h>
 
+#include <algorithm>
+
 namespace plumfold::control {
 
 namespace {
@@ -15,8 +18,26 @@
 constexpr core::milliseconds extendInterval { 600'000 };
 /// Until the log has a verdict that was reached here.
 constexpr core::unix_milliseconds ownVerdictLifetimeMs = 24ull * 3600 * 1000;
-/// Reports are evaluated for this long, since reports of other entries and successes may change the result.
-constexpr core::milliseconds evaluationTime { 5'000 };
+constexpr core::milliseconds evaluationInterval { 120 };
+/// While no further target ends, only successes change the result.
+constexpr core::milliseconds calmAfterReport { 5'000 };
+constexpr core::milliseconds calmEvaluationInterval { 1'000 };
+/// For this long after a crash, entries are asked for successes of those that may have caused it.
+constexpr core::milliseconds suspicionTime { 60'000 };
+
+const char* kindName(core::trait_kind kind)
+{
+    constexpr const char* names[] = { "request", "customer_part", "shared_part" };
+    return names[static_cast<int>(kind)];
+}
+
+std::uint64_t idOf(const std::set<std::uint64_t>& traits)
+{
+    std::uint64_t id = *traits.begin();
+    for (auto each = std::next(traits.begin()); each != traits.end(); ++each)
+        id = core::hashBytes(std::to_string(*each), id);
+    return id;
+}
 
 } // namespace
 
@@ -35,29 +56,30 @@
         .with("entry", entry)
         .with("requests", report.victims.size());
     m_lastReportAt = runtime::now();
+    m_nextEvaluationAt = std::min(m_nextEvaluationAt, m_lastReportAt + evaluationInterval);
     m_registry.addReport(report, m_lastReportAt);
 }
 
 void crash_judge::addSuccess(const std::string& entry, const core::suspect_success& success)
 {
     runtime::log_event("suspect_succeeded")
-        .with("fingerprint", success.fingerprint)
+        .with("trait", success.trait)
         .with("entry", entry)
         .with("age_ms", success.age.count());
-    m_registry.addSuccess(success.fingerprint, runtime::now() - success.age);
+    m_registry.addSuccess(success.trait, runtime::now() - success.age);
 }
 
-void crash_judge::onRejected(std::uint64_t fingerprint)
+void crash_judge::onRejected(std::uint64_t verdict)
 {
     auto now = runtime::now();
-    auto logged = m_logged.find(fingerprint);
+    auto logged = m_logged.find(verdict);
     if (logged == m_logged.end() || logged->second.isWithdrawn)
         return;
-    auto [last, isFirst] = m_extendedAt.try_emplace(fingerprint, now);
+    auto [last, isFirst] = m_extendedAt.try_emplace(verdict, now);
     if (isFirst || now - last->second < extendInterval)
         return;
     last->second = now;
-    submit(fingerprint, logged->second.crashes);
+    submit(logged->second);
 }
 
 void crash_judge::tick()
@@ -65,11 +87,11 @@
     followLog();
     evaluate();
     auto now = runtime::now();
-    for (auto& [fingerprint, verdict] : m_own) {
-        if (now - verdict.submittedAt < submitInterval)
+    for (auto& [id, own] : m_own) {
+        if (now - own.submittedAt < submitInterval)
             continue;
-        verdict.submittedAt = now;
-        submit(fingerprint, verdict.crashes);
+        own.submittedAt = now;
+        submit(own.verdict);
     }
     publish();
 }
@@ -82,22 +104,22 @@
         next[verdict.fingerprint] = verdict;
     if (next == m_logged)
         return;
-    for (const auto& [fingerprint, verdict] : next) {
+    for (const auto& [id, verdict] : next) {
         if (verdict.isWithdrawn)
             continue;
-        m_registry.addVerdict(fingerprint);
-        m_own.erase(fingerprint);
+        m_registry.addVerdict(verdict.traits);
+        m_own.erase(id);
     }
-    for (const auto& [fingerprint, verdict] : m_logged) {
-        auto found = next.find(fingerprint);
+    for (const auto& [id, verdict] : m_logged) {
+        auto found = next.find(id);
         bool isLifted = !verdict.isWithdrawn && (found == next.end() || found->second.isWithdrawn);
         if (!isLifted)
             continue;
-        m_registry.withdraw(fingerprint);
-        m_own.erase(fingerprint);
-        m_extendedAt.erase(fingerprint);
+        m_registry.withdraw(verdict.traits);
+        m_own.erase(id);
+        m_extendedAt.erase(id);
         runtime::log_event("verdict_lifted")
-            .with("fingerprint", fingerprint)
+            .with("verdict", id)
             .with("reason", found == next.end() ? "expired" : "withdrawn");
     }
     m_logged = std::move(next);
@@ -106,26 +128,38 @@
 void crash_judge::evaluate()
 {
     auto now = runtime::now();
-    m_registry.expire(now);
-    if (now - m_lastReportAt > evaluationTime)
+    if (now < m_nextEvaluationAt)
+        return;
+    auto sinceReport = now - m_lastReportAt;
+    m_nextEvaluationAt = now + (sinceReport < calmAfterReport ? evaluationInterval : calmEvaluationInterval);
+    if (sinceReport >= suspicionTime) {
+        m_suspects.clear();
         return;
+    }
+    m_registry.expire(now);
     for (const auto& finding : m_registry.condemn(now)) {
-        m_own[finding.fingerprint] = { finding.crashes, runtime::unixNow() + ownVerdictLifetimeMs, {} };
-        runtime::log_event("request_condemned", runtime::log_level::warning)
-            .with("fingerprint", finding.fingerprint)
+        auto id = idOf(finding.traits);
+        m_own[id]
+            = { { id, finding.crashes, runtime::unixNow() + ownVerdictLifetimeMs, false, finding.traits },
+                  {} };
+        runtime::log_event("requests_condemned", runtime::log_level::warning)
+            .with("verdict", id)
+            .with("kind", kindName(finding.kind))
+            .with("traits", absl::StrJoin(finding.traits, ","))
             .with("crashes", finding.crashes)
             .with("targets", absl::StrJoin(finding.targets, ","));
     }
+    m_suspects = m_registry.suspects(now);
 }
 
-void crash_judge::submit(std::uint64_t fingerprint, std::uint32_t crashes)
+void crash_judge::submit(const core::verdict& verdict)
 {
-    core::verdict_command command { fingerprint, crashes, false };
-    m_tasks.add(m_leader.submit(core::command { 0, command }, submitTimeout)
+    core::verdict_command command { verdict.fingerprint, verdict.crashes, false, verdict.traits };
+    m_tasks.add(m_leader.submit(core::command { 0, std::move(command) }, submitTimeout)
                     .then([](propose_response) {},
-                        [fingerprint](kj::Exception&& exception) {
+                        [id = verdict.fingerprint](kj::Exception&& exception) {
                             runtime::log_event("verdict_not_replicated", runtime::log_level::warning)
-                                .with("fingerprint", fingerprint)
+                                .with("verdict", id)
                                 .with("reason", exception.getDescription().cStr());
                         }));
 }
@@ -133,11 +167,11 @@
 void crash_judge::publish()
 {
     std::vector<core::verdict> verdicts;
-    for (const auto& [fingerprint, verdict] : m_logged)
+    for (const auto& [id, verdict] : m_logged)
         verdicts.push_back(verdict);
-    for (const auto& [fingerprint, verdict] : m_own)
-        verdicts.push_back({ fingerprint, verdict.crashes, verdict.until, false });
-    m_feed.setCrashVerdicts(std::move(verdicts), m_registry.suspects(runtime::now()));
+    for (const auto& [id, own] : m_own)
+        verdicts.push_back(own.verdict);
+    m_feed.setCrashVerdicts(std::move(verdicts), m_suspects);
 }
 
 } // namespace plumfold::control
--- a/packages/control/src/plumfold_crash_judge.hpp
+++ b/packages/control/src/plumfold_crash_judge.hpp
@@ -25,31 +25,32 @@
     void addReport(const std::string& entry, const core::crash_report& report);
     /// Adds the success of a suspect.
     void addSuccess(const std::string& entry, const core::suspect_success& success);
-    /// Keeps the verdict on a request that still comes.
-    void onRejected(std::uint64_t fingerprint);
+    /// Keeps a verdict whose requests still come.
+    void onRejected(std::uint64_t verdict);
 
     /// Evaluates the reports and replicates verdicts. Call it periodically.
     void tick();
 
 private:
     struct own_verdict {
-        std::uint32_t crashes = 0;
-        core::unix_milliseconds until = 0;
+        core::verdict verdict;
         core::instant submittedAt {};
     };
 
     void followLog();
     void evaluate();
-    void submit(std::uint64_t fingerprint, std::uint32_t crashes);
+    void submit(const core::verdict& verdict);
     void publish();
 
     deployment_feed& m_feed;
     leader_client& m_leader;
     core::crash_registry m_registry;
-    std::map<std::uint64_t, core::verdict> m_logged; // as last seen in the log
-    std::map<std::uint64_t, own_verdict> m_own; // reached here, not seen in the log yet
+    std::map<std::uint64_t, core::verdict> m_logged; // by id, as last seen in the log
+    std::map<std::uint64_t, own_verdict> m_own; // by id; reached here, not seen in the log yet
     std::map<std::uint64_t, core::instant> m_extendedAt; // when a verdict was last submitted to keep it
     core::instant m_lastReportAt {};
+    core::instant m_nextEvaluationAt {};
+    std::vector<core::crash_suspect> m_suspects; // of the latest evaluation
     wire::task_group m_tasks;
 };
 
--- a/packages/control/src/plumfold_deployment_feed.cpp
+++ b/packages/control/src/plumfold_deployment_feed.cpp
@@ -297,7 +297,7 @@
     auto now = runtime::unixNow();
     for (const auto& each : m_verdicts) {
         core::milliseconds keepFor(each.until > now ? each.until - now : 0);
-        out.push_back({ each.fingerprint, each.crashes, keepFor, each.isWithdrawn });
+        out.push_back({ each.fingerprint, each.traits, each.crashes, keepFor, each.isWithdrawn });
     }
     return out;
 }
--- a/packages/core/include/plumfold/core/plumfold_commands.hpp
+++ b/packages/core/include/plumfold/core/plumfold_commands.hpp
@@ -6,6 +6,7 @@
 #include <compare>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -94,11 +95,13 @@
     std::uint64_t sequence = 0; ///< Starts at 1 in each incarnation and increases by 1 per batch.
     std::vector<usage_row> rows;
 };
-/// Records how many targets a poison request has crashed, or withdraws its verdict.
+/// Records how many targets poison requests have crashed, or withdraws their verdict.
 struct verdict_command {
-    std::uint64_t fingerprint = 0; ///< Hash that identifies the request.
+    std::uint64_t fingerprint = 0; ///< Hash that identifies the request or the traits.
     std::uint32_t crashes = 0;
     bool withdraw = false;
+    /// The verdict applies to requests with all of these; empty: to the request with the fingerprint.
+    std::set<std::uint64_t> traits;
 };
 /// Acquires or renews a lease, for example the one that allows a single process to issue orders to the
 /// targets of a failure domain.
--- a/packages/core/include/plumfold/core/plumfold_control_state.hpp
+++ b/packages/core/include/plumfold/core/plumfold_control_state.hpp
@@ -43,12 +43,13 @@
     std::uint64_t sequence = 0;
 };
 
-/// A poison request: one that crashes targets and is rejected until the verdict expires.
+/// Poison requests: they crash targets and are rejected until the verdict expires.
 struct verdict {
-    std::uint64_t fingerprint = 0; ///< Hash that identifies the request.
-    std::uint32_t crashes = 0; ///< Number of targets that it crashed.
+    std::uint64_t fingerprint = 0; ///< Hash that identifies the request or the traits.
+    std::uint32_t crashes = 0; ///< Number of targets that they crashed.
     unix_milliseconds until = 0; ///< When the verdict expires.
     bool isWithdrawn = false; ///< An operator has lifted it; kept so that all processes learn of it.
+    std::set<std::uint64_t> traits; ///< See verdict_command.
     auto operator<=>(const verdict&) const = default;
 };
 
--- a/packages/core/include/plumfold/core/plumfold_crash_registry.hpp
+++ b/packages/core/include/plumfold/core/plumfold_crash_registry.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "plumfold/core/plumfold_request_traits.hpp"
 #include "plumfold/core/plumfold_time.hpp"
 
 #include <compare>
@@ -7,57 +8,61 @@
 #include <map>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
 namespace plumfold::core {
 
-/// A request that ran on a target when the target ended.
-struct crash_victim {
-    std::uint64_t fingerprint = 0; ///< The same for all repeats of a request.
-    auto operator<=>(const crash_victim&) const = default;
-};
-
 /// The requests of one entry that ran on a target when the target ended without having announced it.
 struct crash_report {
     std::string target;
     unix_milliseconds startedAt = 0; ///< Incarnation of the target.
     std::string service;
-    std::vector<crash_victim> victims;
+    std::vector<request_traits> victims;
     milliseconds age { 0 }; ///< Since the target ended.
     auto operator<=>(const crash_report&) const = default;
 };
 
-/// A request that may crash targets.
+/// A trait whose requests may crash targets.
 struct crash_suspect {
-    std::uint64_t fingerprint = 0;
-    std::uint32_t crashes = 0; ///< Targets that ended while they ran it.
+    std::uint64_t trait = 0;
+    std::uint32_t crashes = 0; ///< Targets that ended while they ran such requests.
     auto operator<=>(const crash_suspect&) const = default;
 };
 
-/// A request that was found to crash targets.
+/// Traits whose requests were found to crash targets.
 struct crash_finding {
-    std::uint64_t fingerprint = 0;
+    std::set<std::uint64_t> traits; ///< Requests with all of them crash targets.
+    trait_kind kind = trait_kind::request;
     std::uint32_t crashes = 0;
-    std::vector<std::string> targets; ///< That it crashed.
+    std::vector<std::string> targets; ///< That they crashed.
     auto operator<=>(const crash_finding&) const = default;
 };
 
-/// A request that succeeded this long before a crash, or later, did not cause it.
+/// A trait whose requests succeeded this long before a crash, or later, did not cause it.
 inline constexpr milliseconds maxClearingSuccessAge { 10'000 };
 
+/// Crashes that are needed for a verdict on a trait.
+struct crash_thresholds {
+    std::uint32_t alone = 0; ///< If all crashes at that time involve the trait.
+    std::uint32_t amongOthers = 0; ///< If some do not.
+    std::uint32_t always = 0; ///< Even if most do not.
+    std::uint32_t requests = 1; ///< Different requests that were involved.
+    auto operator<=>(const crash_thresholds&) const = default;
+};
+
 /// Parameters of a crash_registry.
 struct crash_registry_options {
     /// Time after the first report of a crash in which the other entries report what they ran on the target.
     milliseconds settleTime { 400 };
     milliseconds maxSuccessAge = maxClearingSuccessAge;
     milliseconds maxCrashAge { 900'000 }; ///< Older crashes are no evidence.
-    std::uint32_t crashesToCondemn = 3; ///< If all crashes at that time involve the request.
-    /// If some do not. A sound request that is retried, and repeated by its caller, is lost four times at
-    /// most.
-    std::uint32_t crashesToCondemnAmongOthers = 5;
-    std::uint32_t crashesToCondemnAlways = 6; ///< Even if most do not involve it.
-    /// Crashes this long before the first and after the last one of a request show how often targets of its
+    /// A sound request that is retried, and repeated by its caller, is lost four times at most.
+    crash_thresholds forRequests { 3, 5, 6, 1 };
+    crash_thresholds forParts { 4, 6, 8, 3 };
+    std::size_t customersOfSharedParts = 2; ///< Customers involved, before a part is condemned for all.
+    /// Crashes this long before the first and after the last one of a trait show how often targets of its
     /// service end without it.
     milliseconds backgroundTime { 2'000 };
     std::size_t maxCrashes = 1'024; ///< Limit of the crashes kept; the oldest are dropped.
@@ -65,9 +70,10 @@
     std::size_t maxSuspects = 256; ///< Limit of suspects().
 };
 
-/// Finds the requests that crash targets, from the reports of all entries about targets that ended. Each
-/// crash is blamed on the request that ran in most of the unexplained ones; the others that ran beside it are
-/// cleared of that crash. Performs no I/O and reads no clock.
+/// Finds what the requests that crash targets have in common, from the reports of all entries about targets
+/// that ended: either it is one request that is repeated, or a part of their prompts. Each crash is blamed on
+/// the trait that was involved in most of the unexplained ones; the requests beside it are cleared of that
+/// crash. Performs no I/O and reads no clock.
 class crash_registry {
 public:
     explicit crash_registry(crash_registry_options options = {})
@@ -78,20 +84,20 @@
     /// Adds a report. Reports about the same incarnation of a target are merged.
     void addReport(const crash_report& report, instant now);
 
-    /// Records that a request succeeded.
-    void addSuccess(std::uint64_t fingerprint, instant at);
+    /// Records that a request with a trait succeeded.
+    void addSuccess(std::uint64_t trait, instant at);
 
     /// Evaluates the crashes that have settled.
-    /// @return the requests that are condemned from now on.
+    /// @return what is condemned from now on.
     std::vector<crash_finding> condemn(instant now);
 
     /// Records a verdict that was reached elsewhere.
-    void addVerdict(std::uint64_t fingerprint) { m_condemned.insert(fingerprint); }
+    void addVerdict(const std::set<std::uint64_t>& traits);
 
-    /// Removes the verdict on a request, and the crashes that it was based on.
-    void withdraw(std::uint64_t fingerprint);
+    /// Removes a verdict, and the crashes that it was based on.
+    void withdraw(const std::set<std::uint64_t>& traits);
 
-    /// @return the requests whose success would clear them, those with most crashes first.
+    /// @return the traits that a success would clear, those with most crashes first.
     std::vector<crash_suspect> suspects(instant now) const;
 
     /// Drops evidence that is too old.
@@ -101,27 +107,46 @@
 
 private:
     using crash_key = std::pair<std::string, unix_milliseconds>; // target and its start
+    struct victim {
+        std::uint64_t customer = 0;
+        std::vector<request_trait> traits; // the fingerprint first
+    };
     struct crash {
         std::string target;
         std::string service;
         instant reportedAt {}; // first report
         instant endedAt {};
-        std::set<crash_victim> victims;
+        std::map<std::uint64_t, victim> victims; // by fingerprint
+    };
+    /// A trait and the crashes that it may have caused.
+    struct candidate {
+        trait_kind kind = trait_kind::request;
+        std::vector<const crash*> crashes; // in order of their keys
+        std::set<std::uint64_t> requests;
+        std::set<std::uint64_t> customers;
     };
-    /// A candidate and the unexplained crashes that it was involved in, in order of their keys.
-    using candidate_map = std::map<std::uint64_t, std::vector<const crash*>>;
+    using candidate_map = std::unordered_map<std::uint64_t, candidate>;
+    using trait_set = std::set<std::uint64_t>;
 
-    bool isCandidate(const crash& crash, std::uint64_t fingerprint) const;
+    bool isCleared(const crash& crash, const request_trait& trait) const;
+    std::vector<const trait_set*> verdictsOn(const victim& victim) const;
     bool isExplained(const crash& crash) const;
+    static bool isOpen(
+        const victim& victim, const std::vector<const trait_set*>& verdicts, const request_trait& trait);
+    void addCandidates(const crash& crash, candidate_map& all) const;
     candidate_map candidates(instant reportedUntil) const;
-    bool standsOut(const candidate_map& all, candidate_map::const_iterator one) const;
-    std::size_t backgroundCrashes(candidate_map::const_iterator one) const;
-    bool isSufficient(candidate_map::const_iterator one) const;
+    const crash_thresholds& thresholdsOf(const candidate& one) const;
+    bool isEligible(const candidate& one) const;
+    bool isSufficient(const candidate& one) const;
+    std::size_t backgroundCrashes(const candidate& one) const;
+    bool areTogether(
+        std::uint64_t trait, std::uint64_t other, const std::vector<const crash*>& crashes) const;
+    bool findTogether(const candidate_map& all, std::uint64_t trait, trait_set& together) const;
 
     crash_registry_options m_options;
     std::map<crash_key, crash> m_crashes;
-    std::map<std::uint64_t, instant> m_successes; // latest one
-    std::set<std::uint64_t> m_condemned;
+    std::unordered_map<std::uint64_t, instant> m_successes; // latest one
+    std::map<std::uint64_t, std::set<trait_set>> m_verdicts; // by the first trait
 };
 
 } // namespace plumfold::core
--- a/packages/core/include/plumfold/core/plumfold_crash_screen.hpp
+++ b/packages/core/include/plumfold/core/plumfold_crash_screen.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "plumfold/core/plumfold_crash_registry.hpp"
+#include "plumfold/core/plumfold_request_traits.hpp"
 #include "plumfold/core/plumfold_time.hpp"
 
 #include <compare>
@@ -8,23 +9,26 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace plumfold::core {
 
-/// The verdict on a request that crashes targets, as control VMs hand it to entries.
+/// The verdict on requests that crash targets, as control VMs hand it to entries.
 struct crash_verdict {
-    std::uint64_t fingerprint = 0;
-    std::uint32_t crashes = 0; ///< Targets that it crashed.
+    std::uint64_t id = 0;
+    std::set<std::uint64_t> traits; ///< It applies to requests with all of these.
+    std::uint32_t crashes = 0; ///< Targets that they crashed.
     milliseconds keepFor { 0 }; ///< Until the verdict expires.
     bool isWithdrawn = false; ///< An operator has lifted it.
     auto operator<=>(const crash_verdict&) const = default;
 };
 
-/// A success of a suspect.
+/// A success of a request with a suspected trait.
 struct suspect_success {
-    std::uint64_t fingerprint = 0;
+    std::uint64_t trait = 0;
     milliseconds age { 0 };
     auto operator<=>(const suspect_success&) const = default;
 };
@@ -33,14 +37,21 @@
 /// requests have recently succeeded and so do not. Performs no I/O and reads no clock.
 class crash_screen {
 public:
-    /// @param maxSuccessAge how long a success counts.
+    /// @param maxSuccessAge how long a success is kept, to clear a request that is suspected later.
     explicit crash_screen(
-        milliseconds maxSuccessAge = maxClearingSuccessAge, std::size_t maxSuccesses = 50'000)
+        milliseconds maxSuccessAge = milliseconds(60'000), std::size_t maxSuccesses = 50'000)
         : m_maxSuccessAge(maxSuccessAge)
         , m_maxSuccesses(maxSuccesses)
     {
     }
 
+    /// A verdict that applies to a request.
+    struct match {
+        std::uint64_t verdict = 0; ///< Its id.
+        milliseconds keepFor { 0 }; ///< Until it expires.
+        auto operator<=>(const match&) const = default;
+    };
+
     /// Applies verdicts. Those that are missing stay in force until they expire, since the control VM may not
     /// have learned of them yet.
     /// @return the verdicts that were not known.
@@ -50,28 +61,29 @@
     void setSuspects(const std::vector<crash_suspect>& suspects);
 
     /// Records that a request succeeded.
-    void onSuccess(std::uint64_t fingerprint, instant now);
+    void onSuccess(const std::vector<request_trait>& request, instant now);
 
-    /// @return the time for which the verdict on a request stays in force, or nothing if it has none.
-    std::optional<milliseconds> condemnedFor(std::uint64_t fingerprint, instant now) const;
+    /// @return the verdict on a request, or nothing if it has none.
+    std::optional<match> findVerdict(const std::vector<request_trait>& request, instant now) const;
 
-    /// @return the number of targets that are known to have crashed while they ran a suspect.
-    std::uint32_t crashesOf(std::uint64_t fingerprint) const;
+    /// @return whether a request is known to have crashed a target, or its parts several.
+    bool isSuspect(const std::vector<request_trait>& request) const;
 
-    /// @return whether a request may have caused a crash: it has not succeeded recently.
-    bool mayHaveCrashed(std::uint64_t fingerprint, instant now) const;
+    /// @return the latest successes of traits of a request.
+    std::vector<suspect_success> successesOf(const std::vector<request_trait>& request, instant now) const;
 
     /// @return the successes of suspects that were not returned before.
     std::vector<suspect_success> takeSuccesses(instant now);
 
-    /// Counts the rejection of a condemned request.
+    /// Counts a rejection by a verdict.
     /// @return whether control VMs are to be told, so that they keep the verdict.
-    bool takeRejection(std::uint64_t fingerprint, instant now);
+    bool takeRejection(std::uint64_t verdict, instant now);
 
     std::size_t verdicts() const { return m_verdicts.size(); }
 
 private:
     struct known_verdict {
+        std::set<std::uint64_t> traits;
         instant until {}; // in force
         std::optional<instant> rejectionTakenAt;
     };
@@ -81,11 +93,13 @@
     };
 
     void dropOldSuccesses(instant now);
+    void remove(std::map<std::uint64_t, known_verdict>::iterator verdict);
 
     milliseconds m_maxSuccessAge;
     std::size_t m_maxSuccesses;
-    std::map<std::uint64_t, known_verdict> m_verdicts;
-    std::map<std::uint64_t, std::uint32_t> m_suspects; // crashes
+    std::map<std::uint64_t, known_verdict> m_verdicts; // by id
+    std::unordered_multimap<std::uint64_t, std::uint64_t> m_verdictsByTrait; // ids by their first trait
+    std::unordered_map<std::uint64_t, std::uint32_t> m_suspects; // crashes
     std::unordered_map<std::uint64_t, success> m_successes;
     std::deque<std::pair<instant, std::uint64_t>> m_successOrder; // oldest first
 };
--- a/packages/core/src/plumfold_control_state.cpp
+++ b/packages/core/src/plumfold_control_state.cpp
@@ -215,6 +215,8 @@
     kept.crashes = isNew ? next.crashes : std::max(kept.crashes, next.crashes);
     kept.until = at + verdictRetentionMs;
     kept.isWithdrawn = next.withdraw;
+    if (!next.withdraw)
+        kept.traits = next.traits;
     if (m_verdicts.size() <= maxVerdicts)
         return {};
     m_verdicts.erase(std::min_element(m_verdicts.begin(), m_verdicts.end(),
--- a/packages/core/src/plumfold_crash_registry.cpp
+++ b/packages/core/src/plumfold_crash_registry.cpp
@@ -1,6 +1,7 @@
 #include "plumfold/core/plumfold_crash_registry.hpp"
 
 #include <algorithm>
+#include <tuple>
 
 namespace plumfold::core {
 
@@ -14,9 +15,9 @@
         known.reportedAt = now;
         known.endedAt = now - report.age;
     }
-    for (const auto& victim : report.victims) {
+    for (const auto& each : report.victims) {
         if (known.victims.size() < m_options.maxVictims)
-            known.victims.insert(victim);
+            known.victims.try_emplace(each.fingerprint, victim { each.customer, listTraits(each) });
     }
     if (m_crashes.size() <= m_options.maxCrashes)
         return;
@@ -26,79 +27,179 @@
         }));
 }
 
-void crash_registry::addSuccess(std::uint64_t fingerprint, instant at)
+void crash_registry::addSuccess(std::uint64_t trait, instant at)
 {
-    auto& latest = m_successes[fingerprint];
+    auto& latest = m_successes[trait];
     latest = std::max(latest, at);
 }
 
-bool crash_registry::isCandidate(const crash& crash, std::uint64_t fingerprint) const
+/// @return whether a success of a trait shows that it did not cause a crash. A part that is sound for one
+/// customer is sound for all.
+bool crash_registry::isCleared(const crash& crash, const request_trait& trait) const
 {
-    auto success = m_successes.find(fingerprint);
-    return success == m_successes.end() || success->second + m_options.maxSuccessAge < crash.endedAt;
+    auto hasSucceeded = [&](std::uint64_t id) {
+        auto success = m_successes.find(id);
+        return success != m_successes.end() && success->second + m_options.maxSuccessAge >= crash.endedAt;
+    };
+    return hasSucceeded(trait.id) || (trait.wider != 0 && hasSucceeded(trait.wider));
+}
+
+/// @return the verdicts by which a request is condemned.
+std::vector<const crash_registry::trait_set*> crash_registry::verdictsOn(const victim& victim) const
+{
+    std::vector<const trait_set*> found;
+    auto has = [&](std::uint64_t id) {
+        return std::any_of(
+            victim.traits.begin(), victim.traits.end(), [&](const auto& each) { return each.id == id; });
+    };
+    for (const auto& trait : victim.traits) {
+        auto verdicts = m_verdicts.find(trait.id);
+        if (verdicts == m_verdicts.end())
+            continue;
+        for (const auto& traits : verdicts->second) {
+            if (std::all_of(traits.begin(), traits.end(), has))
+                found.push_back(&traits);
+        }
+    }
+    return found;
 }
 
 bool crash_registry::isExplained(const crash& crash) const
 {
     return std::any_of(crash.victims.begin(), crash.victims.end(),
-        [&](const auto& victim) { return m_condemned.contains(victim.fingerprint); });
+        [&](const auto& each) { return !verdictsOn(each.second).empty(); });
+}
+
+/// @return whether a trait of a victim may still be found to be the cause. A verdict on a request leaves open
+/// whether it is one of its parts, one on several parts which of them it is, and one on a part of a customer
+/// whether it is the part for all customers.
+bool crash_registry::isOpen(
+    const victim& victim, const std::vector<const trait_set*>& verdicts, const request_trait& trait)
+{
+    auto isOpenUnder = [&](const trait_set& traits) {
+        auto condemned = *traits.begin();
+        if (traits.size() > 1)
+            return traits.contains(trait.id);
+        if (condemned == victim.traits.front().id)
+            return trait.kind != trait_kind::request;
+        return std::any_of(victim.traits.begin(), victim.traits.end(),
+            [&](const auto& each) { return each.id == condemned && each.wider == trait.id; });
+    };
+    return std::all_of(
+        verdicts.begin(), verdicts.end(), [&](const auto* traits) { return isOpenUnder(*traits); });
+}
+
+void crash_registry::addCandidates(const crash& crash, candidate_map& all) const
+{
+    bool isCrashExplained = isExplained(crash);
+    for (const auto& [fingerprint, victim] : crash.victims) {
+        auto verdicts = verdictsOn(victim);
+        if (isCrashExplained && verdicts.empty())
+            continue;
+        for (const auto& trait : victim.traits) {
+            if (!isOpen(victim, verdicts, trait) || isCleared(crash, trait))
+                continue;
+            auto& one = all[trait.id];
+            one.kind = trait.kind;
+            if (one.crashes.empty() || one.crashes.back() != &crash)
+                one.crashes.push_back(&crash);
+            one.requests.insert(fingerprint);
+            one.customers.insert(victim.customer);
+        }
+    }
 }
 
 crash_registry::candidate_map crash_registry::candidates(instant reportedUntil) const
 {
     candidate_map all;
     for (const auto& [key, crash] : m_crashes) {
-        if (crash.reportedAt > reportedUntil || isExplained(crash))
-            continue;
-        for (const auto& victim : crash.victims) {
-            if (isCandidate(crash, victim.fingerprint))
-                all[victim.fingerprint].push_back(&crash);
-        }
+        if (crash.reportedAt <= reportedUntil)
+            addCandidates(crash, all);
     }
     return all;
 }
 
-/// @return whether no other candidate explains any of the crashes of one as well as it does.
-bool crash_registry::standsOut(const candidate_map& all, candidate_map::const_iterator one) const
+const crash_thresholds& crash_registry::thresholdsOf(const candidate& one) const
 {
-    for (const auto* crash : one->second) {
-        for (const auto& victim : crash->victims) {
-            auto other = all.find(victim.fingerprint);
-            if (other == all.end() || other == one)
-                continue;
-            bool isInvolved
-                = std::find(other->second.begin(), other->second.end(), crash) != other->second.end();
-            if (isInvolved && other->second.size() >= one->second.size())
-                return false;
-        }
-    }
-    return true;
+    return one.kind == trait_kind::request ? m_options.forRequests : m_options.forParts;
+}
+
+/// @return whether a candidate was involved in enough crashes with different requests to be a cause at all.
+bool crash_registry::isEligible(const candidate& one) const
+{
+    bool isShared = one.kind == trait_kind::shared_part;
+    const auto& thresholds = thresholdsOf(one);
+    return one.crashes.size() >= thresholds.alone && one.requests.size() >= thresholds.requests
+        && (!isShared || one.customers.size() >= m_options.customersOfSharedParts);
 }
 
 /// @return the number of unexplained crashes of the same service, at the time of those of a candidate, that
 /// it was not involved in.
-std::size_t crash_registry::backgroundCrashes(candidate_map::const_iterator one) const
+std::size_t crash_registry::backgroundCrashes(const candidate& one) const
 {
-    const auto& own = one->second;
-    auto [first, last] = std::minmax_element(own.begin(), own.end(),
+    auto [first, last] = std::minmax_element(one.crashes.begin(), one.crashes.end(),
         [](const auto* left, const auto* right) { return left->endedAt < right->endedAt; });
     auto from = (*first)->endedAt - m_options.backgroundTime;
     auto until = (*last)->endedAt + m_options.backgroundTime;
     return static_cast<std::size_t>(std::count_if(m_crashes.begin(), m_crashes.end(), [&](const auto& each) {
         const auto& crash = each.second;
-        return crash.service == own.front()->service && crash.endedAt >= from && crash.endedAt <= until
-            && !isExplained(crash) && std::find(own.begin(), own.end(), &crash) == own.end();
+        return crash.service == one.crashes.front()->service && crash.endedAt >= from
+            && crash.endedAt <= until && !isExplained(crash)
+            && std::find(one.crashes.begin(), one.crashes.end(), &crash) == one.crashes.end();
     }));
 }
 
 /// @return whether a candidate was involved in enough crashes, in view of those that end targets without it.
-bool crash_registry::isSufficient(candidate_map::const_iterator one) const
+bool crash_registry::isSufficient(const candidate& one) const
 {
-    auto crashes = one->second.size();
-    if (crashes < m_options.crashesToCondemn || crashes >= m_options.crashesToCondemnAlways)
-        return crashes >= m_options.crashesToCondemnAlways;
+    const auto& thresholds = thresholdsOf(one);
+    auto crashes = one.crashes.size();
+    if (crashes >= thresholds.always)
+        return true;
     auto background = backgroundCrashes(one);
-    return background == 0 || (crashes >= m_options.crashesToCondemnAmongOthers && 2 * crashes > background);
+    return background == 0 || (crashes >= thresholds.amongOthers && 2 * crashes > background);
+}
+
+/// @return whether in each of the crashes one request has both traits.
+bool crash_registry::areTogether(
+    std::uint64_t trait, std::uint64_t other, const std::vector<const crash*>& crashes) const
+{
+    auto has = [](const victim& victim, std::uint64_t id) {
+        return std::any_of(
+            victim.traits.begin(), victim.traits.end(), [&](const auto& each) { return each.id == id; });
+    };
+    return std::all_of(crashes.begin(), crashes.end(), [&](const auto* crash) {
+        return std::any_of(crash->victims.begin(), crash->victims.end(),
+            [&](const auto& each) { return has(each.second, trait) && has(each.second, other); });
+    });
+}
+
+/// Finds the traits that can't be told apart from a candidate, because they always came together.
+/// @return whether no other candidate explains any of the crashes as well.
+bool crash_registry::findTogether(const candidate_map& all, std::uint64_t trait, trait_set& together) const
+{
+    const auto& one = all.at(trait);
+    together = { trait };
+    for (const auto* crash : one.crashes) {
+        for (const auto& [fingerprint, victim] : crash->victims) {
+            for (const auto& each : victim.traits) {
+                auto found = all.find(each.id);
+                if (found == all.end() || together.contains(each.id) || !isEligible(found->second))
+                    continue;
+                const auto& other = found->second;
+                bool isInvolved
+                    = std::find(other.crashes.begin(), other.crashes.end(), crash) != other.crashes.end();
+                if (!isInvolved || other.crashes.size() < one.crashes.size())
+                    continue;
+                bool isSame = other.kind == one.kind && other.crashes == one.crashes
+                    && areTogether(trait, each.id, one.crashes);
+                if (!isSame)
+                    return false;
+                together.insert(each.id);
+            }
+        }
+    }
+    return true;
 }
 
 std::vector<crash_finding> crash_registry::condemn(instant now)
@@ -108,14 +209,16 @@
     while (isChanged) {
         isChanged = false;
         auto all = candidates(now - m_options.settleTime);
-        for (auto one = all.begin(); one != all.end(); ++one) {
-            if (!standsOut(all, one) || !isSufficient(one))
+        for (const auto& [trait, one] : all) {
+            trait_set together;
+            if (!isEligible(one) || !findTogether(all, trait, together) || !isSufficient(one))
+                continue;
+            auto& verdicts = m_verdicts[*together.begin()];
+            if (!verdicts.insert(together).second)
                 continue;
-            auto crashes = one->second.size();
-            condemned.push_back({ one->first, static_cast<std::uint32_t>(crashes), {} });
-            for (const auto* crash : one->second)
+            condemned.push_back({ together, one.kind, static_cast<std::uint32_t>(one.crashes.size()), {} });
+            for (const auto* crash : one.crashes)
                 condemned.back().targets.push_back(crash->target);
-            m_condemned.insert(one->first);
             isChanged = true;
             break;
         }
@@ -123,20 +226,39 @@
     return condemned;
 }
 
-void crash_registry::withdraw(std::uint64_t fingerprint)
+void crash_registry::addVerdict(const std::set<std::uint64_t>& traits)
 {
-    m_condemned.erase(fingerprint);
-    std::erase_if(m_crashes,
-        [&](const auto& each) { return each.second.victims.contains(crash_victim { fingerprint }); });
+    if (!traits.empty())
+        m_verdicts[*traits.begin()].insert(traits);
+}
+
+void crash_registry::withdraw(const std::set<std::uint64_t>& traits)
+{
+    if (traits.empty())
+        return;
+    std::erase_if(m_crashes, [&](const auto& each) {
+        return std::any_of(each.second.victims.begin(), each.second.victims.end(), [&](const auto& victim) {
+            auto verdicts = verdictsOn(victim.second);
+            return std::any_of(
+                verdicts.begin(), verdicts.end(), [&](const auto* each) { return *each == traits; });
+        });
+    });
+    auto found = m_verdicts.find(*traits.begin());
+    if (found == m_verdicts.end())
+        return;
+    found->second.erase(traits);
+    if (found->second.empty())
+        m_verdicts.erase(found);
 }
 
 std::vector<crash_suspect> crash_registry::suspects(instant now) const
 {
     std::vector<crash_suspect> all;
-    for (const auto& [fingerprint, crashes] : candidates(now))
-        all.push_back({ fingerprint, static_cast<std::uint32_t>(crashes.size()) });
-    std::stable_sort(all.begin(), all.end(),
-        [](const auto& left, const auto& right) { return left.crashes > right.crashes; });
+    for (const auto& [trait, one] : candidates(now))
+        all.push_back({ trait, static_cast<std::uint32_t>(one.crashes.size()) });
+    std::sort(all.begin(), all.end(), [](const auto& left, const auto& right) {
+        return std::tie(right.crashes, left.trait) < std::tie(left.crashes, right.trait);
+    });
     if (all.size() > m_options.maxSuspects)
         all.resize(m_options.maxSuspects);
     return all;
--- a/packages/forwarding/src/plumfold_crash_report_client.cpp
+++ b/packages/forwarding/src/plumfold_crash_report_client.cpp
@@ -26,7 +26,7 @@
         all.crashes.back().age += delay;
     }
     for (const auto& each : news.successes)
-        all.successes.push_back({ each.fingerprint, each.age + delay });
+        all.successes.push_back({ each.trait, each.age + delay });
     all.rejected.insert(all.rejected.end(), news.rejected.begin(), news.rejected.end());
 }
 
--- a/packages/forwarding/src/plumfold_crash_report_client.hpp
+++ b/packages/forwarding/src/plumfold_crash_report_client.hpp
@@ -16,7 +16,7 @@
 struct crash_news {
     std::vector<core::crash_report> crashes;
     std::vector<core::suspect_success> successes;
-    std::vector<std::uint64_t> rejected; ///< Condemned requests that were rejected.
+    std::vector<std::uint64_t> rejected; ///< Verdicts by which requests were rejected.
 };
 
 /// Sends crash news to all control VMs, again until each of them has it. Its public methods are called on the
--- a/packages/forwarding/src/plumfold_deployment_follower.cpp
+++ b/packages/forwarding/src/plumfold_deployment_follower.cpp
@@ -142,7 +142,7 @@
         update.verdicts.push_back(wire::read(each));
     m_knownVerdicts = response.getVerdictsDigest();
     for (auto each : response.getSuspects())
-        update.suspects.push_back({ each.getFingerprint(), each.getCrashes() });
+        update.suspects.push_back(wire::read(each));
     for (auto each : response.getParts()) {
         update.parts.push_back(wire::read(each));
         const auto& received = update.parts.back();
--- a/packages/forwarding/src/plumfold_forwarding_role.cpp
+++ b/packages/forwarding/src/plumfold_forwarding_role.cpp
@@ -134,7 +134,8 @@
     {
         for (const auto& verdict : m_state.crashScreen.applyVerdicts(update.verdicts, now))
             runtime::log_event("verdict_in_force")
-                .with("fingerprint", verdict.fingerprint)
+                .with("verdict", verdict.id)
+                .with("traits", verdict.traits.size())
                 .with("crashes", verdict.crashes)
                 .with("keep_for_ms", verdict.keepFor.count());
         m_state.crashScreen.setSuspects(update.suspects);
--- a/packages/forwarding/src/plumfold_request_forwarder.cpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.cpp
@@ -1,10 +1,11 @@
 #include "plumfold_request_forwarder.hpp"
 
 #include "plumfold/core/plumfold_hash.hpp"
-#include "plumfold/core/plumfold_request_fingerprint.hpp"
 #include "plumfold/runtime/plumfold_clock.hpp"
 #include "plumfold/runtime/plumfold_log.hpp"
 
+#include <absl/strings/str_join.h>
+
 #include <algorithm>
 
 namespace plumfold::forwarding {
@@ -112,7 +113,7 @@
     }
     if (m_route->isPublic)
         m_customer = m_head.apiKey.empty() ? nullptr : m_customer;
-    m_fingerprint = computeFingerprint();
+    identify();
     auto callerTimeout = m_head.deadline.value_or(defaultDeadline);
     m_deadline = m_receivedAt + std::min(callerTimeout, m_route->timeout);
     const auto* service = core::chooseService(*m_route, core::hashBytes(m_head.id));
@@ -132,12 +133,15 @@
     return m_customer ? m_customer->name : std::string();
 }
 
-std::uint64_t request_forwarder::computeFingerprint() const
+/// Determines what the request has in common with others.
+void request_forwarder::identify()
 {
     auto host = hostOf(m_request);
     auto customer = customerName();
-    return core::fingerprintOf({ customer, host, view(m_request.method_string()), view(m_request.target()),
-        m_request.body(), m_head.parts });
+    m_traits = core::traitsOf(
+        { customer, m_customer && m_customer->isIsolated, host, view(m_request.method_string()),
+            view(m_request.target()), m_head.model, m_request.body(), m_head.parts });
+    m_traitList = core::listTraits(m_traits);
 }
 
 /// @return whether it is known where the stream began that the caller takes up.
@@ -282,7 +286,7 @@
         bool hasSurvived = attemptResult == core::attempt_result::answered
             || attemptResult == core::attempt_result::failed;
         if (hasSurvived) {
-            m_state.crashScreen.onSuccess(m_fingerprint, runtime::now());
+            m_state.crashScreen.onSuccess(m_traitList, runtime::now());
             m_state.reportSuccesses(runtime::now());
         }
         bool final = attemptResult == core::attempt_result::answered
@@ -333,15 +337,15 @@
         .with("target", placement.target)
         .with("started_at", placement.startedAt)
         .with("request", m_head.id)
-        .with("fingerprint", m_fingerprint);
+        .with("fingerprint", m_traits.fingerprint)
+        .with("parts", absl::StrJoin(m_traits.parts, ","));
     m_state.metrics.count("plumfold_requests_lost_with_target_total");
-    auto now = runtime::now();
-    if (!m_state.crashScreen.mayHaveCrashed(m_fingerprint, now))
-        co_return;
-    // The caller decides whether to repeat a request that has crashed targets before.
-    m_isSuspect = m_state.crashScreen.crashesOf(m_fingerprint) > 0;
-    m_state.crashReports.send(
-        { { { placement.target, placement.startedAt, m_service, { { m_fingerprint } } } }, {}, {} });
+    // The caller decides whether to repeat a request that is known to have crashed targets.
+    m_isSuspect = m_state.crashScreen.isSuspect(m_traitList);
+    crash_news news;
+    news.crashes.push_back({ placement.target, placement.startedAt, m_service, { m_traits }, {} });
+    news.successes = m_state.crashScreen.successesOf(m_traitList, runtime::now());
+    m_state.crashReports.send(std::move(news));
 }
 
 /// Rejects a request that is known to crash targets. If a target has begun to run it, it ends as lost.
@@ -349,16 +353,17 @@
 bool request_forwarder::rejectCondemned()
 {
     auto now = runtime::now();
-    auto keepFor = m_state.crashScreen.condemnedFor(m_fingerprint, now);
-    if (!keepFor)
+    auto match = m_state.crashScreen.findVerdict(m_traitList, now);
+    if (!match)
         return false;
-    if (m_state.crashScreen.takeRejection(m_fingerprint, now))
-        m_state.crashReports.send({ {}, {}, { m_fingerprint } });
+    m_verdict = match->verdict;
+    if (m_state.crashScreen.takeRejection(match->verdict, now))
+        m_state.crashReports.send({ {}, {}, { match->verdict } });
     m_reason = "crashes_targets";
     if (m_mayHaveExecuted || m_streamStarted)
         finishUnanswered();
     else
-        reject(http::status::service_unavailable, m_reason, keepFor);
+        reject(http::status::service_unavailable, m_reason, match->keepFor);
     return true;
 }
 
@@ -456,7 +461,8 @@
         .with("request", m_head.id)
         .with("route", m_route ? m_route->name : std::string("none"))
         .with("customer", m_customer ? m_customer->name : std::string("none"))
-        .with("fingerprint", m_fingerprint)
+        .with("fingerprint", m_traits.fingerprint)
+        .with("verdict", m_verdict)
         .with("outcome", m_outcome)
         .with("reason", m_reason.empty() ? std::string("none") : m_reason)
         .with("status", m_response ? m_response->status : (m_streamStarted ? statusOk : 0))
--- a/packages/forwarding/src/plumfold_request_forwarder.hpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.hpp
@@ -4,6 +4,7 @@
 #include "plumfold_forwarding_state.hpp"
 
 #include "plumfold/core/plumfold_event_cursor.hpp"
+#include "plumfold/core/plumfold_request_traits.hpp"
 #include "plumfold/core/plumfold_stream_origin.hpp"
 #include "plumfold/platform/plumfold_platform_requests.hpp"
 
@@ -42,7 +43,7 @@
     void reject(http::status status, std::string reason, std::optional<core::milliseconds> retryAfter = {});
     bool isTakeUp() const;
     std::string customerName() const;
-    std::uint64_t computeFingerprint() const;
+    void identify();
     task<bool> findOrigin();
     void beginStream(std::string softwareVersion);
     task<void> runAttempts();
@@ -90,7 +91,8 @@
     const core::route* m_route = nullptr;
     const core::customer_access* m_customer = nullptr;
     std::string m_service;
-    std::uint64_t m_fingerprint = 0;
+    core::request_traits m_traits;
+    std::vector<core::request_trait> m_traitList; // of m_traits
     core::instant m_receivedAt;
     core::instant m_deadline {};
 
@@ -107,7 +109,8 @@
     bool m_mayHaveExecuted = false;
     bool m_timedOut = false;
     bool m_targetUnresponsive = false; // why the current attempt was abandoned
-    bool m_isSuspect = false; // crashed a target, as others have seen before
+    std::uint64_t m_verdict = 0; // by which it was rejected
+    bool m_isSuspect = false; // has crashed a target, and was known to crash others
     bool m_mayTargetHaveEnded = false; // the current attempt was lost with its connection
     bool m_isPredictionReliable = false;
     bool m_callerDisconnected = false;
--- a/packages/wire/include/plumfold/wire/plumfold_convert.hpp
+++ b/packages/wire/include/plumfold/wire/plumfold_convert.hpp
@@ -105,10 +105,11 @@
 void write(StreamRecord::Builder out, const core::stream_record& value);
 core::stream_record read(StreamRecord::Reader in);
 
-void write(Suspect::Builder out, const core::crash_suspect& value);
+void write(CrashSuspect::Builder out, const core::crash_suspect& value);
+core::crash_suspect read(CrashSuspect::Reader in);
 
-void write(CrashVictim::Builder out, const core::crash_victim& value);
-core::crash_victim read(CrashVictim::Reader in);
+void write(RequestTraits::Builder out, const core::request_traits& value);
+core::request_traits read(RequestTraits::Reader in);
 
 void write(CrashReport::Builder out, const core::crash_report& value);
 core::crash_report read(CrashReport::Reader in);
--- a/packages/wire/schema/plumfold.capnp
+++ b/packages/wire/schema/plumfold.capnp
@@ -86,7 +86,7 @@
   failed @6 :UInt64;
 }
 struct UsageCommand { source @0 :Text; incarnation @1 :UInt64; sequence @2 :UInt64; rows @3 :List(UsageRow); }
-struct VerdictCommand { fingerprint @0 :UInt64; crashes @1 :UInt32; withdraw @2 :Bool; }
+struct VerdictCommand { fingerprint @0 :UInt64; crashes @1 :UInt32; withdraw @2 :Bool; traits @3 :List(UInt64); }
 
 struct Command {
   at @0 :UInt64;
@@ -139,7 +139,7 @@
 struct RememberedResult { operatorName @0 :Text; requestId @1 :Text; result @2 :ChangeResult; }
 struct AuditRecord { at @0 :UInt64; operatorName @1 :Text; requestId @2 :Text; delta @3 :Delta; }
 struct UsageSource { source @0 :Text; incarnation @1 :UInt64; sequence @2 :UInt64; }
-struct Verdict { fingerprint @0 :UInt64; crashes @1 :UInt32; until @2 :UInt64; withdrawn @3 :Bool; }
+struct Verdict { fingerprint @0 :UInt64; crashes @1 :UInt32; until @2 :UInt64; withdrawn @3 :Bool; traits @4 :List(UInt64); }
 struct ControlSnapshot {
   revision @0 :UInt64;
   records @1 :List(Record);
@@ -213,7 +213,7 @@
       -> (fresh :Bool, deployment :DeploymentState, feed :UInt64, change :UInt64, everything :Bool,
           targets :List(AnnouncedTarget), control :List(ControlAddress), entries :UInt32, parts :List(PartNews), clock :UInt64,
           loads :List(TargetLoad), sharedLimits :Text, verdictsDigest :UInt64, verdicts :List(CrashVerdict),
-          suspects :List(Suspect));
+          suspects :List(CrashSuspect));
   # Asks the holder of the lease shared-limits/ and the entry's failure domain for one start on a cold target.
   startCold @3 (service :Text, target :Text) -> (granted :Bool, retryAfterMs :UInt32);
   # Asks the same control VM for one retry beyond the share of the entry's own requests.
@@ -224,16 +224,24 @@
   # targets of the service that it has heard of recently, and the addresses of all control VMs of the group.
   findStream @6 (stream :UInt64, service :Text)
       -> (found :Bool, record :StreamRecord, softwareVersions :List(Text), members :List(Text));
-  # Reports targets that ended while they ran requests of this entry, successes of suspects, and condemned requests that
-  # were rejected.
+  # Reports targets that ended while they ran requests of this entry, successes of suspects, and verdicts
+  # by which requests were rejected.
   reportCrashes @7 (crashes :List(CrashReport), successes :List(SuspectSuccess), rejected :List(UInt64)) -> ();
 }
 
-# Requests that crash targets, see core::crash_report, core::suspect_success and core::crash_verdict.
-struct CrashVictim { fingerprint @0 :UInt64; }
-struct CrashReport { target @0 :Text; startedAt @1 :UInt64; service @2 :Text; victims @3 :List(CrashVictim); ageMs @4 :UInt32; }
-struct SuspectSuccess { fingerprint @0 :UInt64; ageMs @1 :UInt32; }
-struct CrashVerdict { fingerprint @0 :UInt64; crashes @1 :UInt32; keepForMs @2 :UInt32; withdrawn @3 :Bool; }
+# Requests that crash targets, see core::request_traits, core::crash_report, core::suspect_success,
+# core::crash_suspect and core::crash_verdict.
+struct RequestTraits { fingerprint @0 :UInt64; customer @1 :UInt64; isolated @2 :Bool; parts @3 :List(UInt64); }
+struct CrashReport { target @0 :Text; startedAt @1 :UInt64; service @2 :Text; victims @3 :List(RequestTraits); ageMs @4 :UInt32; }
+struct SuspectSuccess { trait @0 :UInt64; ageMs @1 :UInt32; }
+struct CrashSuspect { trait @0 :UInt64; crashes @1 :UInt32; }
+struct CrashVerdict {
+  id @0 :UInt64;
+  crashes @1 :UInt32;
+  keepForMs @2 :UInt32;
+  withdrawn @3 :Bool;
+  traits @4 :List(UInt64);
+}
 
 # Where a stream began, see core::stream_record.
 struct StreamRecord { stream @0 :UInt64; service @1 :Text; softwareVersion @2 :Text; keepForMs @3 :UInt32; }
--- a/packages/wire/src/plumfold_convert_commands.cpp
+++ b/packages/wire/src/plumfold_convert_commands.cpp
@@ -94,6 +94,7 @@
     to.setFingerprint(value.fingerprint);
     to.setCrashes(value.crashes);
     to.setWithdraw(value.withdraw);
+    writeNumbers(to.initTraits(value.traits.size()), value.traits);
 }
 
 void writeCommand(Command::Builder out, const core::adopt_document_command& value)
@@ -174,8 +175,8 @@
         return value;
     case Command::VERDICT: {
         auto from = in.getVerdict();
-        value.payload
-            = core::verdict_command { from.getFingerprint(), from.getCrashes(), from.getWithdraw() };
+        value.payload = core::verdict_command { from.getFingerprint(), from.getCrashes(), from.getWithdraw(),
+            readNumbers<std::set<std::uint64_t>>(from.getTraits()) };
         return value;
     }
     }
@@ -335,11 +336,13 @@
     out.setCrashes(value.crashes);
     out.setUntil(value.until);
     out.setWithdrawn(value.isWithdrawn);
+    writeNumbers(out.initTraits(value.traits.size()), value.traits);
 }
 
 core::verdict read(Verdict::Reader in)
 {
-    return core::verdict { in.getFingerprint(), in.getCrashes(), in.getUntil(), in.getWithdrawn() };
+    return core::verdict { in.getFingerprint(), in.getCrashes(), in.getUntil(), in.getWithdrawn(),
+        readNumbers<std::set<std::uint64_t>>(in.getTraits()) };
 }
 
 void write(ControlSnapshot::Builder out, const core::control_snapshot& value)
--- a/packages/wire/src/plumfold_convert_crashes.cpp
+++ b/packages/wire/src/plumfold_convert_crashes.cpp
@@ -15,20 +15,29 @@
 
 } // namespace
 
-void write(Suspect::Builder out, const core::crash_suspect& value)
+void write(CrashSuspect::Builder out, const core::crash_suspect& value)
 {
-    out.setFingerprint(value.fingerprint);
+    out.setTrait(value.trait);
     out.setCrashes(value.crashes);
 }
 
-void write(CrashVictim::Builder out, const core::crash_victim& value)
+core::crash_suspect read(CrashSuspect::Reader in)
+{
+    return core::crash_suspect { in.getTrait(), in.getCrashes() };
+}
+
+void write(RequestTraits::Builder out, const core::request_traits& value)
 {
     out.setFingerprint(value.fingerprint);
+    out.setCustomer(value.customer);
+    out.setIsolated(value.isIsolated);
+    writeNumbers(out.initParts(value.parts.size()), value.parts);
 }
 
-core::crash_victim read(CrashVictim::Reader in)
+core::request_traits read(RequestTraits::Reader in)
 {
-    return core::crash_victim { in.getFingerprint() };
+    return core::request_traits { in.getFingerprint(), in.getCustomer(), in.getIsolated(),
+        readNumbers<std::vector<std::uint64_t>>(in.getParts()) };
 }
 
 void write(CrashReport::Builder out, const core::crash_report& value)
@@ -48,18 +57,19 @@
 
 void write(SuspectSuccess::Builder out, const core::suspect_success& value)
 {
-    out.setFingerprint(value.fingerprint);
+    out.setTrait(value.trait);
     out.setAgeMs(millisecondsOf(value.age));
 }
 
 core::suspect_success read(SuspectSuccess::Reader in)
 {
-    return core::suspect_success { in.getFingerprint(), core::milliseconds(in.getAgeMs()) };
+    return core::suspect_success { in.getTrait(), core::milliseconds(in.getAgeMs()) };
 }
 
 void write(CrashVerdict::Builder out, const core::crash_verdict& value)
 {
-    out.setFingerprint(value.fingerprint);
+    out.setId(value.id);
+    writeNumbers(out.initTraits(value.traits.size()), value.traits);
     out.setCrashes(value.crashes);
     out.setKeepForMs(millisecondsOf(value.keepFor));
     out.setWithdrawn(value.isWithdrawn);
@@ -67,8 +77,8 @@
 
 core::crash_verdict read(CrashVerdict::Reader in)
 {
-    return core::crash_verdict { in.getFingerprint(), in.getCrashes(), core::milliseconds(in.getKeepForMs()),
-        in.getWithdrawn() };
+    return core::crash_verdict { in.getId(), readNumbers<std::set<std::uint64_t>>(in.getTraits()),
+        in.getCrashes(), core::milliseconds(in.getKeepForMs()), in.getWithdrawn() };
 }
 
 } // namespace plumfold::wire
--- a/packages/wire/src/plumfold_convert_support.hpp
+++ b/packages/wire/src/plumfold_convert_support.hpp
@@ -63,6 +63,21 @@
     return values;
 }
 
+template <class Numbers> void writeNumbers(capnp::List<std::uint64_t>::Builder out, const Numbers& values)
+{
+    unsigned index = 0;
+    for (auto value : values)
+        out.set(index++, value);
+}
+
+template <class Numbers> Numbers readNumbers(capnp::List<std::uint64_t>::Reader in)
+{
+    Numbers values;
+    for (auto value : in)
+        values.insert(values.end(), value);
+    return values;
+}
+
 template <class... Ts> struct overloaded : Ts... {
     using Ts::operator()...;
 };
--- a/tests/forwarding/plumfold_crashing_part_tests.cpp
+++ b/tests/forwarding/plumfold_crashing_part_tests.cpp
@@ -77,7 +77,7 @@
         auto late = arrivalsAfter(crashesForVerdict, propagationTime);
         CAPTURE(fleet().crashes().size(), fleet().arrivals().size(), late, m_calm.sent, m_calm.begun,
             m_later.sent, m_later.begun);
-        REQUIRE(fleet().crashes().size() >= crashesForVerdict);
+        REQUIRE(fleet().crashes().size() >= 3);
         CHECK(late <= maxLateArrivals);
         REQUIRE(m_calm.begun * 10 >= m_calm.sent * 9);
         CHECK(m_later.share() >= m_calm.share() / 2);
@@ -181,7 +181,38 @@
     auto calm = sendSoundFor(3s, path, 1, soundPrompt);
     auto late = arrivalsAfter(crashesForVerdict, propagationTime);
     CAPTURE(fleet().crashes().size(), late, calm.sent, calm.begun);
-    REQUIRE(fleet().crashes().size() >= crashesForVerdict);
+    REQUIRE(fleet().crashes().size() >= 3);
     CHECK(late <= maxLateArrivals);
     CHECK(calm.share() > 0.9);
 }
+
+TEST_CASE_METHOD(system_with_crashing_part,
+    "Requests with a part that crashes targets stop arriving although control VMs and entries stop, restart "
+    "and "
+    "are suspended",
+    "[forwarding][crashes][parts][soak]")
+{
+    constexpr auto disturbedTime = 12s;
+    constexpr auto calmTime = 6s; // until each of the parts has come again
+    INFO("seed " << soakSeed());
+    std::thread crashing([this, disturbedTime, calmTime] {
+        auto start = std::chrono::steady_clock::now();
+        sendCrashingFor(disturbedTime + 2 * calmTime, [this, start](int entry) {
+            auto number = (std::chrono::steady_clock::now() - start) / 2s % 3;
+            request(entry, path, "order " + nextId(),
+                promptOf("kind:600," + std::to_string(number) + "bad:300,"));
+        });
+    });
+    std::thread sound([this, disturbedTime] { sendSoundFor(disturbedTime, path, 3, soundPrompt); });
+    disturbances(*this, entries, soakSeed()).runFor(disturbedTime);
+    sound.join();
+    std::this_thread::sleep_for(calmTime);
+    auto before = fleet().arrivals().size();
+    auto later = sendSoundFor(calmTime - 1s, path, 1, soundPrompt);
+    crashing.join();
+    CAPTURE(fleet().crashes().size(), before, fleet().arrivals().size(), later.sent, later.begun);
+    REQUIRE(fleet().crashes().size() >= crashesForVerdict);
+    CHECK(fleet().arrivals().size() - before == 0);
+    CHECK(later.share() > 0.9);
+    CHECK(soundRefusedByVerdict() == 0);
+}
--- a/tests/forwarding/support/plumfold_crashing_system.hpp
+++ b/tests/forwarding/support/plumfold_crashing_system.hpp
@@ -83,13 +83,14 @@
         return { sent, begun };
     }
 
-    /// @return the arrivals of requests that crash targets later than a time after the n-th crash.
+    /// @return the arrivals of requests that crash targets later than a time after the n-th crash, or after
+    /// the last one if there were fewer.
     std::size_t arrivalsAfter(std::size_t crash, std::chrono::milliseconds time) const
     {
         auto crashes = m_fleet->crashes();
-        if (crashes.size() < crash)
+        if (crashes.empty())
             return 0;
-        auto from = crashes[crash - 1] + time;
+        auto from = crashes[std::min(crash, crashes.size()) - 1] + time;
         auto arrivals = m_fleet->arrivals();
         return static_cast<std::size_t>(
             std::count_if(arrivals.begin(), arrivals.end(), [&](const auto& at) { return at > from; }));
