Report lost requests without delaying their retry

Found by reading: a retry waited for the probe of its target, up to 250 ms where a cut swallows it. Only suspects wait now, since only their retry depends on the result. Targets that announced that they stop are not reported, and a request that waits for a cold start or a connection is not sent once a verdict is in force.

--- a/packages/core/include/plumfold/core/plumfold_target_selector.hpp
+++ b/packages/core/include/plumfold/core/plumfold_target_selector.hpp
@@ -166,6 +166,9 @@
     /// @return whether a target neither announces itself nor has recently answered this entry.
     bool isSilent(const std::string& target, instant now) const;
 
+    /// @return whether a target has announced that it stops, or is no longer known.
+    bool isLeaving(const std::string& target) const;
+
     /// @return whether a target is cold and its service limits the requests to cold targets.
     bool isCold(const std::string& target, instant now) const;
 
--- a/packages/core/src/plumfold_target_selector.cpp
+++ b/packages/core/src/plumfold_target_selector.cpp
@@ -143,6 +143,12 @@
         && !isResponsive(found->second, now);
 }
 
+bool target_selector::isLeaving(const std::string& target) const
+{
+    auto found = m_targets.find(target);
+    return found == m_targets.end() || found->second.last.state == target_state::leaving;
+}
+
 bool target_selector::isUsable(
     const tracked_target& target, const placement_request& request, instant now) const
 {
--- a/packages/forwarding/src/plumfold_request_attempt.cpp
+++ b/packages/forwarding/src/plumfold_request_attempt.cpp
@@ -118,10 +118,11 @@
         m_state.connections.release(std::move(m_connection));
         co_return classifyFailure(beast::error::timeout);
     }
-    // The target may have become cold, or the granted start may have expired, while the connection was
-    // opened.
+    // A verdict may have come in force, the target may have become cold, or the granted start may have
+    // expired, while the connection was opened.
     bool hasColdStart = placement.isCold && runtime::nowWithSuspension() < m_coldStartUntil;
-    if (!hasColdStart && m_state.targetSelector.isCold(placement.target, runtime::now())) {
+    bool isCondemned = m_state.crashScreen.findVerdict(m_traitList, runtime::now()).has_value();
+    if (isCondemned || (!hasColdStart && m_state.targetSelector.isCold(placement.target, runtime::now()))) {
         m_state.connections.release(std::move(m_connection));
         co_return core::attempt_result::not_started;
     }
--- a/packages/forwarding/src/plumfold_request_forwarder.cpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.cpp
@@ -225,7 +225,7 @@
 {
     bool idempotent = m_route->kind == core::request_kind::idempotent
         || (m_route->kind == core::request_kind::stream && m_route->isResumable);
-    return !m_callerDisconnected && !m_timedOut && !m_isSuspect && (idempotent || !m_mayHaveExecuted)
+    return !m_callerDisconnected && !m_timedOut && !m_isCrashSuspect && (idempotent || !m_mayHaveExecuted)
         && m_attemptedTargets.size() < m_route->maxAttempts;
 }
 
@@ -326,26 +326,39 @@
     co_return true;
 }
 
-/// Finds out whether the target has ended while it ran this request.
+/// Reports the request if the target has ended while it ran it. A retry waits for the result only if the
+/// request is a suspect: then its caller decides whether to repeat it.
 task<void> request_forwarder::onTargetLost(const core::placement& placement)
 {
-    bool hasEnded
-        = co_await m_state.crashes.hasEnded(placement.target, placement.startedAt, placement.address);
-    if (!hasEnded)
+    if (m_state.targetSelector.isLeaving(placement.target))
         co_return;
+    lost_request lost { m_head.id, m_traits, placement.target, placement.startedAt, placement.address,
+        m_service };
+    if (m_state.crashScreen.isSuspect(m_traitList))
+        m_isCrashSuspect = co_await reportIfEnded(m_state, std::move(lost));
+    else
+        asio::co_spawn(m_state.io, reportIfEnded(m_state, std::move(lost)), asio::detached);
+}
+
+/// @return whether the target of a lost request has ended.
+task<bool> request_forwarder::reportIfEnded(forwarding_state& state, lost_request lost)
+{
+    bool hasEnded = co_await state.crashes.hasEnded(lost.target, lost.startedAt, lost.address);
+    if (!hasEnded)
+        co_return false;
     runtime::log_event("target_ended")
-        .with("target", placement.target)
-        .with("started_at", placement.startedAt)
-        .with("request", m_head.id)
-        .with("fingerprint", m_traits.fingerprint)
-        .with("parts", absl::StrJoin(m_traits.parts, ","));
-    m_state.metrics.count("plumfold_requests_lost_with_target_total");
-    // The caller decides whether to repeat a request that is known to have crashed targets.
-    m_isSuspect = m_state.crashScreen.isSuspect(m_traitList);
+        .with("target", lost.target)
+        .with("started_at", lost.startedAt)
+        .with("request", lost.id)
+        .with("fingerprint", lost.traits.fingerprint)
+        .with("parts", absl::StrJoin(lost.traits.parts, ","));
+    state.metrics.count("plumfold_requests_lost_with_target_total");
     crash_news news;
-    news.crashes.push_back({ placement.target, placement.startedAt, m_service, { m_traits }, {} });
-    news.successes = m_state.crashScreen.successesOf(m_traitList, runtime::now());
-    m_state.crashReports.send(std::move(news));
+    news.successes = state.crashScreen.successesOf(core::listTraits(lost.traits), runtime::now());
+    news.crashes.push_back(
+        { lost.target, lost.startedAt, lost.service, { std::move(lost.traits) }, core::milliseconds(0) });
+    state.crashReports.send(std::move(news));
+    co_return true;
 }
 
 /// Rejects a request that is known to crash targets. If a target has begun to run it, it ends as lost.
--- a/packages/forwarding/src/plumfold_request_forwarder.hpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.hpp
@@ -38,6 +38,16 @@
         std::string body;
     };
 
+    /// A request whose connection to its target was lost.
+    struct lost_request {
+        std::string id;
+        core::request_traits traits;
+        std::string target;
+        core::unix_milliseconds startedAt = 0; // incarnation of the target
+        std::string address;
+        std::string service;
+    };
+
     task<void> waitForDeployment();
     bool admit();
     void reject(http::status status, std::string reason, std::optional<core::milliseconds> retryAfter = {});
@@ -51,6 +61,7 @@
     task<bool> takeRetryBudget();
     task<bool> requestColdStart(const core::placement& placement);
     task<void> onTargetLost(const core::placement& placement);
+    static task<bool> reportIfEnded(forwarding_state& state, lost_request lost);
     bool rejectCondemned();
     bool rejectOverload(const core::placement& placement);
     std::uint32_t priority() const;
@@ -110,7 +121,7 @@
     bool m_timedOut = false;
     bool m_targetUnresponsive = false; // why the current attempt was abandoned
     std::uint64_t m_verdict = 0; // by which it was rejected
-    bool m_isSuspect = false; // has crashed a target, and was known to crash others
+    bool m_isCrashSuspect = false; // has crashed a target, and was known to crash others
     bool m_mayTargetHaveEnded = false; // the current attempt was lost with its connection
     bool m_isPredictionReliable = false;
     bool m_callerDisconnected = false;
