Give an entry that starts the verdicts with its first update

Found by reading: a control VM that had just restarted could answer the first call of an entry up to 40 ms before it took the verdicts over from the log. It takes them over with each new view now. The log has one line for a crash instead of one for each victim.

--- a/packages/control/src/plumfold_control_role.cpp
+++ b/packages/control/src/plumfold_control_role.cpp
@@ -52,6 +52,8 @@
             m_rpc.post([this, view = std::move(view)] {
                 m_links->addMembers(view.members);
                 m_feed->update(view);
+                if (m_crashes)
+                    m_crashes->followLog();
             });
         };
         m_node = std::make_unique<control_node>(
--- a/packages/control/src/plumfold_control_service.cpp
+++ b/packages/control/src/plumfold_control_service.cpp
@@ -177,7 +177,7 @@
         for (auto each : params.getCrashes())
             m_context.crashes.addReport(m_name, wire::read(each));
         for (auto each : params.getSuccesses())
-            m_context.crashes.addSuccess(m_name, wire::read(each));
+            m_context.crashes.addSuccess(wire::read(each));
         for (auto verdict : params.getRejected())
             m_context.crashes.onRejected(verdict);
         return kj::READY_NOW;
--- a/packages/control/src/plumfold_crash_judge.cpp
+++ b/packages/control/src/plumfold_crash_judge.cpp
@@ -49,23 +49,19 @@
 
 void crash_judge::addReport(const std::string& entry, const core::crash_report& report)
 {
+    m_lastReportAt = runtime::now();
+    m_nextEvaluationAt = std::min(m_nextEvaluationAt, m_lastReportAt + evaluationInterval);
+    if (!m_registry.addReport(report, m_lastReportAt))
+        return;
     runtime::log_event("crash_reported")
         .with("target", report.target)
         .with("started_at", report.startedAt)
         .with("service", report.service)
-        .with("entry", entry)
-        .with("requests", report.victims.size());
-    m_lastReportAt = runtime::now();
-    m_nextEvaluationAt = std::min(m_nextEvaluationAt, m_lastReportAt + evaluationInterval);
-    m_registry.addReport(report, m_lastReportAt);
+        .with("entry", entry);
 }
 
-void crash_judge::addSuccess(const std::string& entry, const core::suspect_success& success)
+void crash_judge::addSuccess(const core::suspect_success& success)
 {
-    runtime::log_event("suspect_succeeded")
-        .with("trait", success.trait)
-        .with("entry", entry)
-        .with("age_ms", success.age.count());
     m_registry.addSuccess(success.trait, runtime::now() - success.age);
 }
 
@@ -84,7 +80,6 @@
 
 void crash_judge::tick()
 {
-    followLog();
     evaluate();
     auto now = runtime::now();
     for (auto& [id, own] : m_own) {
@@ -96,7 +91,6 @@
     publish();
 }
 
-/// Takes over what other control VMs or operators have decided.
 void crash_judge::followLog()
 {
     std::map<std::uint64_t, core::verdict> next;
@@ -123,6 +117,7 @@
             .with("reason", found == next.end() ? "expired" : "withdrawn");
     }
     m_logged = std::move(next);
+    publish();
 }
 
 void crash_judge::evaluate()
--- a/packages/control/src/plumfold_crash_judge.hpp
+++ b/packages/control/src/plumfold_crash_judge.hpp
@@ -24,10 +24,14 @@
     /// Adds the report of an entry about one target.
     void addReport(const std::string& entry, const core::crash_report& report);
     /// Adds the success of a suspect.
-    void addSuccess(const std::string& entry, const core::suspect_success& success);
+    void addSuccess(const core::suspect_success& success);
     /// Keeps a verdict whose requests still come.
     void onRejected(std::uint64_t verdict);
 
+    /// Takes over the verdicts of the log. Call it whenever the feed's view has changed, so that an entry
+    /// that starts gets them with its first update.
+    void followLog();
+
     /// Evaluates the reports and replicates verdicts. Call it periodically.
     void tick();
 
@@ -37,7 +41,6 @@
         core::instant submittedAt {};
     };
 
-    void followLog();
     void evaluate();
     void submit(const core::verdict& verdict);
     void publish();
--- a/packages/core/include/plumfold/core/plumfold_crash_registry.hpp
+++ b/packages/core/include/plumfold/core/plumfold_crash_registry.hpp
@@ -82,7 +82,8 @@
     }
 
     /// Adds a report. Reports about the same incarnation of a target are merged.
-    void addReport(const crash_report& report, instant now);
+    /// @return whether it is the first one about the crash.
+    bool addReport(const crash_report& report, instant now);
 
     /// Records that a request with a trait succeeded.
     void addSuccess(std::uint64_t trait, instant at);
--- a/packages/core/src/plumfold_crash_registry.cpp
+++ b/packages/core/src/plumfold_crash_registry.cpp
@@ -5,7 +5,7 @@
 
 namespace plumfold::core {
 
-void crash_registry::addReport(const crash_report& report, instant now)
+bool crash_registry::addReport(const crash_report& report, instant now)
 {
     auto [place, isNew] = m_crashes.try_emplace({ report.target, report.startedAt });
     auto& known = place->second;
@@ -20,11 +20,12 @@
             known.victims.try_emplace(each.fingerprint, victim { each.customer, listTraits(each) });
     }
     if (m_crashes.size() <= m_options.maxCrashes)
-        return;
+        return isNew;
     m_crashes.erase(
         std::min_element(m_crashes.begin(), m_crashes.end(), [](const auto& left, const auto& right) {
             return left.second.reportedAt < right.second.reportedAt;
         }));
+    return isNew;
 }
 
 void crash_registry::addSuccess(std::uint64_t trait, instant at)
