Condemn a part of which several customers have requests on each target

The test fails before (nothing is condemned) and passes now: what a part explains for all includes what it explains for one.

--- a/packages/core/src/plumfold_crash_registry.cpp
+++ b/packages/core/src/plumfold_crash_registry.cpp
@@ -187,6 +187,11 @@
                 auto found = all.find(each.id);
                 if (found == all.end() || together.contains(each.id) || !isEligible(found->second))
                     continue;
+                // What a part for all customers explains includes what it explains for one of them.
+                auto wider = all.find(each.wider);
+                bool isWiderEligible = wider != all.end() && isEligible(wider->second);
+                if (one.kind == trait_kind::shared_part && isWiderEligible)
+                    continue;
                 const auto& other = found->second;
                 bool isInvolved
                     = std::find(other.crashes.begin(), other.crashes.end(), crash) != other.crashes.end();
--- a/tests/core/plumfold_crash_registry_tests.cpp
+++ b/tests/core/plumfold_crash_registry_tests.cpp
@@ -297,6 +297,15 @@
     CHECK(history.condemned() == fingerprints { sharedPart(7) });
 }
 
+TEST_CASE("A part that requests of several customers had in common on each target is condemned for all",
+    "[crashes][parts]")
+{
+    crash_history history;
+    for (std::uint64_t count = 0; count < 6; ++count)
+        history.crashWith({ requestOf(100 + count, { 7 }, 1), requestOf(200 + count, { 7 }, 2) });
+    CHECK(history.condemned() == fingerprints { sharedPart(7) });
+}
+
 TEST_CASE("A part is not condemned for one request that is repeated", "[crashes][parts]")
 {
     crash_history history;
