--- a/packages/control/src/plumfold_crash_judge.cpp
+++ b/packages/control/src/plumfold_crash_judge.cpp
@@ -19,6 +19,8 @@
 /// Until the log has a verdict that was reached here.
 constexpr core::unix_milliseconds ownVerdictLifetimeMs = 24ull * 3600 * 1000;
 constexpr core::milliseconds evaluationInterval { 120 };
+/// The pause after an evaluation is at least this many times as long as the evaluation.
+constexpr int evaluationPauseFactor = 10;
 /// While no further target ends, only successes change the result.
 constexpr core::milliseconds calmAfterReport { 5'000 };
 constexpr core::milliseconds calmEvaluationInterval { 1'000 };
@@ -53,6 +55,7 @@
     m_nextEvaluationAt = std::min(m_nextEvaluationAt, m_lastReportAt + evaluationInterval);
     if (!m_registry.addReport(report, m_lastReportAt))
         return;
+    m_nextEvaluationAt = m_lastReportAt; // entries learn of the suspects
     runtime::log_event("crash_reported")
         .with("target", report.target)
         .with("started_at", report.startedAt)
@@ -123,10 +126,11 @@
 void crash_judge::evaluate()
 {
     auto now = runtime::now();
-    if (now < m_nextEvaluationAt)
+    if (now < m_nextEvaluationAt || now < m_pauseUntil)
         return;
     auto sinceReport = now - m_lastReportAt;
-    m_nextEvaluationAt = now + (sinceReport < calmAfterReport ? evaluationInterval : calmEvaluationInterval);
+    auto interval = sinceReport < calmAfterReport ? evaluationInterval : calmEvaluationInterval;
+    m_nextEvaluationAt = now + interval;
     if (sinceReport >= suspicionTime) {
         m_suspects.clear();
         return;
@@ -145,6 +149,8 @@
             .with("targets", absl::StrJoin(finding.targets, ","));
     }
     m_suspects = m_registry.suspects(now);
+    auto finishedAt = runtime::now();
+    m_pauseUntil = finishedAt + evaluationPauseFactor * (finishedAt - now);
 }
 
 void crash_judge::submit(const core::verdict& verdict)
--- a/packages/control/src/plumfold_crash_judge.hpp
+++ b/packages/control/src/plumfold_crash_judge.hpp
@@ -53,6 +53,7 @@
     std::map<std::uint64_t, core::instant> m_extendedAt; // when a verdict was last submitted to keep it
     core::instant m_lastReportAt {};
     core::instant m_nextEvaluationAt {};
+    core::instant m_pauseUntil {}; // after an evaluation that took long
     std::vector<core::crash_suspect> m_suspects; // of the latest evaluation
     wire::task_group m_tasks;
 };
--- a/packages/core/include/plumfold/core/plumfold_crash_registry.hpp
+++ b/packages/core/include/plumfold/core/plumfold_crash_registry.hpp
@@ -6,6 +6,7 @@
 #include <compare>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -129,12 +130,21 @@
     using candidate_map = std::unordered_map<std::uint64_t, candidate>;
     using trait_set = std::set<std::uint64_t>;
 
-    bool isCleared(const crash& crash, const request_trait& trait) const;
+    /// One of a crash's victims has a trait.
+    struct mention {
+        const request_trait* trait = nullptr;
+        const crash* involved = nullptr;
+        std::uint64_t request = 0;
+        std::uint64_t customer = 0;
+    };
+
+    std::optional<instant> latestSuccess(const request_trait& trait) const;
     std::vector<const trait_set*> verdictsOn(const victim& victim) const;
     bool isExplained(const crash& crash) const;
     static bool isOpen(
         const victim& victim, const std::vector<const trait_set*>& verdicts, const request_trait& trait);
-    void addCandidates(const crash& crash, candidate_map& all) const;
+    void addMentions(const crash& crash, std::vector<mention>& all) const;
+    std::vector<mention> mentions(instant reportedUntil) const;
     candidate_map candidates(instant reportedUntil) const;
     const crash_thresholds& thresholdsOf(const candidate& one) const;
     bool isEligible(const candidate& one) const;
--- a/packages/core/src/plumfold_crash_registry.cpp
+++ b/packages/core/src/plumfold_crash_registry.cpp
@@ -34,21 +34,24 @@
     latest = std::max(latest, at);
 }
 
-/// @return whether a success of a trait shows that it did not cause a crash. A part that is sound for one
-/// customer is sound for all.
-bool crash_registry::isCleared(const crash& crash, const request_trait& trait) const
+/// @return when a request with a trait last succeeded. A part that is sound for one customer is sound for
+/// all.
+std::optional<instant> crash_registry::latestSuccess(const request_trait& trait) const
 {
-    auto hasSucceeded = [&](std::uint64_t id) {
-        auto success = m_successes.find(id);
-        return success != m_successes.end() && success->second + m_options.maxSuccessAge >= crash.endedAt;
-    };
-    return hasSucceeded(trait.id) || (trait.wider != 0 && hasSucceeded(trait.wider));
+    std::optional<instant> latest;
+    for (auto id : { trait.id, trait.wider }) {
+        if (auto success = m_successes.find(id); success != m_successes.end())
+            latest = std::max(latest.value_or(instant::min()), success->second);
+    }
+    return latest;
 }
 
 /// @return the verdicts by which a request is condemned.
 std::vector<const crash_registry::trait_set*> crash_registry::verdictsOn(const victim& victim) const
 {
     std::vector<const trait_set*> found;
+    if (m_verdicts.empty())
+        return found;
     auto has = [&](std::uint64_t id) {
         return std::any_of(
             victim.traits.begin(), victim.traits.end(), [&](const auto& each) { return each.id == id; });
@@ -90,7 +93,7 @@
         verdicts.begin(), verdicts.end(), [&](const auto* traits) { return isOpenUnder(*traits); });
 }
 
-void crash_registry::addCandidates(const crash& crash, candidate_map& all) const
+void crash_registry::addMentions(const crash& crash, std::vector<mention>& all) const
 {
     bool isCrashExplained = isExplained(crash);
     for (const auto& [fingerprint, victim] : crash.victims) {
@@ -98,28 +101,61 @@
         if (isCrashExplained && verdicts.empty())
             continue;
         for (const auto& trait : victim.traits) {
-            if (!isOpen(victim, verdicts, trait) || isCleared(crash, trait))
-                continue;
-            auto& one = all[trait.id];
-            one.kind = trait.kind;
-            if (one.crashes.empty() || one.crashes.back() != &crash)
-                one.crashes.push_back(&crash);
-            one.requests.insert(fingerprint);
-            one.customers.insert(victim.customer);
+            if (isOpen(victim, verdicts, trait))
+                all.push_back({ &trait, &crash, fingerprint, victim.customer });
         }
     }
 }
 
-crash_registry::candidate_map crash_registry::candidates(instant reportedUntil) const
+/// @return the mentions of traits that may have caused the crash, those of one trait together.
+std::vector<crash_registry::mention> crash_registry::mentions(instant reportedUntil) const
 {
-    candidate_map all;
+    std::vector<mention> all;
     for (const auto& [key, crash] : m_crashes) {
         if (crash.reportedAt <= reportedUntil)
-            addCandidates(crash, all);
+            addMentions(crash, all);
     }
+    std::stable_sort(all.begin(), all.end(),
+        [](const auto& left, const auto& right) { return left.trait->id < right.trait->id; });
+    const request_trait* latest = nullptr;
+    std::optional<instant> success;
+    std::erase_if(all, [&](const auto& each) {
+        if (!latest || latest->id != each.trait->id) {
+            latest = each.trait;
+            success = latestSuccess(*latest);
+        }
+        return success && *success + m_options.maxSuccessAge >= each.involved->endedAt;
+    });
     return all;
 }
 
+/// @return the traits that were involved in enough crashes to be condemned.
+crash_registry::candidate_map crash_registry::candidates(instant reportedUntil) const
+{
+    auto fewest = std::min(m_options.forRequests.alone, m_options.forParts.alone);
+    auto all = mentions(reportedUntil);
+    candidate_map found;
+    for (auto first = all.begin(); first != all.end();) {
+        auto last = std::find_if(
+            first, all.end(), [&](const auto& each) { return each.trait->id != first->trait->id; });
+        candidate one;
+        one.kind = first->trait->kind;
+        for (auto each = first; each != last; ++each) {
+            if (one.crashes.empty() || one.crashes.back() != each->involved)
+                one.crashes.push_back(each->involved);
+        }
+        if (one.crashes.size() >= fewest) {
+            for (auto each = first; each != last; ++each) {
+                one.requests.insert(each->request);
+                one.customers.insert(each->customer);
+            }
+            found.emplace(first->trait->id, std::move(one));
+        }
+        first = last;
+    }
+    return found;
+}
+
 const crash_thresholds& crash_registry::thresholdsOf(const candidate& one) const
 {
     return one.kind == trait_kind::request ? m_options.forRequests : m_options.forParts;
@@ -260,8 +296,15 @@
 std::vector<crash_suspect> crash_registry::suspects(instant now) const
 {
     std::vector<crash_suspect> all;
-    for (const auto& [trait, one] : candidates(now))
-        all.push_back({ trait, static_cast<std::uint32_t>(one.crashes.size()) });
+    const crash* latest = nullptr;
+    for (const auto& each : mentions(now)) {
+        bool isSameTrait = !all.empty() && all.back().trait == each.trait->id;
+        if (!isSameTrait)
+            all.push_back({ each.trait->id, 0 });
+        if (!isSameTrait || latest != each.involved)
+            ++all.back().crashes;
+        latest = each.involved;
+    }
     std::sort(all.begin(), all.end(), [](const auto& left, const auto& right) {
         return std::tie(right.crashes, left.trait) < std::tie(left.crashes, right.trait);
     });
--- a/packages/core/src/plumfold_request_traits.cpp
+++ b/packages/core/src/plumfold_request_traits.cpp
@@ -17,9 +17,10 @@
     return hashBytes(value, hashBytes(std::to_string(value.size()), hash));
 }
 
-std::uint64_t combine(std::uint64_t scope, std::uint64_t part)
+/// @param scope different for each customer, and for all customers.
+std::uint64_t combine(std::string_view scope, std::uint64_t part)
 {
-    return std::max<std::uint64_t>(chain(hashBytes("part", scope), std::to_string(part)), 1);
+    return std::max<std::uint64_t>(chain(chain(0, scope), std::to_string(part)), 1);
 }
 
 } // namespace
@@ -47,8 +48,8 @@
 {
     std::vector<request_trait> all { { request.fingerprint, trait_kind::request, 0 } };
     for (auto part : request.parts) {
-        auto shared = request.isIsolated ? 0 : combine(0, part);
-        all.push_back({ combine(request.customer, part), trait_kind::customer_part, shared });
+        auto shared = request.isIsolated ? 0 : combine("all customers", part);
+        all.push_back({ combine(std::to_string(request.customer), part), trait_kind::customer_part, shared });
         if (!request.isIsolated)
             all.push_back({ shared, trait_kind::shared_part, 0 });
     }
