--- a/tests/forwarding/support/plumfold_scripted_target.cpp
+++ b/tests/forwarding/support/plumfold_scripted_target.cpp
@@ -108,6 +108,13 @@
         ::shutdown(each.impl()->sockfd(), SHUT_RDWR);
 }
 
+/// @return whether a request is meant for a former target at this address.
+bool scripted_target::isMisdirected(const recorded_request& request) const
+{
+    auto expected = request.headers.find("expected-instance");
+    return expected != request.headers.end() && expected->second != m_name;
+}
+
 void scripted_target::crashWhileServing(exchange& current)
 {
     if (current.request.path.find("/events") != std::string::npos)
@@ -164,6 +171,10 @@
                 current.request.receivedAt = std::chrono::steady_clock::now();
                 m_requests.push_back(current.request);
             }
+            if (isMisdirected(current.request)) {
+                current.sendResponse("421 Misdirected Request", "Not-Executed: 1\r\n", "");
+                continue;
+            }
             if (m_crashCondition && m_crashCondition(current.request)) {
                 crashWhileServing(current);
                 continue;
--- a/tests/forwarding/support/plumfold_scripted_target.hpp
+++ b/tests/forwarding/support/plumfold_scripted_target.hpp
@@ -60,6 +60,7 @@
     void accept();
     void serve(Poco::Net::StreamSocket socket);
     bool readRequest(exchange& current);
+    bool isMisdirected(const recorded_request& request) const;
     void crashWhileServing(exchange& current);
 
     void respondComplete(exchange& current);
