Keep the connection to the leader that calls use when several open one

Cause: calls that find no connection open one each. The last one replaced and closed those that the others had begun to use, their failures closed the last one, and all tried again 40 ms later, in step. Only calls that begin at the same moment do so, as two verdicts and a lease renewal.

Ruled out: no leader (it took the reports and changes of others meanwhile); a refusal (the calls failed at once, without an answer).

Change: the first connection is kept, and a failed call closes only the connection that it used.

--- a/packages/control/src/plumfold_leader_client.cpp
+++ b/packages/control/src/plumfold_leader_client.cpp
@@ -33,36 +33,52 @@
         ready = wire::rpc_connection::connect(m_rpc, address, connectTimeout)
                     .then([this, address](kj::Own<wire::rpc_connection> connection) {
                         auto& opened = m_links[address];
-                        m_tasks.add(kj::evalLater([old = kj::mv(opened.connection)] {}));
+                        // Of connections that were opened concurrently, the first is kept: calls use it.
+                        if (opened.session != nullptr) {
+                            m_tasks.add(kj::evalLater([old = kj::mv(connection)] {}));
+                            return;
+                        }
                         opened.session = wire::openEntrySession(*connection,
                             { m_settings.process.clusterSecret, m_settings.process.name,
                                 m_settings.process.failureDomain });
                         opened.connection = kj::mv(connection);
+                        ++opened.generation;
                     });
     }
-    auto sent = ready.then([this, address, command]() -> kj::Promise<propose_response> {
+    return ready.then([this, address, command]() -> kj::Promise<propose_response> {
+        auto generation = m_links[address].generation;
         auto request = KJ_ASSERT_NONNULL(m_links[address].session).submitRequest();
         wire::write(request.initCommand(), command);
         return wire::withTimeout(m_rpc, request.send().dropPipeline(), attemptTimeout)
-            .then([](capnp::Response<wire::EntrySession::SubmitResults> response) {
-                propose_response result;
-                result.accepted = response.getReply().getAccepted();
-                result.leaderAddress = response.getReply().getLeaderAddress().cStr();
-                result.message = response.getReply().getMessage().cStr();
-                result.logIndex = response.getReply().getLogIndex();
-                result.result = wire::read(response.getResult());
-                return result;
-            });
-    });
-    return sent.catch_([this, address](kj::Exception&& exception) -> kj::Promise<propose_response> {
-        auto& failed = m_links[address];
-        failed.session = nullptr;
-        // The connection must not be destroyed inside one of its own callbacks.
-        m_tasks.add(kj::evalLater([old = kj::mv(failed.connection)] {}));
-        return kj::mv(exception);
+            .then(
+                [](capnp::Response<wire::EntrySession::SubmitResults> response)
+                    -> kj::Promise<propose_response> {
+                    propose_response result;
+                    result.accepted = response.getReply().getAccepted();
+                    result.leaderAddress = response.getReply().getLeaderAddress().cStr();
+                    result.message = response.getReply().getMessage().cStr();
+                    result.logIndex = response.getReply().getLogIndex();
+                    result.result = wire::read(response.getResult());
+                    return kj::mv(result);
+                },
+                [this, address, generation](kj::Exception&& exception) -> kj::Promise<propose_response> {
+                    close(address, generation);
+                    return kj::mv(exception);
+                });
     });
 }
 
+/// Closes a connection on which a call has failed, unless another one has replaced it.
+void leader_client::close(const std::string& address, std::uint64_t generation)
+{
+    auto& failed = m_links[address];
+    if (failed.generation != generation)
+        return;
+    failed.session = nullptr;
+    // The connection must not be destroyed inside one of its own callbacks.
+    m_tasks.add(kj::evalLater([old = kj::mv(failed.connection)] {}));
+}
+
 kj::Promise<propose_response> leader_client::submitOnce(const core::command& command)
 {
     const auto& view = m_feed.view();
--- a/packages/control/src/plumfold_leader_client.hpp
+++ b/packages/control/src/plumfold_leader_client.hpp
@@ -27,9 +27,12 @@
     kj::Promise<propose_response> submitOnce(const core::command& command);
     kj::Promise<propose_response> submitTo(const std::string& address, const core::command& command);
 
+    void close(const std::string& address, std::uint64_t generation);
+
     struct link {
         kj::Own<wire::rpc_connection> connection;
         kj::Maybe<wire::EntrySession::Client> session;
+        std::uint64_t generation = 0; // of the connection
     };
 
     wire::rpc_thread& m_rpc;
