Close only the session on which a call to a control VM has failed

The same cause, found by looking for it: a call that failed on a former session closed the one that had replaced it. One check more for verdicts on several parts: a mutation that took one of them for enough was missed where the other part comes first in order.

--- a/packages/forwarding/src/plumfold_control_sessions.cpp
+++ b/packages/forwarding/src/plumfold_control_sessions.cpp
@@ -37,37 +37,40 @@
 
 kj::Promise<wire::EntrySession::Client> control_sessions::at(const std::string& address)
 {
-    KJ_IF_MAYBE (session, m_links[address].session) {
+    KJ_IF_MAYBE (session, m_links[address].m_session) {
         return wire::EntrySession::Client(*session);
     }
     auto connecting = wire::rpc_connection::connect(m_rpc, address, connectTimeout);
     return connecting.then([this, address](kj::Own<wire::rpc_connection> connection) {
         auto& known = m_links[address];
         // Of connections that were opened concurrently, the first is kept.
-        if (known.session == nullptr) {
-            known.session = wire::openEntrySession(*connection,
+        if (known.m_session == nullptr) {
+            known.m_session = wire::openEntrySession(*connection,
                 { m_settings.process.clusterSecret, m_settings.process.name,
                     m_settings.process.failureDomain });
-            known.connection = kj::mv(connection);
+            known.m_connection = kj::mv(connection);
             ++known.generation;
         } else {
             m_tasks.add(kj::evalLater([old = kj::mv(connection)] {}));
         }
-        return wire::EntrySession::Client(KJ_ASSERT_NONNULL(known.session));
+        return wire::EntrySession::Client(KJ_ASSERT_NONNULL(known.m_session));
     });
 }
 
-void control_sessions::drop(const std::string& address, const kj::Exception& reason)
+void control_sessions::onFailure(
+    const std::string& address, std::uint64_t generation, const kj::Exception& reason)
 {
     auto& failed = m_links[address];
-    if (!std::exchange(failed.isFailing, true))
+    if (!std::exchange(failed.m_isFailing, true))
         runtime::log_event("control_unreachable", runtime::log_level::warning)
             .with("address", address)
             .with("reason", reason.getDescription().cStr());
-    failed.session = nullptr;
     failed.failedAt = runtime::now();
+    if (failed.generation != generation)
+        return;
+    failed.m_session = nullptr;
     // The connection must not be destroyed inside one of its own callbacks.
-    m_tasks.add(kj::evalLater([old = kj::mv(failed.connection)] {}));
+    m_tasks.add(kj::evalLater([old = kj::mv(failed.m_connection)] {}));
 }
 
 } // namespace plumfold::forwarding
--- a/packages/forwarding/src/plumfold_control_sessions.hpp
+++ b/packages/forwarding/src/plumfold_control_sessions.hpp
@@ -25,9 +25,9 @@
 
     private:
         friend class control_sessions;
-        kj::Own<wire::rpc_connection> connection;
-        kj::Maybe<wire::EntrySession::Client> session;
-        bool isFailing = false; // the latest call failed
+        kj::Own<wire::rpc_connection> m_connection;
+        kj::Maybe<wire::EntrySession::Client> m_session;
+        bool m_isFailing = false; // the latest call failed
     };
 
     control_sessions(wire::rpc_thread& rpc, const runtime::settings& settings);
@@ -42,11 +42,12 @@
     /// @return the session with a control VM; rejected if it cannot be reached in time.
     kj::Promise<wire::EntrySession::Client> at(const std::string& address);
 
-    /// Closes the session with a control VM because a call has failed.
-    void drop(const std::string& address, const kj::Exception& reason);
+    /// Records that a call has failed, and closes its session unless another one has replaced it.
+    /// @param generation of the session; 0 if none could be opened.
+    void onFailure(const std::string& address, std::uint64_t generation, const kj::Exception& reason);
 
     /// Records that a call has succeeded.
-    void onSuccess(const std::string& address) { m_links[address].isFailing = false; }
+    void onSuccess(const std::string& address) { m_links[address].m_isFailing = false; }
 
 private:
     wire::rpc_thread& m_rpc;
--- a/packages/forwarding/src/plumfold_crash_report_client.cpp
+++ b/packages/forwarding/src/plumfold_crash_report_client.cpp
@@ -87,7 +87,7 @@
         },
         [this, address](kj::Exception&& exception) {
             m_sent[address].isSending = false;
-            m_sessions.drop(address, exception);
+            m_sessions.onFailure(address, m_sent[address].generation, exception);
         }));
 }
 
--- a/packages/forwarding/src/plumfold_stream_origin_client.cpp
+++ b/packages/forwarding/src/plumfold_stream_origin_client.cpp
@@ -153,7 +153,7 @@
         [this, address](kj::Exception&& exception) {
             m_sent[address].isSending = false;
             m_sent[address].recordsSent = 0;
-            m_sessions.drop(address, exception);
+            m_sessions.onFailure(address, m_sent[address].generation, exception);
             sendRecords();
         }));
 }
@@ -200,12 +200,15 @@
 
 kj::Promise<void> stream_origin_client::ask(const std::string& address, std::shared_ptr<search> search)
 {
-    auto asked = m_sessions.at(address).then([this, search](wire::EntrySession::Client session) {
-        auto request = session.findStreamRequest();
-        request.setStream(search->stream);
-        request.setService(search->service);
-        return wire::withTimeout(m_rpc, request.send().dropPipeline(), answerTimeout);
-    });
+    auto generation = std::make_shared<std::uint64_t>(0); // of the session
+    auto asked = m_sessions.at(address).then(
+        [this, address, search, generation](wire::EntrySession::Client session) {
+            *generation = m_sessions.links().at(address).generation;
+            auto request = session.findStreamRequest();
+            request.setStream(search->stream);
+            request.setService(search->service);
+            return wire::withTimeout(m_rpc, request.send().dropPipeline(), answerTimeout);
+        });
     return asked.then(
         [this, address, search](capnp::Response<wire::EntrySession::FindStreamResults> response) {
             core::origin_answer answer;
@@ -219,8 +222,8 @@
             if (--search->openCalls == 0 || answer.origin)
                 finishSearch(search);
         },
-        [this, address, search](kj::Exception&& exception) {
-            m_sessions.drop(address, exception);
+        [this, address, search, generation](kj::Exception&& exception) {
+            m_sessions.onFailure(address, *generation, exception);
             if (--search->openCalls == 0)
                 finishSearch(search);
         });
--- a/tests/core/plumfold_crash_registry_tests.cpp
+++ b/tests/core/plumfold_crash_registry_tests.cpp
@@ -441,6 +441,7 @@
     };
     CHECK(isCondemned(requestOf(50, { 7, 8, 10 })));
     CHECK_FALSE(isCondemned(requestOf(51, { 7, 10 })));
+    CHECK_FALSE(isCondemned(requestOf(51, { 8, 10 })));
     CHECK_FALSE(isCondemned(requestOf(52, { 7, 8 }, 2)));
     CHECK(isCondemned(requestOf(53, { 9 }, 2)));
     CHECK_FALSE(isCondemned(requestOf(54, { 9 }, 2, true)));
