--- a/packages/wire/schema/plumfold.capnp
+++ b/packages/wire/schema/plumfold.capnp
@@ -186,9 +186,10 @@
 }
 interface ControlPeer {
   deliver @0 (message :RaftMessage) -> ();
-  # What targets announced to this control VM itself, how many entries follow it, and the entries' suspects.
+  # What targets announced to this control VM itself, how many entries follow it, and what entries reported to it about
+  # targets that ended.
   share @1 (address :Text, failureDomain :Text, entries :UInt32, targets :List(AnnouncedTarget),
-      parts :List(PartNews), clock :UInt64, loads :List(TargetLoad)) -> ();
+      parts :List(PartNews), clock :UInt64, loads :List(TargetLoad), crashes :List(CrashReport)) -> ();
 }
 interface Operator {
   form @0 () -> (reply :Reply);
