Revert "Share reports about crashes among control VMs, and keep them in entries"

Cause: reports of crashes outlasted the processes that had them, the successes that had cleared the part did not, and for six seconds no entry had a target to succeed at. Evidence of guilt must not be kept longer, or told to more, than evidence of innocence.

--- a/packages/control/src/plumfold_control_service.cpp
+++ b/packages/control/src/plumfold_control_service.cpp
@@ -61,8 +61,6 @@
         for (auto each : params.getLoads())
             loads.push_back(wire::read(each));
         m_context.feed.updateLoads(loads, false);
-        for (auto each : params.getCrashes())
-            m_context.crashes.addPeerReport(params.getAddress().cStr(), wire::read(each));
         return kj::READY_NOW;
     }
 
--- a/packages/control/src/plumfold_crash_judge.cpp
+++ b/packages/control/src/plumfold_crash_judge.cpp
@@ -19,8 +19,6 @@
 /// Until the log has a verdict that was reached here.
 constexpr core::unix_milliseconds ownVerdictLifetimeMs = 24ull * 3600 * 1000;
 constexpr core::milliseconds evaluationInterval { 120 };
-constexpr std::size_t maxReports = 2'000;
-constexpr core::milliseconds maxReportAge { 900'000 }; // older crashes are no evidence
 /// The pause after an evaluation is at least this many times as long as the evaluation.
 constexpr int evaluationPauseFactor = 10;
 /// While no further target ends, only successes change the result.
@@ -52,29 +50,6 @@
 }
 
 void crash_judge::addReport(const std::string& entry, const core::crash_report& report)
-{
-    auto now = runtime::now();
-    while (!m_reports.empty()
-        && (m_reports.size() >= maxReports || now - m_reports.front().receivedAt > maxReportAge))
-        m_reports.pop_front();
-    m_reports.push_back({ ++m_latestReport, now, report });
-    addPeerReport(entry, report);
-}
-
-std::vector<core::crash_report> crash_judge::reportsAfter(std::uint64_t number) const
-{
-    std::vector<core::crash_report> found;
-    auto now = runtime::now();
-    for (const auto& each : m_reports) {
-        if (each.number <= number)
-            continue;
-        found.push_back(each.report);
-        found.back().age += std::chrono::duration_cast<core::milliseconds>(now - each.receivedAt);
-    }
-    return found;
-}
-
-void crash_judge::addPeerReport(const std::string& peer, const core::crash_report& report)
 {
     m_lastReportAt = runtime::now();
     m_nextEvaluationAt = std::min(m_nextEvaluationAt, m_lastReportAt + evaluationInterval);
@@ -85,7 +60,7 @@
         .with("target", report.target)
         .with("started_at", report.startedAt)
         .with("service", report.service)
-        .with("from", peer);
+        .with("entry", entry);
 }
 
 void crash_judge::addSuccess(const core::suspect_success& success)
--- a/packages/control/src/plumfold_crash_judge.hpp
+++ b/packages/control/src/plumfold_crash_judge.hpp
@@ -8,7 +8,6 @@
 #include "plumfold/wire/plumfold_rpc_connection.hpp"
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <string>
 #include <vector>
@@ -24,13 +23,6 @@
 
     /// Adds the report of an entry about one target.
     void addReport(const std::string& entry, const core::crash_report& report);
-    /// Adds a report that an entry sent to another control VM.
-    void addPeerReport(const std::string& peer, const core::crash_report& report);
-    /// @param number of a report; 0 for all.
-    /// @return the reports of entries after it, so that a control VM that restarts gets them again.
-    std::vector<core::crash_report> reportsAfter(std::uint64_t number) const;
-    /// @return the number of the latest report of an entry.
-    std::uint64_t latestReport() const { return m_latestReport; }
     /// Adds the success of a suspect.
     void addSuccess(const core::suspect_success& success);
     /// Keeps a verdict whose requests still come.
@@ -49,13 +41,6 @@
         core::instant submittedAt {};
     };
 
-    /// A report that an entry sent to this control VM.
-    struct numbered_report {
-        std::uint64_t number = 0;
-        core::instant receivedAt {};
-        core::crash_report report;
-    };
-
     void evaluate();
     void submit(const core::verdict& verdict);
     void publish();
@@ -66,8 +51,6 @@
     std::map<std::uint64_t, core::verdict> m_logged; // by id, as last seen in the log
     std::map<std::uint64_t, own_verdict> m_own; // by id; reached here, not seen in the log yet
     std::map<std::uint64_t, core::instant> m_extendedAt; // when a verdict was last submitted to keep it
-    std::deque<numbered_report> m_reports; // by number
-    std::uint64_t m_latestReport = 0;
     core::instant m_lastReportAt {};
     core::instant m_nextEvaluationAt {};
     core::instant m_pauseUntil {}; // after an evaluation that took long
--- a/packages/control/src/plumfold_peer_links.cpp
+++ b/packages/control/src/plumfold_peer_links.cpp
@@ -58,13 +58,13 @@
     }
 }
 
-void peer_links::share(const deployment_feed& feed, const crash_judge& crashes)
+void peer_links::share(const deployment_feed& feed)
 {
     for (auto& [name, each] : m_links)
-        shareWith(each, feed, crashes);
+        shareWith(each, feed);
 }
 
-void peer_links::shareWith(link& to, const deployment_feed& feed, const crash_judge& crashes)
+void peer_links::shareWith(link& to, const deployment_feed& feed)
 {
     if (to.peer == nullptr) {
         if (!to.connecting)
@@ -81,8 +81,7 @@
     auto holders = feed.assignedHolders();
     auto loads = feed.loads(true);
     bool partsDue = !(holders.empty() && loads.empty()) && now - to.sharedPartsAt > sharePartsInterval;
-    bool areCrashesDue = to.sharedReport < crashes.latestReport();
-    if (to.shareInFlight || (announcements.empty() && !all && !partsDue && !areCrashesDue))
+    if (to.shareInFlight || (announcements.empty() && !all && !partsDue))
         return;
     auto request = KJ_ASSERT_NONNULL(to.peer).shareRequest();
     request.setAddress(m_ownAddress);
@@ -103,10 +102,6 @@
     auto outLoads = request.initLoads(loads.size());
     for (unsigned index = 0; index < loads.size(); ++index)
         wire::write(outLoads[index], loads[index]);
-    auto reports = crashes.reportsAfter(to.sharedReport);
-    auto outReports = request.initCrashes(reports.size());
-    for (unsigned index = 0; index < reports.size(); ++index)
-        wire::write(outReports[index], reports[index]);
     if (!holders.empty())
         request.setClock(feed.targetClock());
     to.shareInFlight = true;
@@ -114,9 +109,8 @@
     std::uint64_t generation = to.generation;
     auto sent = wire::withTimeout(m_rpc, request.send().ignoreResult(), callTimeout);
     m_tasks.add(sent.then(
-        [&to, change, all, now, parts = std::move(parts), report = crashes.latestReport()] {
+        [&to, change, all, now, parts = std::move(parts)] {
             to.shareInFlight = false;
-            to.sharedReport = report;
             to.sharedPartsAt = now;
             for (const auto& update : parts)
                 to.sharedParts[update.holder] = { update.holder, update.generation, update.count };
@@ -175,7 +169,6 @@
     ++to.generation;
     to.sharedParts.clear();
     to.sharedChange = 0;
-    to.sharedReport = 0;
     to.peer = nullptr;
     to.inFlight = 0;
     // The connection must not be destroyed inside one of its own callbacks.
--- a/packages/control/src/plumfold_peer_links.hpp
+++ b/packages/control/src/plumfold_peer_links.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "plumfold_crash_judge.hpp"
 #include "plumfold_deployment_feed.hpp"
 
 #include "plumfold/core/plumfold_raft_types.hpp"
@@ -29,7 +28,7 @@
     /// Sends each peer the changes of targets and KV parts that it has not received yet, and the loads of
     /// targets. Covers only what this control VM has received directly, not from peers. To be called
     /// regularly.
-    void share(const deployment_feed& feed, const crash_judge& crashes);
+    void share(const deployment_feed& feed);
 
 private:
     struct link {
@@ -41,13 +40,12 @@
         std::uint64_t generation = 0; // of the connection; late failures of a previous one are ignored
         bool shareInFlight = false;
         std::uint64_t sharedChange = 0; // latest change of the directory that the peer has received
-        std::uint64_t sharedReport = 0; // number of the last report about a crash that the peer has
         core::instant sharedAllAt {};
         core::instant sharedPartsAt {};
         std::map<std::string, core::part_cursor> sharedParts; // by holder: changes that the peer has received
     };
 
-    void shareWith(link& to, const deployment_feed& feed, const crash_judge& crashes);
+    void shareWith(link& to, const deployment_feed& feed);
     void sendTo(link& to, const core::raft_message& message);
     void connect(link& to);
     void disconnect(link& to, std::uint64_t generation);
--- a/packages/core/include/plumfold/core/plumfold_crash_registry.hpp
+++ b/packages/core/include/plumfold/core/plumfold_crash_registry.hpp
@@ -61,7 +61,7 @@
     milliseconds maxCrashAge { 900'000 }; ///< Older crashes are no evidence.
     /// A sound request that is retried, and repeated by its caller, is lost four times at most.
     crash_thresholds forRequests { 3, 5, 6, 1 };
-    crash_thresholds forParts { 4, 5, 8, 3 };
+    crash_thresholds forParts { 4, 6, 8, 3 };
     std::size_t customersOfSharedParts = 2; ///< Customers involved, before a part is condemned for all.
     /// Crashes this long before the first and after the last one of a trait show how often targets of its
     /// service end without it.
--- a/packages/forwarding/src/plumfold_crash_report_client.cpp
+++ b/packages/forwarding/src/plumfold_crash_report_client.cpp
@@ -13,8 +13,8 @@
 constexpr std::chrono::milliseconds answerTimeout { 300 };
 constexpr auto retryInterval = 100 * kj::MILLISECONDS;
 constexpr core::milliseconds failureBackoff { 100 };
-/// For control VMs that restart; older crashes are no evidence.
-constexpr core::milliseconds maxNewsAge { 900'000 };
+/// A control VM that comes back later knows the verdicts from the log.
+constexpr core::milliseconds maxNewsAge { 60'000 };
 constexpr std::size_t maxNews = 2'000;
 constexpr std::size_t maxCrashesPerCall = 200;
 
--- a/packages/wire/schema/plumfold.capnp
+++ b/packages/wire/schema/plumfold.capnp
@@ -186,10 +186,9 @@
 }
 interface ControlPeer {
   deliver @0 (message :RaftMessage) -> ();
-  # What targets announced to this control VM itself, how many entries follow it, and what entries reported to it about
-  # targets that ended.
+  # What targets announced to this control VM itself, how many entries follow it, and the entries' suspects.
   share @1 (address :Text, failureDomain :Text, entries :UInt32, targets :List(AnnouncedTarget),
-      parts :List(PartNews), clock :UInt64, loads :List(TargetLoad), crashes :List(CrashReport)) -> ();
+      parts :List(PartNews), clock :UInt64, loads :List(TargetLoad)) -> ();
 }
 interface Operator {
   form @0 () -> (reply :Reply);
