A target has ended once a later one is announced at its address

Change: the directory marks all targets at an address as leaving but the one that started last, also when an announcement of a former one arrives late.

--- a/packages/core/include/plumfold/core/plumfold_target_directory.hpp
+++ b/packages/core/include/plumfold/core/plumfold_target_directory.hpp
@@ -52,7 +52,8 @@
         target_announcement announcementAt(instant now) const;
     };
 
-    /// Applies an announcement.
+    /// Applies an announcement. A target at whose address another one has started later has ended, even if an
+    /// announcement of it arrives late.
     /// @param isDirect whether it came from the target itself; otherwise it was relayed.
     /// @return whether it was applied; false if it is stale.
     bool apply(const target_announcement& next, bool isDirect, instant now);
@@ -94,6 +95,8 @@
     const std::map<std::string, entry>& entries() const { return m_entries; }
 
 private:
+    void endReplaced(const std::string& address, instant now);
+
     std::map<std::string, entry> m_entries;
     /// When a target of a service last announced a software version.
     std::map<std::pair<std::string, std::string>, instant> m_versionsSeenAt;
--- a/packages/core/src/plumfold_target_directory.cpp
+++ b/packages/core/src/plumfold_target_directory.cpp
@@ -60,9 +60,29 @@
     m_versionsSeenAt[{ next.service, next.softwareVersion }] = now;
     if (changed)
         known.change = ++m_latestChange;
+    endReplaced(next.address, now);
     return true;
 }
 
+/// Marks all targets at an address as leaving but the one that started last.
+void target_directory::endReplaced(const std::string& address, instant now)
+{
+    if (address.empty())
+        return;
+    unix_milliseconds latestStart = 0;
+    for (const auto& [name, each] : m_entries) {
+        if (each.last.address == address)
+            latestStart = std::max(latestStart, each.last.startedAt);
+    }
+    std::vector<std::string> replaced;
+    for (const auto& [name, each] : m_entries) {
+        if (each.last.address == address && each.last.startedAt < latestStart)
+            replaced.push_back(name);
+    }
+    for (const auto& name : replaced)
+        markLeaving(name, now);
+}
+
 bool target_directory::markLeaving(const std::string& name, instant now)
 {
     auto found = m_entries.find(name);
--- a/tests/core/plumfold_target_directory_tests.cpp
+++ b/tests/core/plumfold_target_directory_tests.cpp
@@ -55,6 +55,30 @@
     CHECK(directory.entries().at("t1").last.state == target_state::ready);
 }
 
+TEST_CASE("A target has ended once a later one is announced at its address", "[target_directory]")
+{
+    target_directory directory;
+    auto announce
+        = [&](const char* name, const char* address, std::uint64_t startedAt, std::uint64_t sequence) {
+              auto next = shop(startedAt, sequence);
+              next.name = name;
+              next.address = address;
+              directory.apply(next, true, start);
+          };
+    auto isReady
+        = [&](const char* name) { return directory.entries().at(name).last.state == target_state::ready; };
+    announce("former", "10.0.0.1:80", 100, 1);
+    announce("elsewhere", "10.0.0.2:80", 100, 1);
+    auto change = directory.latestChange();
+    announce("later", "10.0.0.1:80", 200, 1);
+    CHECK_FALSE(isReady("former"));
+    CHECK(directory.changedAfter(change).size() == 2);
+    announce("former", "10.0.0.1:80", 100, 2); // delayed on its way
+    CHECK_FALSE(isReady("former"));
+    CHECK(isReady("later"));
+    CHECK(isReady("elsewhere"));
+}
+
 TEST_CASE("Targets are not marked silent for time in which the control VM was stalled", "[target_directory]")
 {
     target_directory directory;
