Check the metrics address as every other listening address

Cause: the list of listening addresses stood twice. The new test fails before (no word of metricsAddress).

--- a/packages/runtime/src/plumfold_settings.cpp
+++ b/packages/runtime/src/plumfold_settings.cpp
@@ -329,30 +329,42 @@
     std::vector<std::string> m_errors;
 };
 
-void checkDuplicateAddresses(const settings& checked, settings_reader& reader)
+/// @return the addresses that a process listens at, each with the path of its setting; empty ones are left
+/// out.
+std::vector<std::pair<std::string, std::string>> listeningAddresses(const settings& checked)
 {
-    std::set<std::string> seen;
-    auto check = [&](const std::string& address, const std::string& path) {
-        if (!address.empty() && !seen.insert(address).second)
-            reader.addError(path, "is a duplicate; each listening address may stand once");
+    std::vector<std::pair<std::string, std::string>> all;
+    auto add = [&](const char* path, const std::string& address) {
+        if (!address.empty())
+            all.emplace_back(path, address);
     };
     if (checked.entry) {
-        check(checked.entry->callerAddress, "/entry/callerAddress");
-        check(checked.entry->targetAddress, "/entry/targetAddress");
-        check(checked.entry->peerAddress, "/entry/peerAddress");
+        add("/entry/callerAddress", checked.entry->callerAddress);
+        add("/entry/targetAddress", checked.entry->targetAddress);
+        add("/entry/peerAddress", checked.entry->peerAddress);
     }
     if (checked.control) {
-        check(checked.control->address, "/control/address");
-        check(checked.control->platformAddress, "/control/platformAddress");
+        add("/control/address", checked.control->address);
+        add("/control/platformAddress", checked.control->platformAddress);
     }
     if (checked.forwarding) {
-        check(checked.forwarding->callerAddress, "/forwarding/callerAddress");
-        check(checked.forwarding->readinessAddress, "/forwarding/readinessAddress");
-        check(checked.forwarding->metricsAddress, "/forwarding/metricsAddress");
+        add("/forwarding/callerAddress", checked.forwarding->callerAddress);
+        add("/forwarding/readinessAddress", checked.forwarding->readinessAddress);
+        add("/forwarding/metricsAddress", checked.forwarding->metricsAddress);
     }
     if (checked.store) {
-        check(checked.store->address, "/store/address");
-        check(checked.store->blockAddress, "/store/blockAddress");
+        add("/store/address", checked.store->address);
+        add("/store/blockAddress", checked.store->blockAddress);
+    }
+    return all;
+}
+
+void checkDuplicateAddresses(const settings& checked, settings_reader& reader)
+{
+    std::set<std::string> seen;
+    for (const auto& [path, address] : listeningAddresses(checked)) {
+        if (!seen.insert(address).second)
+            reader.addError(path, "is a duplicate; each listening address may stand once");
     }
 }
 
@@ -451,27 +463,8 @@
 
 absl::Status checkAddresses(const settings& checked, const std::string& file)
 {
-    std::vector<std::pair<std::string, std::string>> addresses;
-    if (checked.entry) {
-        addresses.emplace_back("/entry/callerAddress", checked.entry->callerAddress);
-        addresses.emplace_back("/entry/targetAddress", checked.entry->targetAddress);
-        addresses.emplace_back("/entry/peerAddress", checked.entry->peerAddress);
-    }
-    if (checked.control) {
-        addresses.emplace_back("/control/address", checked.control->address);
-        if (!checked.control->platformAddress.empty())
-            addresses.emplace_back("/control/platformAddress", checked.control->platformAddress);
-    }
-    if (checked.forwarding) {
-        addresses.emplace_back("/forwarding/callerAddress", checked.forwarding->callerAddress);
-        addresses.emplace_back("/forwarding/readinessAddress", checked.forwarding->readinessAddress);
-    }
-    if (checked.store) {
-        addresses.emplace_back("/store/address", checked.store->address);
-        addresses.emplace_back("/store/blockAddress", checked.store->blockAddress);
-    }
     settings_reader reader(file);
-    for (const auto& [path, address] : addresses) {
+    for (const auto& [path, address] : listeningAddresses(checked)) {
         try {
             Poco::Net::ServerSocket probe;
             probe.bind(Poco::Net::SocketAddress(address), true);
--- a/tests/runtime/plumfold_settings_tests.cpp
+++ b/tests/runtime/plumfold_settings_tests.cpp
@@ -93,3 +93,18 @@
         RC_ASSERT(settings.ok() || !settings.status().message().empty());
     });
 }
+
+TEST_CASE("Every listening address is checked, and named if it cannot be bound", "[settings]")
+{
+    constexpr const char* notOfThisVm = "203.0.113.1:1"; // reserved for documentation
+    settings checked;
+    checked.forwarding.emplace();
+    checked.forwarding->callerAddress = notOfThisVm;
+    checked.forwarding->readinessAddress = notOfThisVm;
+    checked.forwarding->metricsAddress = notOfThisVm;
+    auto status = checkAddresses(checked, "f");
+    REQUIRE_FALSE(status.ok());
+    for (const char* path :
+        { "/forwarding/callerAddress", "/forwarding/readinessAddress", "/forwarding/metricsAddress" })
+        CHECK(std::string(status.message()).find(path) != std::string::npos);
+}
