Send to control VMs what they must receive in one place

Read as a newcomer: crash reports and stream records were numbered, sent again and followed by two copies of the same code. control_outbox does it for both; what differs (receivers, limits, the call) is passed in.

--- a/packages/forwarding/src/plumfold_crash_report_client.hpp
+++ b/packages/forwarding/src/plumfold_crash_report_client.hpp
@@ -1,12 +1,12 @@
 #pragma once
 
+#include "plumfold_control_outbox.hpp"
 #include "plumfold_control_sessions.hpp"
 
 #include "plumfold/core/plumfold_crash_screen.hpp"
 #include "plumfold/wire/plumfold_rpc_connection.hpp"
 
-#include <deque>
-#include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -33,32 +33,14 @@
     void send(crash_news news);
 
 private:
-    /// News that may have to be sent again.
-    struct numbered_news {
-        std::uint64_t number = 0;
-        core::instant since {};
-        crash_news news;
-    };
-    /// What was sent to a control VM.
-    struct sent_news {
-        std::uint64_t generation = 0; // of the session
-        std::uint64_t latest = 0; // number of the last news that the control VM has
-        bool isSending = false;
-    };
+    using outbox = control_outbox<crash_news>;
 
-    void sendToAll();
-    void sendTo(const std::string& address);
-    kj::Promise<void> sendNext(const std::string& address);
-    kj::Promise<void> retryLoop();
+    std::vector<std::string> receivers() const;
+    kj::Promise<void> sendNews(wire::EntrySession::Client& session, const outbox::entries& due);
 
     wire::rpc_thread& m_rpc;
-
-    // Used on the RPC thread only.
-    control_sessions& m_sessions;
-    std::deque<numbered_news> m_news; // by number
-    std::uint64_t m_latest = 0;
-    std::map<std::string, sent_news> m_sent; // by address
-    kj::Own<wire::task_group> m_tasks;
+    control_sessions& m_sessions; // used on the RPC thread only
+    std::unique_ptr<outbox> m_news; // used on the RPC thread only
 };
 
 } // namespace plumfold::forwarding
--- a/packages/forwarding/src/plumfold_stream_origin_client.cpp
+++ b/packages/forwarding/src/plumfold_stream_origin_client.cpp
@@ -52,13 +52,19 @@
 {
     m_rpc.run([this] {
         m_tasks = kj::heap<wire::task_group>();
-        m_tasks->add(retryLoop());
+        m_records = std::make_unique<control_outbox<core::stream_record>>(
+            m_rpc, m_sessions, control_outbox_options { maxOwnRecords, maxRecordsPerCall, retryInterval },
+            [this] { return holders(); },
+            [this](auto& session, const auto& due) { return sendRecords(session, due); });
     });
 }
 
 void stream_origin_client::stop()
 {
-    m_rpc.run([this] { m_tasks = nullptr; });
+    m_rpc.run([this] {
+        m_records.reset();
+        m_tasks = nullptr;
+    });
 }
 
 void stream_origin_client::record(core::stream_record record)
@@ -66,11 +72,7 @@
     m_rpc.post([this, record = std::move(record)] {
         auto now = runtime::now();
         m_own.record(record, now);
-        while (
-            !m_records.empty() && (m_records.front().keptUntil <= now || m_records.size() >= maxOwnRecords))
-            m_records.pop_front();
-        m_records.push_back({ ++m_latestRecord, record, now + record.keepFor });
-        sendRecords();
+        m_records->add(record, now + record.keepFor);
     });
 }
 
@@ -105,66 +107,18 @@
     return chosen;
 }
 
-void stream_origin_client::sendRecords()
-{
-    for (const auto& address : holders())
-        sendRecordsTo(address);
-}
-
-void stream_origin_client::sendRecordsTo(const std::string& address)
-{
-    auto& to = m_sent[address];
-    if (to.isSending || to.recordsSent == m_latestRecord)
-        return;
-    to.isSending = true;
-    auto sent = m_sessions.at(address).then([this, address](wire::EntrySession::Client session) {
-        auto now = runtime::now();
-        auto& to = m_sent[address];
-        auto generation = m_sessions.links().at(address).generation;
-        // The control VM may have been restarted.
-        if (std::exchange(to.generation, generation) != generation)
-            to.recordsSent = 0;
-        auto after = to.recordsSent;
-        std::vector<const own_record*> due;
-        for (const auto& each : m_records) {
-            if (each.number > after && each.keptUntil > now && due.size() < maxRecordsPerCall)
-                due.push_back(&each);
-        }
-        auto last = due.size() < maxRecordsPerCall ? m_latestRecord : due.back()->number;
-        auto request = session.recordStreamsRequest();
-        auto streams = request.initStreams(due.size());
-        for (unsigned index = 0; index < due.size(); ++index) {
-            auto record = due[index]->record;
-            record.keepFor = std::chrono::duration_cast<core::milliseconds>(due[index]->keptUntil - now);
-            wire::write(streams[index], record);
-        }
-        return wire::withTimeout(m_rpc, request.send().ignoreResult(), answerTimeout).then([last] {
-            return last;
-        });
-    });
-    m_tasks->add(sent.then(
-        [this, address](std::uint64_t last) {
-            auto& to = m_sent[address];
-            to.recordsSent = last;
-            to.isSending = false;
-            m_sessions.onSuccess(address);
-            sendRecords();
-        },
-        [this, address](kj::Exception&& exception) {
-            m_sent[address].isSending = false;
-            m_sent[address].recordsSent = 0;
-            m_sessions.onFailure(address, m_sent[address].generation, exception);
-            sendRecords();
-        }));
-}
-
-/// Sends records whose call failed again, also when no stream begins.
-kj::Promise<void> stream_origin_client::retryLoop()
+kj::Promise<void> stream_origin_client::sendRecords(
+    wire::EntrySession::Client& session, const control_outbox<core::stream_record>::entries& due)
 {
-    return m_rpc.timer().afterDelay(retryInterval).then([this] {
-        sendRecords();
-        return retryLoop();
-    });
+    auto now = runtime::now();
+    auto request = session.recordStreamsRequest();
+    auto streams = request.initStreams(due.size());
+    for (unsigned index = 0; index < due.size(); ++index) {
+        auto record = due[index]->item;
+        record.keepFor = std::chrono::duration_cast<core::milliseconds>(due[index]->keptUntil - now);
+        wire::write(streams[index], record);
+    }
+    return wire::withTimeout(m_rpc, request.send().ignoreResult(), answerTimeout);
 }
 
 task<core::origin_search> stream_origin_client::find(std::uint64_t stream, std::string service)
--- a/packages/forwarding/src/plumfold_stream_origin_client.hpp
+++ b/packages/forwarding/src/plumfold_stream_origin_client.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "plumfold_asio.hpp"
+#include "plumfold_control_outbox.hpp"
 #include "plumfold_control_sessions.hpp"
 
 #include "plumfold/core/plumfold_stream_origin.hpp"
@@ -9,7 +10,6 @@
 
 #include "plumfold.capnp.h"
 
-#include <deque>
 #include <map>
 #include <memory>
 #include <string>
@@ -39,27 +39,14 @@
     task<core::origin_search> find(std::uint64_t stream, std::string service);
 
 private:
-    /// What was sent to a control VM.
-    struct sent_records {
-        std::uint64_t generation = 0; // of the session
-        std::uint64_t recordsSent = 0; // number of the last record that the control VM has
-        bool isSending = false;
-    };
-    /// A record of this entry that may have to be sent again.
-    struct own_record {
-        std::uint64_t number = 0;
-        core::stream_record record;
-        core::instant keptUntil {};
-    };
     struct search;
 
     std::vector<std::string> holders() const;
-    void sendRecords();
-    void sendRecordsTo(const std::string& address);
+    kj::Promise<void> sendRecords(
+        wire::EntrySession::Client& session, const control_outbox<core::stream_record>::entries& due);
     void startSearch(std::shared_ptr<search> search);
     void finishSearch(const std::shared_ptr<search>& search);
     kj::Promise<void> ask(const std::string& address, std::shared_ptr<search> search);
-    kj::Promise<void> retryLoop();
 
     asio::io_context& m_io;
     wire::rpc_thread& m_rpc;
@@ -67,10 +54,8 @@
     const runtime::settings& m_settings;
 
     // Used on the RPC thread only.
-    std::map<std::string, sent_records> m_sent; // by address
     core::stream_origin_table m_own;
-    std::deque<own_record> m_records; // by number
-    std::uint64_t m_latestRecord = 0;
+    std::unique_ptr<control_outbox<core::stream_record>> m_records; // of this entry
     kj::Own<wire::task_group> m_tasks;
 };
 
