--- a/tests/forwarding/support/plumfold_crashing_system.hpp
+++ b/tests/forwarding/support/plumfold_crashing_system.hpp
@@ -23,13 +23,23 @@
     double share() const { return sent == 0 ? 0 : static_cast<double>(begun) / sent; }
 };
 
+/// What a crashing_system sends.
+struct crash_scenario {
+    crashing_fleet::condition isCrashing; ///< Selects the requests that crash their target.
+    std::size_t crashesForVerdict = 0; ///< After which requests count as late.
+    std::string soundPath;
+    /// Returns the headers of a sound request; null: none.
+    std::function<std::map<std::string, std::string>(std::minstd_rand&)> makeSoundHeaders {};
+};
+
 /// Control VMs and entries in three failure domains, and targets that certain requests crash.
 class crashing_system : public forwarding_system {
 public:
     static constexpr int entries = 4;
     static constexpr int fleetSize = 8;
 
-    explicit crashing_system(crashing_fleet::condition isCrashing)
+    explicit crashing_system(crash_scenario scenario)
+        : m_scenario(std::move(scenario))
     {
         setFailureDomains({ "east", "north", "south" });
         for (int number = 1; number <= 3; ++number)
@@ -37,13 +47,14 @@
         putDeployment(1, deployment(3));
         for (int number = 1; number <= entries; ++number)
             startEntry(number);
-        m_fleet = std::make_unique<crashing_fleet>(*this, fleetSize, std::move(isCrashing));
+        m_fleet = std::make_unique<crashing_fleet>(*this, fleetSize, m_scenario.isCrashing);
         for (int number = 1; number <= entries; ++number)
             waitForTarget(number);
     }
     ~crashing_system() { m_fleet.reset(); }
 
     crashing_fleet& fleet() { return *m_fleet; }
+    std::size_t crashesForVerdict() const { return m_scenario.crashesForVerdict; }
 
     /// Sends four requests that crash targets per second to random entries.
     void sendCrashingFor(std::chrono::milliseconds time, const std::function<void(int)>& send)
@@ -55,15 +66,15 @@
 
     /// Sends twelve sound requests per second to random entries, all different.
     /// @param tries how often a caller repeats a request that is not answered, each time at another entry.
-    /// @param makeHeaders returns the headers of a request.
-    sound_counts sendSoundFor(std::chrono::milliseconds time, const std::string& path, int tries = 1,
-        const std::function<std::map<std::string, std::string>(std::minstd_rand&)>& makeHeaders = {})
+    sound_counts sendSoundFor(std::chrono::milliseconds time, int tries = 1)
     {
         constexpr int callers = 6;
         std::atomic<int> sent { 0 };
         std::atomic<int> begun { 0 };
         runCallers(callers, time, std::chrono::milliseconds(500), [&](int entry, std::minstd_rand& random) {
-            auto headers = makeHeaders ? makeHeaders(random) : std::map<std::string, std::string> {};
+            std::map<std::string, std::string> headers;
+            if (m_scenario.makeSoundHeaders)
+                headers = m_scenario.makeSoundHeaders(random);
             auto body = "sound " + nextId();
             ++sent;
             for (int tried = 0; tried < tries; ++tried) {
@@ -72,7 +83,7 @@
                     std::lock_guard lock(m_mutex);
                     m_soundIds.insert(id);
                 }
-                auto response = request(entry, path, body, headers);
+                auto response = request(entry, m_scenario.soundPath, body, headers);
                 bool isServed = response.status == 200 && response.isComplete;
                 begun += isServed && tried == 0;
                 if (isServed)
@@ -85,15 +96,16 @@
 
     /// @param selected selects some of the requests that crash targets; null: all.
     /// @param calmSince only later arrivals count.
-    /// @return the arrivals of these requests later than a time after their n-th crash, or after the last one
-    /// if there were fewer.
-    std::size_t arrivalsAfter(std::size_t crash, std::chrono::milliseconds time,
-        const crashing_fleet::condition& selected = {}, crashing_fleet::time_point calmSince = {}) const
+    /// @return the arrivals of these requests later than a time after the last crash that a verdict needs, or
+    /// after the last one if there were fewer.
+    std::size_t arrivalsAfter(std::chrono::milliseconds time, const crashing_fleet::condition& selected = {},
+        crashing_fleet::time_point calmSince = {}) const
     {
         auto crashes = m_fleet->crashes(selected);
         if (crashes.empty())
             return 0;
-        auto from = std::max(crashes[std::min(crash, crashes.size()) - 1] + time, calmSince);
+        auto last = std::min(m_scenario.crashesForVerdict, crashes.size()) - 1;
+        auto from = std::max(crashes[last] + time, calmSince);
         auto arrivals = m_fleet->arrivals(selected);
         return static_cast<std::size_t>(
             std::count_if(arrivals.begin(), arrivals.end(), [&](const auto& at) { return at > from; }));
@@ -153,6 +165,7 @@
             each.join();
     }
 
+    crash_scenario m_scenario;
     std::unique_ptr<crashing_fleet> m_fleet;
     std::mutex m_mutex;
     std::set<std::string> m_soundIds;
