Recognize the end of a target whose listener closes after its connections

Found by reading and then by a test: the scripted targets closed their listener first.

Cause: a connection that is established was taken for a running target; the kernel establishes it before anybody accepts it.

Change: the probe watches its connection for 100 ms. If that is closed, it connects again, three times at most; refused then means ended. Only suspects wait for it.

--- a/packages/forwarding/src/plumfold_crash_detector.cpp
+++ b/packages/forwarding/src/plumfold_crash_detector.cpp
@@ -8,10 +8,19 @@
 namespace {
 
 constexpr core::milliseconds probeTimeout { 250 };
+/// A connection that stays open for this time has been accepted by a running target.
+constexpr core::milliseconds closeTimeout { 100 };
+constexpr int maxConnects = 3;
 constexpr core::milliseconds maxResultAge { 60'000 };
 
 } // namespace
 
+const char* crash_detector::resultName(probe_result result)
+{
+    constexpr const char* names[] = { "refused", "connected", "closed", "no_answer" };
+    return names[static_cast<int>(result)];
+}
+
 task<bool> crash_detector::hasEnded(
     std::string target, core::unix_milliseconds startedAt, std::string address)
 {
@@ -25,14 +34,11 @@
     }
     auto current = std::make_shared<probe>(m_io);
     current->startedAt = runtime::now();
-    current->finished.expires_after(2 * probeTimeout);
+    current->finished.expires_after(maxConnects * (probeTimeout + closeTimeout));
     m_probes[key] = current;
-    beast::tcp_stream stream(m_io);
-    error_code error;
-    stream.expires_after(probeTimeout);
-    co_await stream.async_connect(endpointOf(address), into(error));
+    auto result = co_await probeAddress(endpointOf(address));
     // A target beyond its limit of connections may refuse one, but keeps those that it has.
-    current->hasEnded = error == asio::error::connection_refused && !m_connections.hasUsable(target, address);
+    current->hasEnded = result == probe_result::refused && !m_connections.hasUsable(target, address);
     current->isFinished = true;
     current->finished.cancel();
     if (!current->hasEnded)
@@ -41,11 +47,34 @@
         .with("target", target)
         .with("address", address)
         .with("started_at", startedAt)
-        .with("result", error ? error.message() : "connected")
+        .with("result", resultName(result))
         .with("ended", current->hasEnded ? "true" : "false");
     co_return current->hasEnded;
 }
 
+/// The end of a process closes its sockets one after another, so the listener may outlive other connections
+/// for a moment. Then it closes those that it has not accepted.
+task<crash_detector::probe_result> crash_detector::probeAddress(asio::ip::tcp::endpoint address)
+{
+    for (int tries = 0; tries < maxConnects; ++tries) {
+        beast::tcp_stream stream(m_io);
+        error_code error;
+        stream.expires_after(probeTimeout);
+        co_await stream.async_connect(address, into(error));
+        if (error == asio::error::connection_refused)
+            co_return probe_result::refused;
+        if (error)
+            co_return probe_result::no_answer;
+        char byte = 0;
+        stream.expires_after(closeTimeout);
+        co_await stream.async_read_some(asio::buffer(&byte, 1), into(error));
+        bool isClosed = error && error != beast::error::timeout;
+        if (!isClosed)
+            co_return probe_result::connected;
+    }
+    co_return probe_result::closed;
+}
+
 void crash_detector::expire(core::instant now)
 {
     std::erase_if(m_probes, [&](const auto& each) {
--- a/packages/forwarding/src/plumfold_crash_detector.hpp
+++ b/packages/forwarding/src/plumfold_crash_detector.hpp
@@ -41,6 +41,16 @@
         bool hasEnded = false;
         core::instant startedAt {};
     };
+    enum class probe_result {
+        refused,
+        connected, ///< And kept open.
+        closed, ///< Each time.
+        no_answer,
+    };
+
+    static const char* resultName(probe_result result);
+    task<probe_result> probeAddress(asio::ip::tcp::endpoint address);
+
     using incarnation = std::pair<std::string, core::unix_milliseconds>;
 
     asio::io_context& m_io;
--- a/tests/forwarding/support/plumfold_scripted_target.cpp
+++ b/tests/forwarding/support/plumfold_scripted_target.cpp
@@ -15,6 +15,7 @@
 constexpr int pollMicroseconds = 20'000;
 constexpr std::chrono::milliseconds timeUntilCrash { 40 };
 constexpr std::chrono::milliseconds workTime { 100 };
+constexpr std::chrono::milliseconds timeUntilListenerCloses { 15 };
 
 } // namespace
 
@@ -65,10 +66,14 @@
     if (m_crashed.exchange(true))
         return;
     m_stopping = true;
+    {
+        std::lock_guard lock(m_mutex);
+        for (auto& each : m_sockets)
+            ::shutdown(each.impl()->sockfd(), SHUT_RDWR);
+    }
+    // The end of a process closes its sockets one after another.
+    std::this_thread::sleep_for(timeUntilListenerCloses);
     ::shutdown(m_listener.impl()->sockfd(), SHUT_RDWR);
-    std::lock_guard lock(m_mutex);
-    for (auto& each : m_sockets)
-        ::shutdown(each.impl()->sockfd(), SHUT_RDWR);
 }
 
 /// @return whether a request is meant for a former target at this address.
