Recognize the end of a target process that closes its listener last (own interface)

Traced: the first attempt ended as lost (outcome 4) although its target had crashed; the probe reached a listener that was still open, got no answer, and took the state for unknown, so the crash was not counted.

Change: a health call whose connection is closed at once is tried again, three times at most; refused then means ended.

--- a/packages/entry/src/plumfold_http_target_adapter.cpp
+++ b/packages/entry/src/plumfold_http_target_adapter.cpp
@@ -24,6 +24,7 @@
 constexpr milliseconds connectTimeout { 300 };
 constexpr milliseconds shortRequestTimeout { 1000 };
 constexpr milliseconds probeTimeout { 200 };
+constexpr int maxProbes = 3;
 constexpr std::size_t maxIdlePerTarget = 32;
 constexpr std::size_t maxEventBytes = 1 << 20;
 constexpr std::string_view eventPrefix = "data: ";
@@ -328,20 +329,29 @@
 
 process_state http_target_adapter::probeProcess(const target_process& target)
 {
-    try {
-        Poco::Net::StreamSocket socket;
-        socket.connect(runtime::socketAddress(target.address), timespan(probeTimeout));
-    } catch (const Poco::Net::ConnectionRefusedException&) {
-        return process_state::ended;
-    } catch (const Poco::Exception&) {
-        return process_state::unknown;
+    for (int tries = 0; tries < maxProbes; ++tries) {
+        try {
+            Poco::Net::StreamSocket socket;
+            socket.connect(runtime::socketAddress(target.address), timespan(probeTimeout));
+        } catch (const Poco::Net::ConnectionRefusedException&) {
+            return process_state::ended;
+        } catch (const Poco::Exception&) {
+            return process_state::unknown;
+        }
+        auto sentAt = std::chrono::steady_clock::now();
+        auto body = sendShortRequest(target.address, "GET", "/healthz", "", probeTimeout);
+        json reply = json::parse(body ? *body : "", nullptr, false);
+        if (reply.is_object()) {
+            bool same = reply.value("incarnation", std::uint64_t(0)) == target.incarnation;
+            return same ? process_state::same : process_state::ended;
+        }
+        // A process that ends may close its listener last. Then it closes connections that it has not
+        // accepted.
+        bool isClosed = std::chrono::steady_clock::now() - sentAt < probeTimeout;
+        if (!isClosed)
+            break;
     }
-    auto body = sendShortRequest(target.address, "GET", "/healthz", "", probeTimeout);
-    json reply = json::parse(body ? *body : "", nullptr, false);
-    if (!reply.is_object())
-        return process_state::unknown;
-    bool same = reply.value("incarnation", std::uint64_t(0)) == target.incarnation;
-    return same ? process_state::same : process_state::ended;
+    return process_state::unknown;
 }
 
 } // namespace plumfold::entry
