Read as a newcomer: traits in one place, one lifetime of verdicts, smaller steps

- trait_set, hasTrait and hasTraits stood four times under other names.
- The lifetime of a verdict stood twice; when one was extended was kept beside it and is derived from it now.
With that, the first rejection extends an old verdict; before, the first one of a control VM's life did nothing (read, no test: nothing lasts that long in one).
- findTogether looked for rivals and for twins at once; explainsAsWell is a function of its own.
- Entries are no longer sent verdicts of the own interface, which they ignore.
Core [crashes], [control], [target_directory]: 175 assertions pass.

--- a/packages/control/src/plumfold_crash_judge.cpp
+++ b/packages/control/src/plumfold_crash_judge.cpp
@@ -14,10 +14,8 @@
 
 constexpr auto submitTimeout = 1500 * kj::MILLISECONDS;
 constexpr core::milliseconds submitInterval { 1'000 };
-/// A verdict on a request that still comes is submitted again at this interval.
-constexpr core::milliseconds extendInterval { 600'000 };
-/// Until the log has a verdict that was reached here.
-constexpr core::unix_milliseconds ownVerdictLifetimeMs = 24ull * 3600 * 1000;
+/// A verdict whose requests still come is submitted again when it is this old.
+constexpr core::unix_milliseconds extendAgeMs = 600'000;
 constexpr core::milliseconds evaluationInterval { 120 };
 /// The pause after an evaluation is at least this many times as long as the evaluation.
 constexpr int evaluationPauseFactor = 10;
@@ -33,7 +31,7 @@
     return names[static_cast<int>(kind)];
 }
 
-std::uint64_t idOf(const std::set<std::uint64_t>& traits)
+std::uint64_t idOf(const core::trait_set& traits)
 {
     std::uint64_t id = *traits.begin();
     for (auto each = std::next(traits.begin()); each != traits.end(); ++each)
@@ -70,15 +68,12 @@
 
 void crash_judge::onRejected(std::uint64_t verdict)
 {
-    auto now = runtime::now();
     auto logged = m_logged.find(verdict);
     if (logged == m_logged.end() || logged->second.isWithdrawn)
         return;
-    auto [last, isFirst] = m_extendedAt.try_emplace(verdict, now);
-    if (isFirst || now - last->second < extendInterval)
-        return;
-    last->second = now;
-    submit(logged->second);
+    bool isOld = logged->second.until + extendAgeMs < runtime::unixNow() + core::verdictRetentionMs;
+    if (isOld)
+        submit(logged->second);
 }
 
 void crash_judge::tick()
@@ -114,7 +109,6 @@
             continue;
         m_registry.withdraw(verdict.traits);
         m_own.erase(id);
-        m_extendedAt.erase(id);
         runtime::log_event("verdict_lifted")
             .with("verdict", id)
             .with("reason", found == next.end() ? "expired" : "withdrawn");
@@ -139,7 +133,7 @@
     for (const auto& finding : m_registry.condemn(now)) {
         auto id = idOf(finding.traits);
         m_own[id]
-            = { { id, finding.crashes, runtime::unixNow() + ownVerdictLifetimeMs, false, finding.traits },
+            = { { id, finding.crashes, runtime::unixNow() + core::verdictRetentionMs, false, finding.traits },
                   {} };
         runtime::log_event("requests_condemned", runtime::log_level::warning)
             .with("verdict", id)
@@ -168,8 +162,11 @@
 void crash_judge::publish()
 {
     std::vector<core::verdict> verdicts;
-    for (const auto& [id, verdict] : m_logged)
-        verdicts.push_back(verdict);
+    for (const auto& [id, verdict] : m_logged) {
+        // Those of the own interface have none.
+        if (!verdict.traits.empty())
+            verdicts.push_back(verdict);
+    }
     for (const auto& [id, own] : m_own)
         verdicts.push_back(own.verdict);
     m_feed.setCrashVerdicts(std::move(verdicts), m_suspects);
--- a/packages/control/src/plumfold_crash_judge.hpp
+++ b/packages/control/src/plumfold_crash_judge.hpp
@@ -50,7 +50,6 @@
     core::crash_registry m_registry;
     std::map<std::uint64_t, core::verdict> m_logged; // by id, as last seen in the log
     std::map<std::uint64_t, own_verdict> m_own; // by id; reached here, not seen in the log yet
-    std::map<std::uint64_t, core::instant> m_extendedAt; // when a verdict was last submitted to keep it
     core::instant m_lastReportAt {};
     core::instant m_nextEvaluationAt {};
     core::instant m_pauseUntil {}; // after an evaluation that took long
--- a/packages/core/include/plumfold/core/plumfold_commands.hpp
+++ b/packages/core/include/plumfold/core/plumfold_commands.hpp
@@ -2,11 +2,11 @@
 
 #include "plumfold/core/plumfold_deployment_state.hpp"
 #include "plumfold/core/plumfold_records.hpp"
+#include "plumfold/core/plumfold_request_traits.hpp"
 
 #include <compare>
 #include <cstdint>
 #include <optional>
-#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -101,7 +101,7 @@
     std::uint32_t crashes = 0;
     bool withdraw = false;
     /// The verdict applies to requests with all of these; empty: to the request with the fingerprint.
-    std::set<std::uint64_t> traits;
+    trait_set traits;
 };
 /// Acquires or renews a lease, for example the one that allows a single process to issue orders to the
 /// targets of a failure domain.
--- a/packages/core/include/plumfold/core/plumfold_control_state.hpp
+++ b/packages/core/include/plumfold/core/plumfold_control_state.hpp
@@ -43,13 +43,16 @@
     std::uint64_t sequence = 0;
 };
 
+/// How long a verdict stays in force after it was last recorded.
+inline constexpr unix_milliseconds verdictRetentionMs = 24ull * 3600 * 1000;
+
 /// Poison requests: they crash targets and are rejected until the verdict expires.
 struct verdict {
     std::uint64_t fingerprint = 0; ///< Hash that identifies the request or the traits.
     std::uint32_t crashes = 0; ///< Number of targets that they crashed.
     unix_milliseconds until = 0; ///< When the verdict expires.
     bool isWithdrawn = false; ///< An operator has lifted it; kept so that all processes learn of it.
-    std::set<std::uint64_t> traits; ///< See verdict_command.
+    trait_set traits; ///< See verdict_command.
     auto operator<=>(const verdict&) const = default;
 };
 
--- a/packages/core/include/plumfold/core/plumfold_crash_registry.hpp
+++ b/packages/core/include/plumfold/core/plumfold_crash_registry.hpp
@@ -34,7 +34,7 @@
 
 /// Traits whose requests were found to crash targets.
 struct crash_finding {
-    std::set<std::uint64_t> traits; ///< Requests with all of them crash targets.
+    trait_set traits; ///< Requests with all of them crash targets.
     trait_kind kind = trait_kind::request;
     std::uint32_t crashes = 0;
     std::vector<std::string> targets; ///< That they crashed.
@@ -94,10 +94,10 @@
     std::vector<crash_finding> condemn(instant now);
 
     /// Records a verdict that was reached elsewhere.
-    void addVerdict(const std::set<std::uint64_t>& traits);
+    void addVerdict(const trait_set& traits);
 
     /// Removes a verdict, and the crashes that it was based on.
-    void withdraw(const std::set<std::uint64_t>& traits);
+    void withdraw(const trait_set& traits);
 
     /// @return the traits that a success would clear, those with most crashes first.
     std::vector<crash_suspect> suspects(instant now) const;
@@ -128,7 +128,6 @@
         std::set<std::uint64_t> customers;
     };
     using candidate_map = std::unordered_map<std::uint64_t, candidate>;
-    using trait_set = std::set<std::uint64_t>;
 
     /// One of a crash's victims has a trait.
     struct mention {
@@ -150,8 +149,9 @@
     bool isEligible(const candidate& one) const;
     bool isSufficient(const candidate& one) const;
     std::size_t backgroundCrashes(const candidate& one) const;
-    bool areTogether(
-        std::uint64_t trait, std::uint64_t other, const std::vector<const crash*>& crashes) const;
+    static bool areTogether(const trait_set& traits, const std::vector<const crash*>& crashes);
+    bool explainsAsWell(
+        const candidate_map& all, const request_trait& other, const candidate& one, const crash& crash) const;
     bool findTogether(const candidate_map& all, std::uint64_t trait, trait_set& together) const;
 
     crash_registry_options m_options;
--- a/packages/core/include/plumfold/core/plumfold_crash_screen.hpp
+++ b/packages/core/include/plumfold/core/plumfold_crash_screen.hpp
@@ -9,7 +9,6 @@
 #include <deque>
 #include <map>
 #include <optional>
-#include <set>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -19,7 +18,7 @@
 /// The verdict on requests that crash targets, as control VMs hand it to entries.
 struct crash_verdict {
     std::uint64_t id = 0;
-    std::set<std::uint64_t> traits; ///< It applies to requests with all of these.
+    trait_set traits; ///< It applies to requests with all of these.
     std::uint32_t crashes = 0; ///< Targets that they crashed.
     milliseconds keepFor { 0 }; ///< Until the verdict expires.
     bool isWithdrawn = false; ///< An operator has lifted it.
@@ -83,7 +82,7 @@
 
 private:
     struct known_verdict {
-        std::set<std::uint64_t> traits;
+        trait_set traits;
         instant until {}; // in force
         std::optional<instant> rejectionTakenAt;
     };
--- a/packages/core/include/plumfold/core/plumfold_request_traits.hpp
+++ b/packages/core/include/plumfold/core/plumfold_request_traits.hpp
@@ -4,6 +4,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <set>
 #include <string_view>
 #include <vector>
 
@@ -47,7 +48,16 @@
     auto operator<=>(const request_trait&) const = default;
 };
 
+/// Ids of traits that apply together.
+using trait_set = std::set<std::uint64_t>;
+
 /// @return the traits of a request, its fingerprint first.
 std::vector<request_trait> listTraits(const request_traits& request);
 
+/// @param traits of a request.
+bool hasTrait(const std::vector<request_trait>& traits, std::uint64_t id);
+
+/// @param traits of a request.
+bool hasTraits(const std::vector<request_trait>& traits, const trait_set& ids);
+
 } // namespace plumfold::core
--- a/packages/core/src/plumfold_control_state.cpp
+++ b/packages/core/src/plumfold_control_state.cpp
@@ -10,7 +10,6 @@
 constexpr std::size_t maxRetainedResults = 8192;
 constexpr std::size_t maxRetainedAuditRecords = 8192;
 constexpr unix_milliseconds claimRetentionMs = 24ull * 3600 * 1000;
-constexpr unix_milliseconds verdictRetentionMs = 24ull * 3600 * 1000;
 constexpr std::size_t maxVerdicts = 4'096;
 constexpr std::uint32_t minRetryAfterMs = 100;
 constexpr std::uint32_t maxRetryAfterMs = 5000;
--- a/packages/core/src/plumfold_crash_registry.cpp
+++ b/packages/core/src/plumfold_crash_registry.cpp
@@ -47,21 +47,17 @@
 }
 
 /// @return the verdicts by which a request is condemned.
-std::vector<const crash_registry::trait_set*> crash_registry::verdictsOn(const victim& victim) const
+std::vector<const trait_set*> crash_registry::verdictsOn(const victim& victim) const
 {
     std::vector<const trait_set*> found;
     if (m_verdicts.empty())
         return found;
-    auto has = [&](std::uint64_t id) {
-        return std::any_of(
-            victim.traits.begin(), victim.traits.end(), [&](const auto& each) { return each.id == id; });
-    };
     for (const auto& trait : victim.traits) {
         auto verdicts = m_verdicts.find(trait.id);
         if (verdicts == m_verdicts.end())
             continue;
         for (const auto& traits : verdicts->second) {
-            if (std::all_of(traits.begin(), traits.end(), has))
+            if (hasTraits(victim.traits, traits))
                 found.push_back(&traits);
         }
     }
@@ -197,20 +193,32 @@
     return background == 0 || (crashes >= thresholds.amongOthers && 2 * crashes > background);
 }
 
-/// @return whether in each of the crashes one request has both traits.
-bool crash_registry::areTogether(
-    std::uint64_t trait, std::uint64_t other, const std::vector<const crash*>& crashes) const
+/// @return whether in each of the crashes one request has all traits.
+bool crash_registry::areTogether(const trait_set& traits, const std::vector<const crash*>& crashes)
 {
-    auto has = [](const victim& victim, std::uint64_t id) {
-        return std::any_of(
-            victim.traits.begin(), victim.traits.end(), [&](const auto& each) { return each.id == id; });
-    };
     return std::all_of(crashes.begin(), crashes.end(), [&](const auto* crash) {
         return std::any_of(crash->victims.begin(), crash->victims.end(),
-            [&](const auto& each) { return has(each.second, trait) && has(each.second, other); });
+            [&](const auto& each) { return hasTraits(each.second.traits, traits); });
     });
 }
 
+/// @return whether another trait may have caused a crash, and at least as many as a candidate.
+bool crash_registry::explainsAsWell(
+    const candidate_map& all, const request_trait& other, const candidate& one, const crash& crash) const
+{
+    auto found = all.find(other.id);
+    if (found == all.end() || !isEligible(found->second))
+        return false;
+    // What a part for all customers explains includes what it explains for one of them.
+    auto wider = all.find(other.wider);
+    bool isWiderEligible = wider != all.end() && isEligible(wider->second);
+    if (one.kind == trait_kind::shared_part && isWiderEligible)
+        return false;
+    const auto& crashes = found->second.crashes;
+    return crashes.size() >= one.crashes.size()
+        && std::find(crashes.begin(), crashes.end(), &crash) != crashes.end();
+}
+
 /// Finds the traits that can't be told apart from a candidate, because they always came together.
 /// @return whether no other candidate explains any of the crashes as well.
 bool crash_registry::findTogether(const candidate_map& all, std::uint64_t trait, trait_set& together) const
@@ -220,21 +228,11 @@
     for (const auto* crash : one.crashes) {
         for (const auto& [fingerprint, victim] : crash->victims) {
             for (const auto& each : victim.traits) {
-                auto found = all.find(each.id);
-                if (found == all.end() || together.contains(each.id) || !isEligible(found->second))
-                    continue;
-                // What a part for all customers explains includes what it explains for one of them.
-                auto wider = all.find(each.wider);
-                bool isWiderEligible = wider != all.end() && isEligible(wider->second);
-                if (one.kind == trait_kind::shared_part && isWiderEligible)
-                    continue;
-                const auto& other = found->second;
-                bool isInvolved
-                    = std::find(other.crashes.begin(), other.crashes.end(), crash) != other.crashes.end();
-                if (!isInvolved || other.crashes.size() < one.crashes.size())
+                if (together.contains(each.id) || !explainsAsWell(all, each, one, *crash))
                     continue;
+                const auto& other = all.at(each.id);
                 bool isSame = other.kind == one.kind && other.crashes == one.crashes
-                    && areTogether(trait, each.id, one.crashes);
+                    && areTogether({ trait, each.id }, one.crashes);
                 if (!isSame)
                     return false;
                 together.insert(each.id);
@@ -268,13 +266,13 @@
     return condemned;
 }
 
-void crash_registry::addVerdict(const std::set<std::uint64_t>& traits)
+void crash_registry::addVerdict(const trait_set& traits)
 {
     if (!traits.empty())
         m_verdicts[*traits.begin()].insert(traits);
 }
 
-void crash_registry::withdraw(const std::set<std::uint64_t>& traits)
+void crash_registry::withdraw(const trait_set& traits)
 {
     if (traits.empty())
         return;
--- a/packages/core/src/plumfold_crash_screen.cpp
+++ b/packages/core/src/plumfold_crash_screen.cpp
@@ -14,11 +14,6 @@
 /// beside a request that crashes targets.
 constexpr std::uint32_t crashesOfSuspectPart = 2;
 
-bool has(const std::vector<request_trait>& request, std::uint64_t trait)
-{
-    return std::any_of(request.begin(), request.end(), [&](const auto& each) { return each.id == trait; });
-}
-
 } // namespace
 
 std::vector<crash_verdict> crash_screen::applyVerdicts(
@@ -97,9 +92,7 @@
         auto [first, last] = m_verdictsByTrait.equal_range(trait.id);
         for (auto each = first; each != last; ++each) {
             const auto& verdict = m_verdicts.at(each->second);
-            bool applies = std::all_of(verdict.traits.begin(), verdict.traits.end(),
-                [&](std::uint64_t id) { return has(request, id); });
-            if (applies && now < verdict.until)
+            if (hasTraits(request, verdict.traits) && now < verdict.until)
                 return match { each->second, std::chrono::ceil<milliseconds>(verdict.until - now) };
         }
     }
--- a/packages/core/src/plumfold_request_traits.cpp
+++ b/packages/core/src/plumfold_request_traits.cpp
@@ -56,4 +56,14 @@
     return all;
 }
 
+bool hasTrait(const std::vector<request_trait>& traits, std::uint64_t id)
+{
+    return std::any_of(traits.begin(), traits.end(), [&](const auto& each) { return each.id == id; });
+}
+
+bool hasTraits(const std::vector<request_trait>& traits, const trait_set& ids)
+{
+    return std::all_of(ids.begin(), ids.end(), [&](std::uint64_t id) { return hasTrait(traits, id); });
+}
+
 } // namespace plumfold::core
--- a/tests/core/plumfold_crash_parts_tests.cpp
+++ b/tests/core/plumfold_crash_parts_tests.cpp
@@ -12,14 +12,8 @@
 using namespace plumfold::core;
 using namespace plumfold::tests;
 
-namespace {
-
 using namespace std::chrono_literals;
 
-constexpr std::uint64_t guilty = 1;
-
-} // namespace
-
 TEST_CASE(
     "A part that requests on four targets had in common is condemned for its customer", "[crashes][parts]")
 {
--- a/tests/core/plumfold_crash_screen_tests.cpp
+++ b/tests/core/plumfold_crash_screen_tests.cpp
@@ -9,14 +9,8 @@
 using namespace plumfold::core;
 using namespace plumfold::tests;
 
-namespace {
-
 using namespace std::chrono_literals;
 
-constexpr std::uint64_t guilty = 1;
-
-} // namespace
-
 TEST_CASE("An entry keeps verdicts that a control VM does not list until they expire", "[crashes]")
 {
     crash_screen screen;
--- a/tests/core/support/plumfold_crash_history.hpp
+++ b/tests/core/support/plumfold_crash_history.hpp
@@ -14,6 +14,8 @@
 
 using fingerprints = std::set<std::uint64_t>;
 
+inline constexpr std::uint64_t guilty = 1; ///< Fingerprint of a request that crashes targets.
+
 inline core::request_traits requestOf(std::uint64_t fingerprint, std::vector<std::uint64_t> parts = {},
     std::uint64_t customer = 1, bool isIsolated = false)
 {
