Failing tests: requests begin on old weights at entries that restart or wake after the naming

Real processes: three control VMs, two entries, four engines of one model of which one accepts orders and never executes them, 16 requests a second, a bound of 5 s for old weights.

--- a/tests/forwarding/support/plumfold_forwarding_system.cpp
+++ b/tests/forwarding/support/plumfold_forwarding_system.cpp
@@ -201,7 +201,7 @@
             { "forwarding",
                 { { "callerAddress", callerAddress(number) },
                     { "readinessAddress", address(20 + number, 8001) }, { "control", seeds() },
-                    { "controlPort", rpcPort } } } });
+                    { "controlPort", rpcPort }, { "weightsBoundMs", m_weightsBound.count() } } } });
 }
 
 scripted_target& forwarding_system::startTarget(const std::string& name, const std::string& service,
@@ -242,6 +242,9 @@
         { "zone", "east" }, { "version", announced.server->version() }, { "slots", 8 }, { "state", state },
         { "cold-remaining-ms", std::max<std::int64_t>(coldFor.count(), 0) }, { "sequence", ++m_sequence },
         { "born", m_targetStart.load() } };
+    if (auto weights = announced.server->weights())
+        body["models"] = { { { "name", weights->model }, { "version", weights->version },
+            { "adapters", json::array() } } };
     for (int control = 1; control <= controlVms; ++control) {
         if (call(control, "PUT", "/instances/" + target, body.dump()).first == 200)
             return;
--- a/tests/forwarding/support/plumfold_forwarding_system.hpp
+++ b/tests/forwarding/support/plumfold_forwarding_system.hpp
@@ -56,6 +56,8 @@
     void setFailureDomains(std::vector<std::string> names) { m_failureDomains = std::move(names); }
     /// Sets how long control VMs that are started later hold the lease of the shared limits.
     void setSharedLimitLease(std::chrono::milliseconds time) { m_sharedLimitLease = time; }
+    /// Sets the time limit for starting requests on old weights of entries that are started later.
+    void setWeightsBound(std::chrono::milliseconds time) { m_weightsBound = time; }
     void startControl(int number, bool firstStart = true);
     void startEntry(int number);
     /// Connects the standard output of a process that is started later to a pipe that is never read.
@@ -107,6 +109,7 @@
     std::filesystem::path m_folder;
     std::vector<std::string> m_failureDomains { "east" };
     std::chrono::milliseconds m_sharedLimitLease { 6'000 };
+    std::chrono::milliseconds m_weightsBound { 10'000 };
     std::string m_network;
     std::map<std::string, nlohmann::json> m_settings;
     struct announced_target {
--- a/tests/forwarding/support/plumfold_scripted_target.cpp
+++ b/tests/forwarding/support/plumfold_scripted_target.cpp
@@ -143,11 +143,21 @@
                 current.sendResponse("421 Misdirected Request", "Not-Executed: 1\r\n", "");
                 continue;
             }
+            if (rejectForWeights(current))
+                continue;
             if (m_crashCondition && m_crashCondition(current.request)) {
                 crashWhileServing(current);
                 continue;
             }
             const auto& path = current.request.path;
+            if (m_weights && path == "/report") {
+                respondReport(current);
+                continue;
+            }
+            if (m_weights && path == "/order") {
+                respondToOrder(current);
+                continue;
+            }
             bool isControlCall = path.starts_with("/report") || path.starts_with("/kv-");
             auto found
                 = behaviours.find(isControlCall ? m_controlBehaviour : path.substr(path.rfind('/') + 1));
--- a/tests/forwarding/support/plumfold_scripted_target.hpp
+++ b/tests/forwarding/support/plumfold_scripted_target.hpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -20,6 +21,23 @@
     std::map<std::string, std::string> headers; ///< Names in lower case.
     std::string body;
     std::chrono::steady_clock::time_point receivedAt {};
+    std::uint64_t weights = 0; ///< Version that the target ran the request on; 0: it did not run.
+};
+
+/// What a target does with an order to load weights.
+enum class order_behaviour {
+    execute,
+    ignore, ///< Accepts it and never executes it.
+};
+
+/// The model of a target, and the weight version that it has loaded.
+struct scripted_weights {
+    std::string model;
+    std::uint64_t version = 0;
+    order_behaviour orders = order_behaviour::execute;
+    std::uint64_t acceptedOrders = 0;
+    std::uint64_t loading = 0; ///< Version of the order that is being executed; 0: none.
+    std::chrono::steady_clock::time_point loadedAt {}; ///< When that order is complete.
 };
 
 /// A fake target of the platform. The last segment of a request's path selects its behaviour; see the table
@@ -39,6 +57,11 @@
     void breakOffStreams(int interval) { m_breakOffInterval = interval; }
     const std::string& address() const { return m_address; }
 
+    /// Makes the target an engine of a model. Call it before the target serves requests.
+    void setWeights(const std::string& model, std::uint64_t version, order_behaviour orders);
+    /// @return the loaded weights; nothing for a target without a model.
+    std::optional<scripted_weights> weights() const;
+
     /// Lets the target crash while it runs a request for which the condition holds. Call it before the target
     /// serves requests.
     void setCrashCondition(std::function<bool(const recorded_request&)> condition)
@@ -62,6 +85,11 @@
     bool readRequest(exchange& current);
     bool isMisdirected(const recorded_request& request) const;
     void crashWhileServing(exchange& current);
+    /// @return whether the request was rejected because of the target's weights.
+    bool rejectForWeights(exchange& current);
+    void respondReport(exchange& current);
+    void respondToOrder(exchange& current);
+    void completeLoad();
 
     void respondComplete(exchange& current);
     void respondTruncated(exchange& current);
@@ -109,6 +137,7 @@
     Poco::Net::ServerSocket m_listener;
     mutable std::mutex m_mutex;
     std::vector<recorded_request> m_requests;
+    std::optional<scripted_weights> m_weights;
     std::atomic<int> m_abandoned { 0 };
     std::atomic<bool> m_stopping { false };
     std::atomic<bool> m_crashed { false };
--- /dev/null
+++ b/tests/forwarding/support/plumfold_weights_system.hpp
@@ -0,0 +1,130 @@
+#pragma once
+
+#include "plumfold_forwarding_system.hpp"
+
+#include <chrono>
+#include <map>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace plumfold::tests {
+
+/// Three control VMs, two entries and four engines of one model whose weights are replaced. One engine
+/// accepts orders to load weights and never executes them.
+class weights_system : public forwarding_system {
+public:
+    using time_point = std::chrono::steady_clock::time_point;
+    static constexpr std::chrono::milliseconds bound { 5'000 }; ///< For starting requests on old weights.
+    static constexpr std::uint64_t firstVersion = 4;
+    static constexpr int entries = 2;
+
+    /// @param idle name of the engine that ignores orders.
+    explicit weights_system(const std::string& idle)
+    {
+        setWeightsBound(bound);
+        for (int number = 1; number <= 3; ++number)
+            startControl(number);
+        putDeployment(1, deployment(3));
+        for (int number = 1; number <= entries; ++number)
+            startEntry(number);
+        for (const auto* name : { "t1", "t2", "t3", "t4" }) {
+            auto& target = startTarget(name);
+            target.setWeights(
+                "base", firstVersion, name == idle ? order_behaviour::ignore : order_behaviour::execute);
+            m_targets.push_back(&target);
+        }
+        startAnnouncing();
+        for (int number = 1; number <= entries; ++number)
+            eventually([&] { return sendRequest(number) == 200; });
+    }
+
+    ~weights_system()
+    {
+        if (m_callers.joinable())
+            stopCallers();
+    }
+
+    /// Names a weight version.
+    void name(std::uint64_t version)
+    {
+        auto body = "{\"model\":\"base\",\"version\":" + std::to_string(version) + "}";
+        eventually([&] { return call(1, "POST", "/version-put", body).first / 100 == 2; });
+        m_namedAt[version] = std::chrono::steady_clock::now();
+    }
+
+    /// @return the HTTP status that a caller receives for a request to the model.
+    int sendRequest(int entry)
+    {
+        return request(entry, "/stock/slow", "check", { { "Model", "base" } }).status;
+    }
+
+    /// Starts sixteen callers' requests a second, to all entries by turns.
+    void startCallers()
+    {
+        m_callers = std::thread([this] {
+            std::vector<std::thread> requests;
+            for (int number = 0; !m_stopping; ++number) {
+                requests.emplace_back([this, number] {
+                    auto sentAt = std::chrono::steady_clock::now();
+                    auto status = sendRequest(1 + number % entries);
+                    std::lock_guard lock(m_mutex);
+                    m_answers.emplace_back(sentAt, status);
+                });
+                std::this_thread::sleep_for(std::chrono::milliseconds(62));
+            }
+            for (auto& each : requests)
+                each.join();
+        });
+    }
+    void stopCallers()
+    {
+        m_stopping = true;
+        m_callers.join();
+    }
+
+    static void sleepFor(std::chrono::milliseconds time) { std::this_thread::sleep_for(time); }
+
+    /// @return the requests that began on a version later than the bound after a newer one was named.
+    int lateRequests() const
+    {
+        int late = 0;
+        for (const auto* target : m_targets)
+            for (const auto& each : target->requests()) {
+                auto newer = m_namedAt.upper_bound(each.weights);
+                late += each.weights != 0 && newer != m_namedAt.end()
+                    && each.receivedAt > newer->second + bound;
+            }
+        return late;
+    }
+    /// @return the share of the requests since a time that were answered by a target.
+    double servedShare(time_point since) const
+    {
+        int sent = 0;
+        int served = 0;
+        for (const auto& [at, status] : m_answers) {
+            sent += at >= since;
+            served += at >= since && status == 200;
+        }
+        return sent == 0 ? 0 : static_cast<double>(served) / sent;
+    }
+    /// @return the number of engines with a weight version.
+    int enginesWith(std::uint64_t version) const
+    {
+        int count = 0;
+        for (const auto* target : m_targets)
+            count += target->weights()->version == version;
+        return count;
+    }
+
+private:
+    std::vector<scripted_target*> m_targets;
+    std::map<std::uint64_t, time_point> m_namedAt; // when it was acknowledged
+    std::thread m_callers;
+    std::atomic<bool> m_stopping { false };
+    std::mutex m_mutex;
+    std::vector<std::pair<time_point, int>> m_answers; // when each was sent, and its status
+};
+
+} // namespace plumfold::tests
