Count the time for old weights from their naming, not from when an entry hears of it

Callers saw: requests ran on old weights more than ten seconds after newer ones were acknowledged, at entries that had restarted or woken up since.

Cause: target_selector::setWeights() put down its own time for each version that it heard of, so every start, suspension or late update of an entry began the 6 s for old weights anew; an entry that missed a version counted targets with older weights from the next one. The age of a fact was taken from its observer, not from the event.

Ruled out: a control VM that believes the load done (the entry sends Expected-Version 4 and the engine has 4), and requests sent in time that wait at the engine (the record has waits below 0.3 s).

Change: core::weight_history keeps for each version the earliest time at which any observer says that it was named. Control VMs exchange ages with each other every 150 ms and send them to entries with each poll. Clocks are never compared: ages travel, and an entry adds the whole time since it made the call, so a delayed or suspended transfer can only make weights older. All of it is in times that include suspensions.

If all control VMs lose their memory at the same moment, the time starts anew with the first of them.

--- a/packages/control/src/plumfold_control_service.cpp
+++ b/packages/control/src/plumfold_control_service.cpp
@@ -61,6 +61,10 @@
         for (auto each : params.getLoads())
             loads.push_back(wire::read(each));
         m_context.feed.updateLoads(loads, false);
+        std::vector<core::weight_naming> namings;
+        for (auto each : params.getNamings())
+            namings.push_back(wire::read(each));
+        m_context.feed.applyPeerNamings(namings);
         return kj::READY_NOW;
     }
 
@@ -116,17 +120,21 @@
     {
         auto params = call.getParams();
         m_context.feed.recordFollower(m_name);
+        auto arrivedAt = runtime::nowWithSuspension();
         kj::Promise<void> ready = kj::READY_NOW;
         if (params.getConfirmed())
             ready = m_context.leader.confirm(confirmTimeout);
-        return ready.then([this, call]() mutable {
+        return ready.then([this, call, arrivedAt]() mutable {
             auto params = call.getParams();
             // Change numbers restart with each incarnation of a feed, so an unknown one gets a snapshot.
             std::uint64_t change = params.getFeed() == m_context.feed.id() ? params.getKnownChange() : 0;
             auto wait = std::min(params.getWaitMs(), maxWatchMs) * kj::MILLISECONDS;
             return m_context.feed
                 .waitForUpdate(params.getKnownDeployment(), change, params.getKnownVerdicts(), wait)
-                .then([this, call, change]() mutable { writeFollowResults(call, change); });
+                .then([this, call, change, arrivedAt]() mutable {
+                    writeFollowResults(call, change);
+                    writeNamings(call, arrivedAt);
+                });
         });
     }
 
@@ -218,6 +226,14 @@
         }
     }
 
+    void writeNamings(FollowContext& call, core::instant arrivedAt)
+    {
+        auto namings = m_context.feed.weightNamings(arrivedAt);
+        auto out = call.getResults().initNamings(namings.size());
+        for (unsigned index = 0; index < namings.size(); ++index)
+            wire::write(out[index], namings[index]);
+    }
+
     void writeParts(FollowContext& call)
     {
         const auto& parts = m_context.feed.parts();
--- a/packages/control/src/plumfold_deployment_feed.cpp
+++ b/packages/control/src/plumfold_deployment_feed.cpp
@@ -56,6 +56,7 @@
             .with("leader", view.leaderAddress);
     bool newDocument = view.deployment->document.version != m_view.deployment->document.version;
     m_view = std::move(view);
+    m_weights.observeCurrent(m_view.deployment->weights, runtime::nowWithSuspension());
     if (newDocument)
         updateServices();
     wake();
@@ -244,6 +245,11 @@
     updateTargetClock(clock);
 }
 
+void deployment_feed::applyPeerNamings(const std::vector<core::weight_naming>& namings)
+{
+    m_weights.observe(namings, runtime::nowWithSuspension());
+}
+
 void deployment_feed::resetParts(const std::string& holder, std::uint64_t generation)
 {
     m_parts.reset(holder, generation, runtime::now());
--- a/packages/control/src/plumfold_peer_links.cpp
+++ b/packages/control/src/plumfold_peer_links.cpp
@@ -9,8 +9,9 @@
 
 /// Interval at which a peer is sent all announcements, so that targets do not time out there.
 constexpr core::milliseconds shareAllInterval { 1500 };
-/// Interval at which a peer is sent the KV parts of the stores and engines that this control VM polls.
-constexpr core::milliseconds sharePartsInterval { 150 };
+/// Interval at which a peer is sent the KV parts and loads that this control VM polls, and the ages of weight
+/// versions.
+constexpr core::milliseconds shareNewsInterval { 150 };
 constexpr unsigned maxInFlight = 64;
 constexpr std::chrono::milliseconds connectTimeout { 500 };
 constexpr std::chrono::milliseconds callTimeout { 2000 };
@@ -80,8 +81,10 @@
     }
     auto holders = feed.assignedHolders();
     auto loads = feed.loads(true);
-    bool partsDue = !(holders.empty() && loads.empty()) && now - to.sharedPartsAt > sharePartsInterval;
-    if (to.shareInFlight || (announcements.empty() && !all && !partsDue))
+    auto namings = feed.weightNamings(runtime::nowWithSuspension());
+    bool hasNews = !holders.empty() || !loads.empty() || !namings.empty();
+    bool newsDue = hasNews && now - to.sharedNewsAt > shareNewsInterval;
+    if (to.shareInFlight || (announcements.empty() && !all && !newsDue))
         return;
     auto request = KJ_ASSERT_NONNULL(to.peer).shareRequest();
     request.setAddress(m_ownAddress);
@@ -102,6 +105,9 @@
     auto outLoads = request.initLoads(loads.size());
     for (unsigned index = 0; index < loads.size(); ++index)
         wire::write(outLoads[index], loads[index]);
+    auto outNamings = request.initNamings(namings.size());
+    for (unsigned index = 0; index < namings.size(); ++index)
+        wire::write(outNamings[index], namings[index]);
     if (!holders.empty())
         request.setClock(feed.targetClock());
     to.shareInFlight = true;
@@ -111,7 +117,7 @@
     m_tasks.add(sent.then(
         [&to, change, all, now, parts = std::move(parts)] {
             to.shareInFlight = false;
-            to.sharedPartsAt = now;
+            to.sharedNewsAt = now;
             for (const auto& update : parts)
                 to.sharedParts[update.holder] = { update.holder, update.generation, update.count };
             to.sharedChange = change;
--- a/packages/core/include/plumfold/core/plumfold_target_selector.hpp
+++ b/packages/core/include/plumfold/core/plumfold_target_selector.hpp
@@ -3,6 +3,7 @@
 #include "plumfold/core/plumfold_deployment.hpp"
 #include "plumfold/core/plumfold_prompt_parts.hpp"
 #include "plumfold/core/plumfold_target_directory.hpp"
+#include "plumfold/core/plumfold_weight_history.hpp"
 
 #include <deque>
 #include <map>
@@ -102,7 +103,7 @@
     /// A silent target stays usable for this long after its latest answer.
     milliseconds maxAnswerAge { 2'000 };
     milliseconds maxLoadAge { 1'500 }; ///< Older load reports are ignored.
-    /// How long requests may start on stale weights after the current version changed.
+    /// How long requests may start on stale weights after a newer version became current.
     milliseconds staleWeightsGracePeriod { 6'000 };
     /// Added to the predicted time of targets with stale weights.
     double staleWeightsPenaltyMs = 150;
@@ -125,8 +126,10 @@
     /// that is no longer excluded count as cold for the cold time of their service, since they may have
     /// become cold without an announcement that has arrived yet.
     void setOutOfService(std::set<std::string> failureDomains, instant now);
-    /// Sets the current weight version by model.
+    /// Sets the current weight version by model. A version whose naming is not known counts as named now.
     void setWeights(const std::map<std::string, std::uint64_t>& weights, instant now);
+    /// Applies when weight versions were named. Call it before setWeights().
+    void applyWeightNamings(const std::vector<weight_naming>& namings, instant now);
     void setServices(const std::vector<service_limits>& services);
     /// Applies load reports; those of unknown targets are ignored.
     void applyLoads(const std::vector<target_load>& loads, instant now);
@@ -195,9 +198,6 @@
         bool weightsUnconfirmed = false;
         instant unconfirmedSince {};
     };
-    /// When each weight version of a model became current, as far as known here; the last one is current.
-    using weight_history = std::map<std::uint64_t, instant>;
-
     bool isResponsive(const tracked_target& target, instant now) const;
     bool isUsable(const tracked_target& target, const placement_request& request, instant now) const;
     bool hasCurrentWeights(const tracked_target& target, const std::string& model) const;
@@ -223,7 +223,7 @@
     target_selector_options m_options;
     std::map<std::string, tracked_target> m_targets;
     std::set<std::string> m_outOfService;
-    std::map<std::string, weight_history> m_weights; // by model
+    weight_history m_weights;
     std::map<std::string, service_limits> m_services;
     std::uint32_t m_entries = 1;
 };
--- a/packages/core/src/plumfold_target_selector.cpp
+++ b/packages/core/src/plumfold_target_selector.cpp
@@ -64,8 +64,12 @@
 
 void target_selector::setWeights(const std::map<std::string, std::uint64_t>& weights, instant now)
 {
-    for (const auto& [model, version] : weights)
-        m_weights[model].emplace(version, now);
+    m_weights.observeCurrent(weights, now);
+}
+
+void target_selector::applyWeightNamings(const std::vector<weight_naming>& namings, instant now)
+{
+    m_weights.observe(namings, now);
 }
 
 void target_selector::applyLoads(const std::vector<target_load>& loads, instant now)
@@ -99,15 +103,14 @@
 
 bool target_selector::hasCurrentWeights(const tracked_target& target, const std::string& model) const
 {
-    auto history = m_weights.find(model);
-    return model.empty() || history == m_weights.end()
-        || weightVersionOf(target, model) == history->second.rbegin()->first;
+    auto current = m_weights.currentVersion(model);
+    return model.empty() || !current || weightVersionOf(target, model) == *current;
 }
 
 std::string target_selector::currentWeightVersion(const std::string& model) const
 {
-    if (auto history = m_weights.find(model); history != m_weights.end())
-        return std::to_string(history->second.rbegin()->first);
+    if (auto current = m_weights.currentVersion(model))
+        return std::to_string(*current);
     for (const auto& [name, target] : m_targets) {
         for (const auto& loaded : target.last.models) {
             if (loaded.model == model)
@@ -121,11 +124,10 @@
 /// version that is newer became current.
 bool target_selector::mayStart(const tracked_target& target, const std::string& model, instant now) const
 {
-    auto history = m_weights.find(model);
-    if (model.empty() || history == m_weights.end())
+    if (model.empty())
         return true;
-    auto newer = history->second.upper_bound(weightVersionOf(target, model));
-    return newer == history->second.end() || now - newer->second < m_options.staleWeightsGracePeriod;
+    auto supersededAt = m_weights.supersededAt(model, weightVersionOf(target, model));
+    return !supersededAt || now - *supersededAt < m_options.staleWeightsGracePeriod;
 }
 
 /// A target that is silent only towards the control VMs still serves, as its answers to this entry show.
--- a/packages/forwarding/src/plumfold_deployment_follower.cpp
+++ b/packages/forwarding/src/plumfold_deployment_follower.cpp
@@ -1,5 +1,6 @@
 #include "plumfold_deployment_follower.hpp"
 
+#include "plumfold/runtime/plumfold_clock.hpp"
 #include "plumfold/runtime/plumfold_log.hpp"
 #include "plumfold/runtime/plumfold_secrets.hpp"
 #include "plumfold/wire/plumfold_convert.hpp"
@@ -108,6 +109,7 @@
 
 kj::Promise<void> deployment_follower::followOnce()
 {
+    m_calledAt = runtime::nowWithSuspension();
     auto request = KJ_ASSERT_NONNULL(m_session).followRequest();
     request.setKnownDeployment(m_knownDeployment);
     request.setFeed(m_feedId);
@@ -139,6 +141,12 @@
     update.targetClockMs = response.getClock();
     for (auto each : response.getLoads())
         update.loads.push_back(wire::read(each));
+    // The ages are those at the arrival of the call, which was not earlier than the call was made.
+    auto sinceCall = std::chrono::ceil<core::milliseconds>(runtime::nowWithSuspension() - m_calledAt);
+    for (auto each : response.getNamings()) {
+        update.weightNamings.push_back(wire::read(each));
+        update.weightNamings.back().age += sinceCall;
+    }
     for (auto each : response.getVerdicts())
         update.verdicts.push_back(wire::read(each));
     m_knownVerdicts = response.getVerdictsDigest();
--- a/packages/forwarding/src/plumfold_deployment_follower.hpp
+++ b/packages/forwarding/src/plumfold_deployment_follower.hpp
@@ -28,6 +28,7 @@
     std::string sharedLimitIssuer; ///< Control VM that grants what shared limits allow: ip:port.
     std::vector<core::part_update> parts;
     std::vector<core::target_load> loads;
+    std::vector<core::weight_naming> weightNamings; ///< Their ages are upper bounds.
     std::vector<core::crash_verdict> verdicts; ///< All of them if any has changed; else empty.
     std::optional<std::vector<core::crash_suspect>> suspects; ///< All of them, if any has changed.
     std::uint64_t targetClockMs = 0; ///< The targets' clock; 0: unknown.
@@ -72,6 +73,7 @@
     std::uint64_t m_knownSuspects = 0; // digest
     bool m_confirmed = false; // a quorum has confirmed an update at least once
     bool m_justConnected = true;
+    core::instant m_calledAt {}; // the current call, with suspensions
     bool m_prefersLocal = false; // switch to a control VM in the local failure domain
     std::map<std::string, core::part_cursor> m_parts; // position in the changes of each holder
     unsigned m_failures = 0;
--- a/packages/forwarding/src/plumfold_forwarding_role.cpp
+++ b/packages/forwarding/src/plumfold_forwarding_role.cpp
@@ -125,6 +125,7 @@
             m_state.parts.apply(holder, now);
         m_state.targetClockMs = update.targetClockMs;
         m_state.targetClockReadAt = now;
+        m_state.targetSelector.applyWeightNamings(update.weightNamings, now);
         if (update.deployment)
             applyDeployment(*update.deployment, now);
         m_metrics.set("plumfold_known_targets", static_cast<double>(m_state.targetSelector.size()));
--- a/packages/wire/src/plumfold_convert_deployment.cpp
+++ b/packages/wire/src/plumfold_convert_deployment.cpp
@@ -45,6 +45,18 @@
     return value;
 }
 
+void write(WeightNaming::Builder out, const core::weight_naming& value)
+{
+    out.setModel(value.model);
+    out.setVersion(value.version);
+    out.setAgeMs(static_cast<std::uint64_t>(value.age.count()));
+}
+
+core::weight_naming read(WeightNaming::Reader in)
+{
+    return { text(in.getModel()), in.getVersion(), core::milliseconds(in.getAgeMs()) };
+}
+
 void write(AnnouncedTarget::Builder out, const core::target_announcement& value)
 {
     out.setName(value.name);
