--- a/tests/forwarding/plumfold_old_weights_tests.cpp
+++ b/tests/forwarding/plumfold_old_weights_tests.cpp
@@ -65,3 +65,18 @@
     CHECK(system.lateRequests() == 0);
     CHECK(system.servedShare(calmSince) >= mostRequests);
 }
+
+TEST_CASE(
+    "An engine that does not execute orders does not hold up the other engines", "[forwarding][weights]")
+{
+    auto behaviour = GENERATE(order_behaviour::ignore, order_behaviour::never_respond);
+    weights_system system("t1", behaviour);
+    system.startCallers();
+    system.name(5);
+    auto namedAt = std::chrono::steady_clock::now();
+    system.sleepFor(weights_system::bound + milliseconds(1'000));
+    system.stopCallers();
+    CHECK(system.lateRequests() == 0);
+    CHECK(system.enginesWith(5) == 3);
+    CHECK(system.servedShare(namedAt) >= mostRequests);
+}
--- a/tests/forwarding/support/plumfold_scripted_target.cpp
+++ b/tests/forwarding/support/plumfold_scripted_target.cpp
@@ -150,6 +150,11 @@
                 continue;
             }
             const auto& path = current.request.path;
+            bool isManagementCall = path == "/report" || path == "/order";
+            if (m_weights && isManagementCall && m_weights->orders == order_behaviour::never_respond) {
+                neverRespond(current);
+                continue;
+            }
             if (m_weights && path == "/report") {
                 respondReport(current);
                 continue;
--- a/tests/forwarding/support/plumfold_scripted_target.hpp
+++ b/tests/forwarding/support/plumfold_scripted_target.hpp
@@ -28,6 +28,7 @@
 enum class order_behaviour {
     execute,
     ignore, ///< Accepts it and never executes it.
+    never_respond, ///< Responds neither to orders nor to requests for reports.
 };
 
 /// The model of a target, and the weight version that it has loaded.
--- a/tests/forwarding/support/plumfold_weights_system.hpp
+++ b/tests/forwarding/support/plumfold_weights_system.hpp
@@ -12,7 +12,7 @@
 namespace plumfold::tests {
 
 /// Three control VMs, two entries and four engines of one model whose weights are replaced. One engine
-/// accepts orders to load weights and never executes them.
+/// does not execute orders to load weights.
 class weights_system : public forwarding_system {
 public:
     using time_point = std::chrono::steady_clock::time_point;
@@ -20,8 +20,8 @@
     static constexpr std::uint64_t firstVersion = 4;
     static constexpr int entries = 2;
 
-    /// @param idle name of the engine that ignores orders.
-    explicit weights_system(const std::string& idle)
+    /// @param failing name of the engine that does not execute orders.
+    explicit weights_system(const std::string& failing, order_behaviour behaviour = order_behaviour::ignore)
     {
         setWeightsBound(bound);
         for (int number = 1; number <= 3; ++number)
@@ -31,8 +31,7 @@
             startEntry(number);
         for (const auto* name : { "t1", "t2", "t3", "t4" }) {
             auto& target = startTarget(name);
-            target.setWeights(
-                "base", firstVersion, name == idle ? order_behaviour::ignore : order_behaviour::execute);
+            target.setWeights("base", firstVersion, name == failing ? behaviour : order_behaviour::execute);
             m_targets.push_back(&target);
         }
         startAnnouncing();
