Order engines to load weights in a fair order, and let idle ones give up their place

Callers saw: with one engine that accepts orders and never executes them, all engines kept their old weights, and every request was refused once the time for old weights was over.

Cause: of the engines with old weights the first by name was ordered, kept its place among the concurrent loads until the order counted as lost after 2 s (6 s if its report could not be read), and was ordered again after half a second, before the others. The step also called engines one after the other, up to 400 ms each.

Ruled out: an engine that does not respond at all; it was passed over and its test passed before.

Change: core::weight_rollout decides, without I/O: those that failed least often first, back-off of 0.5 to 4 s by engine and model, and a load that no report shows as running holds its place for one second. Reports are read and orders sent side by side.

Conclusion: one failing engine costs the others one second for each round of loads. Loads are known by engine and model now, not by engine alone.

--- a/packages/control/src/plumfold_weight_rollout_thread.cpp
+++ b/packages/control/src/plumfold_weight_rollout_thread.cpp
@@ -5,6 +5,9 @@
 #include "plumfold/runtime/plumfold_log.hpp"
 
 #include <algorithm>
+#include <future>
+#include <map>
+#include <vector>
 
 namespace plumfold::control {
 
@@ -13,16 +16,29 @@
 constexpr const char* leaseName = "target-orders";
 constexpr core::milliseconds stepInterval { 100 };
 constexpr core::milliseconds callTimeout { 400 };
-constexpr core::milliseconds checkInterval { 300 };
-/// An order counts as lost after this time if the target's report cannot be read. An order without a response
-/// may still be executed some seconds later.
-constexpr core::milliseconds orderOutcomeTimeout { 6'000 };
-constexpr core::milliseconds retryDelay { 500 };
+constexpr std::size_t maxConcurrentCalls = 16;
 constexpr auto leaseCallTimeout = 1000 * kj::MILLISECONDS;
 /// The replicated lease lasts twice as long as its holder uses it, so that orders of two holders are at least
 /// one lease time apart.
 constexpr int leaseTimeFactor = 2;
 
+/// Calls targets side by side, so that one that does not respond delays the others once only.
+/// @return the results, in the order of the targets.
+template <class Call> auto callAll(const std::vector<core::outdated_target>& targets, const Call& call)
+{
+    using result = decltype(call(targets.front()));
+    std::vector<result> results;
+    for (std::size_t first = 0; first < targets.size(); first += maxConcurrentCalls) {
+        std::vector<std::future<result>> pending;
+        auto end = std::min(first + maxConcurrentCalls, targets.size());
+        for (auto index = first; index < end; ++index)
+            pending.push_back(std::async(std::launch::async, [&, index] { return call(targets[index]); }));
+        for (auto& each : pending)
+            results.push_back(each.get());
+    }
+    return results;
+}
+
 } // namespace
 
 weight_rollout_thread::weight_rollout_thread(
@@ -54,6 +70,7 @@
 {
     return m_rpc.run([this] {
         rollout_state rollouts;
+        std::map<std::string, std::size_t> targetCounts; // ready ones, by model
         const auto& view = m_feed.view();
         if (!view.isLeader || !view.isCaughtUp)
             return rollouts;
@@ -61,14 +78,17 @@
             if (entry.last.state != core::target_state::ready)
                 continue;
             for (const auto& model : entry.last.models) {
-                ++rollouts.targetCounts[model.model];
+                ++targetCounts[model.model];
                 auto current = view.deployment->weights.find(model.model);
                 if (current != view.deployment->weights.end()
                     && std::to_string(current->second) != model.version)
-                    rollouts.staleTargets.push_back(
+                    rollouts.outdatedTargets.push_back(
                         { name, entry.last.address, model.model, current->second });
             }
         }
+        for (const auto& [model, count] : targetCounts)
+            rollouts.loadLimits[model]
+                = core::concurrentLoads(count, m_settings.control->concurrentLoadPercent);
         return rollouts;
     });
 }
@@ -76,39 +96,14 @@
 void weight_rollout_thread::step()
 {
     auto rollouts = readRollouts();
-    const auto& stale = rollouts.staleTargets;
-    std::erase_if(m_loads, [&](const auto& load) {
-        return std::none_of(stale.begin(), stale.end(), [&](const auto& each) {
-            return each.name == load.first && each.currentVersion == load.second.version;
-        });
-    });
-    if (stale.empty()) {
+    const auto& outdated = rollouts.outdatedTargets;
+    m_rollout.retain(outdated);
+    if (outdated.empty()) {
         m_hasLease = false;
         return;
     }
-    for (const auto& target : stale) {
-        auto load = m_loads.find(target.name);
-        if (load != m_loads.end())
-            checkLoad(target, load->second);
-    }
-    for (const auto& target : stale) {
-        if (m_stopping)
-            return;
-        if (!mayLoad(target.model, rollouts.targetCounts[target.model]) || m_loads.contains(target.name)
-            || runtime::now() < m_nextAttemptAt[target.name])
-            continue;
-        if (!acquireLease())
-            return;
-        sendOrder(target);
-    }
-}
-
-bool weight_rollout_thread::mayLoad(const std::string& model, std::size_t targets) const
-{
-    auto loading = std::count_if(
-        m_loads.begin(), m_loads.end(), [&](const auto& each) { return each.second.model == model; });
-    return static_cast<std::size_t>(loading)
-        < core::concurrentLoads(targets, m_settings.control->concurrentLoadPercent);
+    checkLoads(outdated);
+    sendOrders(rollouts);
 }
 
 bool weight_rollout_thread::acquireLease()
@@ -139,44 +134,67 @@
     return m_hasLease;
 }
 
-void weight_rollout_thread::checkLoad(const stale_target& target, load_in_progress& load)
+void weight_rollout_thread::checkLoads(const std::vector<core::outdated_target>& targets)
 {
-    auto now = runtime::now();
-    if (now < load.nextCheck)
-        return;
-    load.nextCheck = now + checkInterval;
-    auto report = m_client.readReport(target.address, target.name);
-    if (report.ok() && report->weights[target.model] == target.currentVersion) {
+    auto due = m_rollout.dueChecks(targets, runtime::now());
+    auto reports = callAll(
+        due, [this](const auto& target) { return m_client.readReport(target.address, target.name); });
+    for (std::size_t index = 0; index < due.size(); ++index)
+        onReport(due[index], reports[index]);
+}
+
+void weight_rollout_thread::onReport(const core::outdated_target& target, const target_report& report)
+{
+    auto progress = core::load_progress::unknown;
+    if (report.ok()) {
+        auto loaded = report->weights.find(target.model);
+        bool isComplete = loaded != report->weights.end() && loaded->second == target.currentVersion;
+        progress = isComplete ? core::load_progress::complete
+            : report->isBusy  ? core::load_progress::running
+                              : core::load_progress::idle;
+    }
+    bool isLost = m_rollout.onChecked(target, progress, runtime::now());
+    if (progress == core::load_progress::complete) {
         m_rpc.run([&] { m_feed.onWeightsLoaded(target.name, target.model, target.currentVersion); });
         runtime::log_event("weights_loaded")
             .with("target", target.name)
             .with("version", target.currentVersion);
-        m_loads.erase(target.name);
-        return;
     }
-    // A target that stays idle without the version did not execute the order.
-    bool lost = report.ok() ? !report->isBusy && now - load.orderedAt > core::milliseconds(2000)
-                            : now - load.orderedAt > orderOutcomeTimeout;
-    if (!lost)
+    if (isLost)
+        runtime::log_event("order_lost", runtime::log_level::warning)
+            .with("target", target.name)
+            .with("version", target.currentVersion)
+            .with("report", report.ok() ? "idle" : "unreadable");
+}
+
+void weight_rollout_thread::sendOrders(const rollout_state& rollouts)
+{
+    auto due = m_rollout.dueOrders(rollouts.outdatedTargets, rollouts.loadLimits, runtime::now());
+    if (due.empty() || m_stopping || !acquireLease())
         return;
-    runtime::log_event("order_lost", runtime::log_level::warning)
-        .with("target", target.name)
-        .with("version", target.currentVersion);
-    m_loads.erase(target.name);
+    auto attempts = callAll(due, [this](const auto& target) { return sendOrder(target); });
+    for (std::size_t index = 0; index < due.size(); ++index) {
+        if (attempts[index].mayLoad)
+            m_rollout.onOrdered(due[index], runtime::now());
+        else
+            m_rollout.onNotOrdered(due[index], runtime::now());
+        if (attempts[index].isFenced)
+            m_hasLease = false;
+    }
 }
 
-void weight_rollout_thread::sendOrder(const stale_target& target)
+weight_rollout_thread::order_attempt weight_rollout_thread::sendOrder(
+    const core::outdated_target& target) const
 {
-    auto now = runtime::now();
-    m_nextAttemptAt[target.name] = now + retryDelay;
     auto report = m_client.readReport(target.address, target.name);
-    if (!report.ok())
-        return;
-    load_in_progress load { target.model, target.currentVersion, now, now + checkInterval };
-    if (report->weights[target.model] == target.currentVersion || report->isBusy) {
-        m_loads[target.name] = load;
-        return;
+    if (!report.ok()) {
+        runtime::log_event("order_not_given", runtime::log_level::warning)
+            .with("target", target.name)
+            .with("reason", std::string(report.status().message()));
+        return {};
     }
+    if (report->weights[target.model] == target.currentVersion || report->isBusy)
+        return { true, false };
     platform::load_order order { target.model, target.currentVersion, platform::weight_swap_mode::drain,
         m_settings.control->address, m_fencingToken, report->acceptedOrders };
     auto result = m_client.order(target.address, target.name, order);
@@ -187,12 +205,9 @@
         .with("fence", m_fencingToken)
         .with("accepted_orders", report->acceptedOrders)
         .with("answer", result.ok() ? static_cast<int>(*result) : -1);
-    if (result.ok() && *result == platform::order_result::fenced)
-        m_hasLease = false;
-    bool mayBeAccepted = !result.ok() || *result == platform::order_result::accepted
+    bool mayLoad = !result.ok() || *result == platform::order_result::accepted
         || *result == platform::order_result::already_loaded;
-    if (mayBeAccepted)
-        m_loads[target.name] = load;
+    return { mayLoad, result.ok() && *result == platform::order_result::fenced };
 }
 
 } // namespace plumfold::control
--- a/packages/control/src/plumfold_weight_rollout_thread.hpp
+++ b/packages/control/src/plumfold_weight_rollout_thread.hpp
@@ -3,6 +3,7 @@
 #include "plumfold_deployment_feed.hpp"
 #include "plumfold_leader_client.hpp"
 
+#include "plumfold/core/plumfold_weight_rollout.hpp"
 #include "plumfold/platform/plumfold_platform_target_calls.hpp"
 
 #include <atomic>
@@ -19,49 +20,40 @@
     ~weight_rollout_thread();
 
 private:
-    /// A target that has not loaded the current weight version of one of its models.
-    struct stale_target {
-        std::string name;
-        std::string address;
-        std::string model;
-        std::uint64_t currentVersion = 0;
-        auto operator<=>(const stale_target&) const = default;
-    };
     /// Progress of the rollouts to the ready targets.
     struct rollout_state {
-        std::vector<stale_target> staleTargets;
-        std::map<std::string, std::size_t> targetCounts; ///< Ready targets by model.
+        std::vector<core::outdated_target> outdatedTargets;
+        std::map<std::string, std::size_t> loadLimits; ///< Targets that may load at the same time, by model.
     };
-    /// A load that was ordered, or found in progress or complete before its order.
-    struct load_in_progress {
-        std::string model;
-        std::uint64_t version = 0;
-        core::instant orderedAt {};
-        core::instant nextCheck {};
+    using target_report = absl::StatusOr<platform::target_state_report>;
+    /// The outcome of an attempt to order a target.
+    struct order_attempt {
+        bool mayLoad = false; ///< It may execute an order, or has the version already.
+        bool isFenced = false;
     };
 
     void run();
     void step();
-    /// @param targets number of ready targets that have the model.
-    /// @return whether one more of them may load weights now.
-    bool mayLoad(const std::string& model, std::size_t targets) const;
     /// @return the state of the rollouts; empty unless this control VM leads and has a quorum.
     rollout_state readRollouts();
     /// Acquires the lease, or renews it when a third of its time has passed.
     /// @return whether orders may be sent.
     bool acquireLease();
-    /// Checks the progress of a load and removes it when it is complete or lost.
-    void checkLoad(const stale_target& target, load_in_progress& load);
-    /// Orders a target to load its current version, unless it is busy or has loaded it already.
-    void sendOrder(const stale_target& target);
+    /// Checks the progress of the loads that are due.
+    void checkLoads(const std::vector<core::outdated_target>& targets);
+    void onReport(const core::outdated_target& target, const target_report& report);
+    /// Orders the targets that are due to load their current versions.
+    void sendOrders(const rollout_state& rollouts);
+    /// Orders a target to load its current version, unless it is busy or has loaded it already. May be called
+    /// on several threads at once.
+    order_attempt sendOrder(const core::outdated_target& target) const;
 
     wire::rpc_thread& m_rpc;
     const runtime::settings& m_settings;
     deployment_feed& m_feed;
     leader_client& m_leader;
     platform::target_client m_client;
-    std::map<std::string, load_in_progress> m_loads; // by target
-    std::map<std::string, core::instant> m_nextAttemptAt; // by target: earliest time of the next order
+    core::weight_rollout m_rollout;
     std::uint64_t m_fencingToken = 0;
     core::instant m_leaseRequestedAt {};
     bool m_hasLease = false;
