Soak: no late request on old weights while processes stop, restart and are suspended

Four versions are named one after another; before each a control VM is restarted, after each an entry is killed or suspended three times. One of four engines never loads, so that there is always one with old weights.

--- a/tests/forwarding/plumfold_old_weights_tests.cpp
+++ b/tests/forwarding/plumfold_old_weights_tests.cpp
@@ -1,7 +1,10 @@
+#include "support/plumfold_disturbances.hpp"
 #include "support/plumfold_weights_system.hpp"
 
 #include <catch2/catch.hpp>
 
+#include <random>
+
 using namespace plumfold::tests;
 using std::chrono::milliseconds;
 
@@ -80,3 +83,51 @@
     CHECK(system.enginesWith(5) == 3);
     CHECK(system.servedShare(namedAt) >= mostRequests);
 }
+
+TEST_CASE(
+    "No request begins on old weights after their time while control VMs and entries stop, restart and are "
+    "suspended",
+    "[forwarding][weights][soak]")
+{
+    weights_system system("t4");
+    std::minstd_rand random(soakSeed());
+    system.startCallers();
+    auto begin = std::chrono::steady_clock::now();
+    auto restartControl = [&] {
+        auto number = static_cast<int>(1 + random() % 3);
+        system.process("c" + std::to_string(number)).kill();
+        system.startControl(number);
+    };
+    auto disturbEntry = [&] {
+        auto number = static_cast<int>(1 + random() % weights_system::entries);
+        auto name = "n" + std::to_string(number);
+        if (random() % 2 == 0) {
+            system.process(name).kill();
+            system.startEntry(number);
+            return;
+        }
+        system.process(name).pause();
+        system.sleepFor(milliseconds(200 + random() % 2'500));
+        system.process(name).resume();
+    };
+    constexpr std::uint64_t lastVersion = 8;
+    for (std::uint64_t version = 5; version <= lastVersion; ++version) {
+        // At least two control VMs keep running, so that when versions were named is not forgotten.
+        restartControl();
+        system.sleepFor(milliseconds(500 + random() % 1'500));
+        system.name(version);
+        for (int count = 0; count < 3; ++count) {
+            system.sleepFor(milliseconds(300 + random() % 1'500));
+            disturbEntry();
+        }
+    }
+    for (int number = 1; number <= weights_system::entries; ++number)
+        system.eventually([&] { return system.sendRequest(number) == 200; });
+    auto calmSince = std::chrono::steady_clock::now();
+    system.sleepFor(weights_system::bound);
+    system.stopCallers();
+    CHECK(system.lateRequests() == 0);
+    CHECK(system.enginesWith(lastVersion) == 3);
+    CHECK(system.servedShare(calmSince) >= mostRequests);
+    CHECK(system.servedShare(begin) >= 0.5);
+}
