--- a/packages/core/include/plumfold/core/plumfold_target_selector.hpp
+++ b/packages/core/include/plumfold/core/plumfold_target_selector.hpp
@@ -129,7 +129,8 @@
     /// Sets the current weight version by model. A version whose naming is not known counts as named now.
     void setWeights(const std::map<std::string, std::uint64_t>& weights, instant now);
     /// Applies when weight versions were named. Call it before setWeights().
-    void applyWeightNamings(const std::vector<weight_naming>& namings, instant now);
+    /// @return those of a later version than was known.
+    std::vector<weight_naming> applyWeightNamings(const std::vector<weight_naming>& namings, instant now);
     void setServices(const std::vector<service_limits>& services);
     /// Applies load reports; those of unknown targets are ignored.
     void applyLoads(const std::vector<target_load>& loads, instant now);
--- a/packages/core/include/plumfold/core/plumfold_weight_history.hpp
+++ b/packages/core/include/plumfold/core/plumfold_weight_history.hpp
@@ -28,7 +28,8 @@
     void observe(const std::string& model, std::uint64_t version, instant at);
 
     /// Records versions that have become current at the reported ages before a time.
-    void observe(const std::vector<weight_naming>& namings, instant now);
+    /// @return those of a later version than was known.
+    std::vector<weight_naming> observe(const std::vector<weight_naming>& namings, instant now);
 
     /// Records the current versions. Those that are not known yet count as current from now on.
     /// @param weights current version by model.
--- a/packages/core/src/plumfold_target_selector.cpp
+++ b/packages/core/src/plumfold_target_selector.cpp
@@ -67,9 +67,10 @@
     m_weights.observeCurrent(weights, now);
 }
 
-void target_selector::applyWeightNamings(const std::vector<weight_naming>& namings, instant now)
+std::vector<weight_naming> target_selector::applyWeightNamings(
+    const std::vector<weight_naming>& namings, instant now)
 {
-    m_weights.observe(namings, now);
+    return m_weights.observe(namings, now);
 }
 
 void target_selector::applyLoads(const std::vector<target_load>& loads, instant now)
--- a/packages/core/src/plumfold_weight_history.cpp
+++ b/packages/core/src/plumfold_weight_history.cpp
@@ -22,10 +22,15 @@
     versions.begin()->second = std::min(versions.begin()->second, removed.mapped());
 }
 
-void weight_history::observe(const std::vector<weight_naming>& namings, instant now)
+std::vector<weight_naming> weight_history::observe(const std::vector<weight_naming>& namings, instant now)
 {
-    for (const auto& each : namings)
+    std::vector<weight_naming> added;
+    for (const auto& each : namings) {
+        if (currentVersion(each.model).value_or(0) < each.version)
+            added.push_back(each);
         observe(each.model, each.version, now - each.age);
+    }
+    return added;
 }
 
 void weight_history::observeCurrent(const std::map<std::string, std::uint64_t>& weights, instant now)
--- a/packages/forwarding/src/plumfold_forwarding_role.cpp
+++ b/packages/forwarding/src/plumfold_forwarding_role.cpp
@@ -125,7 +125,11 @@
             m_state.parts.apply(holder, now);
         m_state.targetClockMs = update.targetClockMs;
         m_state.targetClockReadAt = now;
-        m_state.targetSelector.applyWeightNamings(update.weightNamings, now);
+        for (const auto& each : m_state.targetSelector.applyWeightNamings(update.weightNamings, now))
+            runtime::log_event("weights_named")
+                .with("model", each.model)
+                .with("version", each.version)
+                .with("age_ms", each.age.count());
         if (update.deployment)
             applyDeployment(*update.deployment, now);
         m_metrics.set("plumfold_known_targets", static_cast<double>(m_state.targetSelector.size()));
