Failing test: brittle targets fall over at twice their load

Three control VMs, four entries, four targets of four slots and 16 places to wait. For 12 s the targets say that they are brittle (Server-Brittle: 3 or 10); after 3 s no or two requests may wait, and a target that rejects more in a second ends, and is back under another name after 3 s. Callers send twice what the slots can run, to all entries by turns.

Demanded: at most 2 + a tenth of the targets fall, half of what the slots can run is served, each caller gets 200 or 503, the latter with Retry-After within a quarter of the route's latency target, and the former throughput returns after the brittle time.

--- a/tests/forwarding/support/plumfold_scripted_target.cpp
+++ b/tests/forwarding/support/plumfold_scripted_target.cpp
@@ -93,6 +93,23 @@
     current.keepAlive = false;
 }
 
+void scripted_target::serveWithRoom(exchange& current)
+{
+    auto entered = m_room->enter([this] { return m_stopping.load(); });
+    if (entered == scripted_room::result::overloaded) {
+        crash();
+        current.keepAlive = false;
+        return;
+    }
+    if (entered == scripted_room::result::rejected) {
+        current.sendResponse("503 Service Unavailable", "Not-Executed: 1\r\n" + m_room->headers(), "");
+        return;
+    }
+    std::this_thread::sleep_for(workTime);
+    m_room->leave();
+    current.sendResponse("200 OK", "Response-Signature: " + m_name + "\r\n" + m_room->headers(), "served");
+}
+
 void scripted_target::serve(Poco::Net::StreamSocket socket)
 {
     static const std::map<std::string, behaviour> behaviours {
@@ -164,6 +181,10 @@
                 continue;
             }
             bool isControlCall = path.starts_with("/report") || path.starts_with("/kv-");
+            if (m_room && !isControlCall) {
+                serveWithRoom(current);
+                continue;
+            }
             auto found
                 = behaviours.find(isControlCall ? m_controlBehaviour : path.substr(path.rfind('/') + 1));
             (this->*(found == behaviours.end() ? &scripted_target::respondComplete : found->second))(current);
--- a/tests/forwarding/support/plumfold_scripted_target.hpp
+++ b/tests/forwarding/support/plumfold_scripted_target.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "plumfold_scripted_room.hpp"
+
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocket.h>
 
@@ -7,6 +9,7 @@
 #include <chrono>
 #include <functional>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <optional>
 #include <string>
@@ -63,6 +66,12 @@
     /// @return the loaded weights; nothing for a target without a model.
     std::optional<scripted_weights> weights() const;
 
+    /// Limits the requests that the target runs and lets wait; all take the same time. Call it before the
+    /// target serves requests.
+    void setRoom(int slots, int waiting) { m_room = std::make_unique<scripted_room>(slots, waiting); }
+    /// @return null unless setRoom() was called.
+    scripted_room* room() { return m_room.get(); }
+
     /// Lets the target crash while it runs a request for which the condition holds. Call it before the target
     /// serves requests.
     void setCrashCondition(std::function<bool(const recorded_request&)> condition)
@@ -88,6 +97,7 @@
     void crashWhileServing(exchange& current);
     /// @return whether the request was rejected because of the target's weights.
     bool rejectForWeights(exchange& current);
+    void serveWithRoom(exchange& current);
     void respondReport(exchange& current);
     void respondToOrder(exchange& current);
     void completeLoad();
@@ -139,6 +149,7 @@
     mutable std::mutex m_mutex;
     std::vector<recorded_request> m_requests;
     std::optional<scripted_weights> m_weights;
+    std::unique_ptr<scripted_room> m_room;
     std::atomic<int> m_abandoned { 0 };
     std::atomic<bool> m_stopping { false };
     std::atomic<bool> m_crashed { false };
