Limit what each entry has in flight at brittle targets to its part of their slots

Callers saw: when the targets of a service said that they were brittle (Server-Brittle) and let fewer requests wait, they fell over one after the other and next to nothing was served.

Cause: the header was not read. Requests beyond the slots waited at the targets; when fewer could wait, each further one was rejected and sent to the next target, which rejected it as well.

Ruled out: a limit for each entry by its own rejections alone. All entries learn of the smaller room at the same time, and one rejection for each is more than a target bears if it bears fewer than there are entries.

Change: core::brittle_limiter. While a service is brittle, an entry has at most slots / entries requests in flight at a target and uses none of its room for waiting requests. A rejection halves that and starts nothing for as long as the entry's part of the rejections lasts; a request that was rejected for want of room is not tried on another brittle target; a target that starts meanwhile begins with one request; cancelled attempts occupy their place for half a second. With fewer slots than entries, entries draw for half of the slots each second. A request without a place waits for an eighth of its latency target and is refused with reason=targets_full.

Entries with uneven load cannot use each other's places.

--- a/packages/core/include/plumfold/core/plumfold_target_selector.hpp
+++ b/packages/core/include/plumfold/core/plumfold_target_selector.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "plumfold/core/plumfold_brittle_limiter.hpp"
 #include "plumfold/core/plumfold_deployment.hpp"
 #include "plumfold/core/plumfold_prompt_parts.hpp"
 #include "plumfold/core/plumfold_target_directory.hpp"
@@ -97,6 +98,7 @@
 /// Settings of a target_selector.
 struct target_selector_options {
     std::string failureDomain; ///< Of this entry; local targets are preferred.
+    std::string entryName {}; ///< Of this entry; different from those of all others.
     milliseconds initialBackoff { 400 }; ///< Back-off after a first failure; doubles with each further one.
     milliseconds maxBackoff { 5'000 };
     engine_latency_model latencyModel {};
@@ -115,6 +117,7 @@
 public:
     explicit target_selector(target_selector_options options)
         : m_options(std::move(options))
+        , m_brittleLimiter(m_options.entryName)
     {
     }
 
@@ -134,7 +137,11 @@
     /// Applies load reports; those of unknown targets are ignored.
     void applyLoads(const std::vector<target_load>& loads, instant now);
     /// @param count entries that send requests to the same targets.
-    void setEntryCount(std::uint32_t count) { m_entries = count; }
+    void setEntryCount(std::uint32_t count, instant now)
+    {
+        m_entries = count;
+        m_brittleLimiter.setEntryCount(count, now);
+    }
 
     /// Selects a target and records the start of an attempt on it. Each must be ended by onAttemptEnded().
     placement_result choose(const placement_request& request, instant now);
@@ -143,6 +150,18 @@
     /// @param tokens memory that was expected for the attempt, see expectedTokens().
     void onAttemptEnded(const std::string& target, attempt_result result, std::uint64_t tokens, instant now);
 
+    /// Records what a target's response tells about its room for requests.
+    /// @param maxRejections rejections per second that the target bears; nothing: it is not brittle.
+    /// @param isRejection the target did not run the request for want of room.
+    void onResponse(
+        const std::string& target, std::optional<std::uint32_t> maxRejections, bool isRejection, instant now);
+
+    /// Records that a target may still run a request whose attempt was ended by this entry.
+    void onAttemptCancelled(const std::string& target, instant now);
+
+    /// @return whether the targets of a service declare themselves brittle.
+    bool isBrittle(const std::string& service) const { return m_brittleLimiter.isBrittle(service); }
+
     /// Excludes a cold target for a time because no request may start on it.
     void onColdStartRefused(const std::string& target, instant until);
 
@@ -204,6 +223,7 @@
     bool mayStart(const tracked_target& target, const std::string& model, instant now) const;
     static std::uint64_t weightVersionOf(const tracked_target& target, const std::string& model);
     bool isCold(const tracked_target& target, instant now) const;
+    bool isAtLimit(const tracked_target& target, instant now) const;
     tracked_target* selectTarget(
         std::vector<tracked_target*>& candidates, const placement_request& request, instant now) const;
     tracked_target* selectForSession(
@@ -226,6 +246,7 @@
     weight_history m_weights;
     std::map<std::string, service_limits> m_services;
     std::uint32_t m_entries = 1;
+    brittle_limiter m_brittleLimiter;
 };
 
 /// Limits the retries of an entry to each service within a sliding window to a share of its requests.
--- a/packages/core/src/plumfold_target_selector.cpp
+++ b/packages/core/src/plumfold_target_selector.cpp
@@ -34,6 +34,7 @@
         if (each.startedAt != known.last.startedAt) {
             known.backoffUntil = now;
             known.currentBackoff = milliseconds(0);
+            m_brittleLimiter.onTargetStarted(each.service, each.name, now);
         }
         bool sameWeights = each.models == known.last.models;
         known.last = each;
@@ -43,7 +44,10 @@
     std::erase_if(m_targets, [&](const auto& each) {
         bool gone = isComplete && !announced.contains(each.first);
         bool left = each.second.last.state == target_state::leaving;
-        return (gone || left) && each.second.inFlight == 0;
+        bool isRemoved = (gone || left) && each.second.inFlight == 0;
+        if (isRemoved)
+            m_brittleLimiter.removeTarget(each.first);
+        return isRemoved;
     });
     for (auto& [name, each] : m_targets) {
         if (isComplete && !announced.contains(name))
@@ -186,11 +190,19 @@
     return isCold && limits != m_services.end() && limits->second.coldRequestsPerSecond > 0;
 }
 
+/// @return whether this entry has as many requests on a brittle target as it may have.
+bool target_selector::isAtLimit(const tracked_target& target, instant now) const
+{
+    auto limit = m_brittleLimiter.limit(target.last.service, target.last.name, target.last.slots, now);
+    return limit && target.inFlight >= *limit;
+}
+
 placement_result target_selector::choose(const placement_request& request, instant now)
 {
     placement_result answer;
     std::vector<tracked_target*> candidates;
     std::optional<instant> nextColdStart;
+    bool isFull = false;
     for (auto& [name, target] : m_targets) {
         if (!isUsable(target, request, now))
             continue;
@@ -198,7 +210,11 @@
             nextColdStart = std::min(nextColdStart.value_or(instant::max()), target.coldStartRefusedUntil);
             continue;
         }
-        if (mayStart(target, request.model, now))
+        if (!mayStart(target, request.model, now))
+            continue;
+        bool isTargetFull = isAtLimit(target, now);
+        isFull = isFull || isTargetFull;
+        if (!isTargetFull)
             candidates.push_back(&target);
     }
     auto* chosen = selectTarget(candidates, request, now);
@@ -213,9 +229,11 @@
         answer.chosen->isTargetUnderLoad = isUnderLoad(*chosen, now);
         return answer;
     }
-    answer.reason = nextColdStart ? placement_failure::cold : placement_failure::no_target;
+    answer.reason = isFull ? placement_failure::full
+        : nextColdStart    ? placement_failure::cold
+                           : placement_failure::no_target;
     answer.retryAfter = retryWithoutTarget;
-    if (nextColdStart)
+    if (answer.reason == placement_failure::cold)
         answer.retryAfter
             = std::max(minRetryAfterCold, std::chrono::ceil<milliseconds>(*nextColdStart - now));
     return answer;
@@ -397,6 +415,24 @@
     each.backoffUntil = now + each.currentBackoff;
 }
 
+void target_selector::onResponse(
+    const std::string& target, std::optional<std::uint32_t> maxRejections, bool isRejection, instant now)
+{
+    auto found = m_targets.find(target);
+    if (found == m_targets.end())
+        return;
+    const auto& service = found->second.last.service;
+    m_brittleLimiter.onResponse(service, maxRejections, now);
+    if (isRejection)
+        m_brittleLimiter.onRejection(service, target, now);
+}
+
+void target_selector::onAttemptCancelled(const std::string& target, instant now)
+{
+    if (auto found = m_targets.find(target); found != m_targets.end())
+        m_brittleLimiter.onAttemptCancelled(found->second.last.service, target, now);
+}
+
 void target_selector::onColdStartRefused(const std::string& target, instant until)
 {
     if (auto found = m_targets.find(target); found != m_targets.end())
--- a/packages/forwarding/src/plumfold_forwarding_role.cpp
+++ b/packages/forwarding/src/plumfold_forwarding_role.cpp
@@ -31,6 +31,7 @@
 {
     core::target_selector_options options;
     options.failureDomain = settings.process.failureDomain;
+    options.entryName = settings.process.name;
     options.staleWeightsGracePeriod
         = core::milliseconds(settings.forwarding->weightsBoundMs * staleWeightsPercent / percent);
     return options;
@@ -117,7 +118,7 @@
         auto now = runtime::now();
         m_state.targetSelector.applyAnnouncements(update.targets, update.isSnapshot, now);
         m_state.targetSelector.applyLoads(update.loads, now);
-        m_state.targetSelector.setEntryCount(update.entries);
+        m_state.targetSelector.setEntryCount(update.entries, now);
         m_sharedLimits.setIssuer(update.sharedLimitIssuer);
         setControl(update.control);
         applyVerdicts(update, now);
--- a/packages/forwarding/src/plumfold_request_attempt.cpp
+++ b/packages/forwarding/src/plumfold_request_attempt.cpp
@@ -137,6 +137,7 @@
     m_lastByteAt = m_sentAt;
     m_targetUnresponsive = false;
     m_mayTargetHaveEnded = false;
+    m_wasRejectedForRoom = false;
     armWatchdog();
     ++m_attemptCount;
     bool mayHaveExecutedBefore = m_mayHaveExecuted;
@@ -144,6 +145,8 @@
     if (!co_await send(*m_connection, placement))
         co_return classifyFailure(asio::error::broken_pipe);
     auto end = co_await receive(*m_connection);
+    if (end == core::attempt_result::abandoned || end == core::attempt_result::lost)
+        m_state.targetSelector.onAttemptCancelled(placement.target, runtime::now());
     if (end == core::attempt_result::refused)
         m_mayHaveExecuted = mayHaveExecutedBefore;
     co_return end;
@@ -213,6 +216,10 @@
                 co_return classifyFailure(http::error::partial_message);
             continue;
         }
+        m_wasRejectedForRoom = head.isNotExecuted && !head.isMisdirected;
+        if (!head.isMisdirected)
+            m_state.targetSelector.onResponse(
+                m_lastTarget, head.maxRejectionsPerSecond, m_wasRejectedForRoom, runtime::now());
         auto end = isStream ? co_await relayStream(parser) : co_await receiveBuffered(parser, head);
         bool isComplete = parser.is_done() && !parser.need_eof();
         bool isReusable = isComplete && end != core::attempt_result::lost && parser.keep_alive();
--- a/packages/forwarding/src/plumfold_request_forwarder.cpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.cpp
@@ -293,6 +293,9 @@
             break;
         if (attemptResult == core::attempt_result::not_reached)
             m_unreachableTargets.insert(selection.chosen->target);
+        // Another brittle target might have to reject it, too.
+        if (m_wasRejectedForRoom && m_state.targetSelector.isBrittle(m_service))
+            break;
         if (!mayRetry() || m_unreachableTargets.size() > 3)
             break;
         bool isWithinBudget = co_await takeRetryBudget();
--- a/packages/forwarding/src/plumfold_request_forwarder.hpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.hpp
@@ -121,6 +121,7 @@
     bool m_timedOut = false;
     bool m_targetUnresponsive = false; // why the current attempt was abandoned
     std::uint64_t m_verdict = 0; // by which it was rejected
+    bool m_wasRejectedForRoom = false; // by the target of the current attempt
     bool m_isCrashSuspect = false; // has crashed a target, and was known to crash others
     bool m_mayTargetHaveEnded = false; // the current attempt was lost with its connection
     bool m_isPredictionReliable = false;
