--- a/packages/core/include/plumfold/core/plumfold_brittle_limiter.hpp
+++ b/packages/core/include/plumfold/core/plumfold_brittle_limiter.hpp
@@ -50,6 +50,14 @@
     std::optional<std::uint32_t> limit(
         const std::string& service, const std::string& target, std::uint32_t slots, instant now) const;
 
+    /// @param memoryTokens tokens that the memory of a brittle target has room for.
+    /// @param inFlightTokens tokens that this entry's requests on the target are expected to occupy.
+    /// @param tokens those of the next request.
+    /// @return whether the next request fits into this entry's part of the memory. The requests that are too
+    /// large for a part are drawn, one at a time.
+    bool fitsMemory(const std::string& target, std::uint64_t memoryTokens, std::uint64_t inFlightTokens,
+        std::uint64_t tokens, instant now) const;
+
 private:
     struct brittle_service {
         std::uint32_t maxRejections = 0;
--- a/packages/core/include/plumfold/core/plumfold_target_selector.hpp
+++ b/packages/core/include/plumfold/core/plumfold_target_selector.hpp
@@ -223,7 +223,7 @@
     bool mayStart(const tracked_target& target, const std::string& model, instant now) const;
     static std::uint64_t weightVersionOf(const tracked_target& target, const std::string& model);
     bool isCold(const tracked_target& target, instant now) const;
-    bool isAtLimit(const tracked_target& target, instant now) const;
+    bool isAtLimit(const tracked_target& target, const placement_request& request, instant now) const;
     tracked_target* selectTarget(
         std::vector<tracked_target*>& candidates, const placement_request& request, instant now) const;
     tracked_target* selectForSession(
--- a/packages/core/src/plumfold_brittle_limiter.cpp
+++ b/packages/core/src/plumfold_brittle_limiter.cpp
@@ -104,6 +104,15 @@
     return draw < probability * static_cast<double>(std::numeric_limits<std::uint64_t>::max());
 }
 
+bool brittle_limiter::fitsMemory(const std::string& target, std::uint64_t memoryTokens,
+    std::uint64_t inFlightTokens, std::uint64_t tokens, instant now) const
+{
+    double part = static_cast<double>(memoryTokens) / entries();
+    if (static_cast<double>(inFlightTokens + tokens) <= part)
+        return true;
+    return inFlightTokens == 0 && isDrawn(target, part / static_cast<double>(tokens), now);
+}
+
 std::optional<std::uint32_t> brittle_limiter::limit(
     const std::string& service, const std::string& target, std::uint32_t slots, instant now) const
 {
--- a/packages/core/src/plumfold_target_selector.cpp
+++ b/packages/core/src/plumfold_target_selector.cpp
@@ -191,10 +191,21 @@
 }
 
 /// @return whether this entry has as many requests on a brittle target as it may have.
-bool target_selector::isAtLimit(const tracked_target& target, instant now) const
+bool target_selector::isAtLimit(
+    const tracked_target& target, const placement_request& request, instant now) const
 {
     auto limit = m_brittleLimiter.limit(target.last.service, target.last.name, target.last.slots, now);
-    return limit && target.inFlight >= *limit;
+    if (!limit)
+        return false;
+    if (target.inFlight >= *limit)
+        return true;
+    // An engine whose memory is full lets requests wait although it has free slots.
+    auto limits = m_services.find(target.last.service);
+    auto memory
+        = limits != m_services.end() && limits->second.engine ? limits->second.engine->memoryTokens : 0;
+    return memory > 0
+        && !m_brittleLimiter.fitsMemory(
+            target.last.name, memory, target.inFlightTokens, expectedTokens(request), now);
 }
 
 placement_result target_selector::choose(const placement_request& request, instant now)
@@ -212,7 +223,7 @@
         }
         if (!mayStart(target, request.model, now))
             continue;
-        bool isTargetFull = isAtLimit(target, now);
+        bool isTargetFull = isAtLimit(target, request, now);
         isFull = isFull || isTargetFull;
         if (!isTargetFull)
             candidates.push_back(&target);
