Forget entry counts after five seconds when limiting brittle targets

Seen: with a busy machine, on which control VMs lost their quorum again and again, 32.0 and 28.2 of 160 requests a second were served at brittle targets at twice their load (80 demanded), and 70 of 280 requests were refused though there was room enough. No target fell.

Cause: each control VM counts its followers, so an entry that changes its control VM may be counted twice, and the largest count applied for 30 s. With as many slots as entries, one more entry leaves a part below one slot, and slots are drawn.

Ruled out: the limit of engine memory; the service of the test has no engine. No brittle target rejected a request.

Change: the largest count of the last five seconds applies. An entry that lost its control VM follows another one within that time.

Conclusion: entries are still counted twice while they change control VMs, and then places stay free.

--- a/packages/core/include/plumfold/core/plumfold_brittle_limiter.hpp
+++ b/packages/core/include/plumfold/core/plumfold_brittle_limiter.hpp
@@ -24,8 +24,8 @@
     {
     }
 
-    /// @param count entries that send requests to the same targets. The largest of the last 30 s applies,
-    /// since an entry that is not counted any more may still be sending.
+    /// @param count entries that send requests to the same targets. The largest of the last five seconds
+    /// applies, since an entry that is not counted any more may still be sending.
     void setEntryCount(std::uint32_t count, instant now);
 
     /// Records what a target's response declares.
@@ -76,7 +76,8 @@
     static double riseOf(const limited_target& target, instant now);
 
     std::string m_entry;
-    std::deque<std::pair<instant, std::uint32_t>> m_entryCounts; ///< Decreasing counts of the last 30 s.
+    std::deque<std::pair<instant, std::uint32_t>>
+        m_entryCounts; ///< Decreasing counts of the last five seconds.
     std::map<std::string, brittle_service> m_services; ///< Brittle ones.
     std::map<std::string, limited_target> m_targets;
 };
--- a/packages/core/src/plumfold_brittle_limiter.cpp
+++ b/packages/core/src/plumfold_brittle_limiter.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr milliseconds entryCountWindow { 30'000 };
+constexpr milliseconds entryCountWindow { 5'000 };
 /// Targets of a service do not begin and end their brittle time at the same instant.
 constexpr milliseconds declarationHysteresis { 1'000 };
 /// In which a limit rises from nothing to the entry's part of the slots.
