Log when targets become brittle and when one of them rejects a request for want of room

targets_brittle, targets_not_brittle and brittle_target_rejected name service and target; the latter is counted in plumfold_brittle_rejections_total. Before, an operator could not tell why an entry refused requests with targets_full.

--- a/packages/forwarding/src/plumfold_request_attempt.cpp
+++ b/packages/forwarding/src/plumfold_request_attempt.cpp
@@ -3,6 +3,7 @@
 #include "plumfold_request_forwarder.hpp"
 
 #include "plumfold/runtime/plumfold_clock.hpp"
+#include "plumfold/runtime/plumfold_log.hpp"
 
 #include <algorithm>
 
@@ -218,8 +219,7 @@
         }
         m_wasRejectedForRoom = head.isNotExecuted && !head.isMisdirected;
         if (!head.isMisdirected)
-            m_state.targetSelector.onResponse(
-                m_lastTarget, head.maxRejectionsPerSecond, m_wasRejectedForRoom, runtime::now());
+            recordRoom(head);
         auto end = isStream ? co_await relayStream(parser) : co_await receiveBuffered(parser, head);
         bool isComplete = parser.is_done() && !parser.need_eof();
         bool isReusable = isComplete && end != core::attempt_result::lost && parser.keep_alive();
@@ -231,6 +231,27 @@
     co_return core::attempt_result::lost;
 }
 
+/// Records what a response tells about the room of its target.
+void request_forwarder::recordRoom(const platform::target_response_head& head)
+{
+    bool wasBrittle = m_state.targetSelector.isBrittle(m_service);
+    m_state.targetSelector.onResponse(
+        m_lastTarget, head.maxRejectionsPerSecond, m_wasRejectedForRoom, runtime::now());
+    bool isBrittle = m_state.targetSelector.isBrittle(m_service);
+    if (isBrittle != wasBrittle)
+        runtime::log_event(isBrittle ? "targets_brittle" : "targets_not_brittle")
+            .with("service", m_service)
+            .with("target", m_lastTarget)
+            .with("max_rejections_per_second", head.maxRejectionsPerSecond.value_or(0));
+    if (isBrittle && m_wasRejectedForRoom) {
+        m_state.metrics.count("plumfold_brittle_rejections_total");
+        runtime::log_event("brittle_target_rejected", runtime::log_level::warning)
+            .with("request", m_head.id)
+            .with("service", m_service)
+            .with("target", m_lastTarget);
+    }
+}
+
 task<bool> request_forwarder::discardBody(target_response_parser& parser)
 {
     std::string chunk;
--- a/packages/forwarding/src/plumfold_request_forwarder.hpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.hpp
@@ -74,6 +74,7 @@
     task<core::attempt_result> receiveBuffered(
         target_response_parser& parser, const platform::target_response_head& head);
     task<core::attempt_result> relayStream(target_response_parser& parser);
+    void recordRoom(const platform::target_response_head& head);
     task<bool> discardBody(target_response_parser& parser);
     task<bool> readChunk(target_response_parser& parser, std::string& chunk);
     task<bool> relayChunk(std::string chunk);
