--- a/packages/forwarding/src/plumfold_request_forwarder.hpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.hpp
@@ -74,6 +74,7 @@
     task<core::attempt_result> receiveBuffered(
         target_response_parser& parser, const platform::target_response_head& head);
     task<core::attempt_result> relayStream(target_response_parser& parser);
+    void recordRoom(const platform::target_response_head& head);
     task<bool> discardBody(target_response_parser& parser);
     task<bool> readChunk(target_response_parser& parser, std::string& chunk);
     task<bool> relayChunk(std::string chunk);
@@ -121,6 +122,7 @@
     bool m_timedOut = false;
     bool m_targetUnresponsive = false; // why the current attempt was abandoned
     std::uint64_t m_verdict = 0; // by which it was rejected
+    bool m_wasRejectedForRoom = false; // by the target of the current attempt
     bool m_isCrashSuspect = false; // has crashed a target, and was known to crash others
     bool m_mayTargetHaveEnded = false; // the current attempt was lost with its connection
     bool m_isPredictionReliable = false;
