--- a/tests/forwarding/support/plumfold_forwarding_system.cpp
+++ b/tests/forwarding/support/plumfold_forwarding_system.cpp
@@ -6,6 +6,7 @@
 #include <Poco/StreamCopier.h>
 #include <Poco/String.h>
 
+#include <cstdlib>
 #include <fcntl.h>
 #include <fstream>
 #include <sstream>
@@ -138,7 +139,9 @@
     m_targets.clear();
     for (int pipe : m_pipes)
         ::close(pipe);
-    std::filesystem::remove_all(m_folder);
+    // Logs of a failing run can be read afterwards.
+    if (std::getenv("PLUMFOLD_KEEP_TEST_FOLDERS") == nullptr)
+        std::filesystem::remove_all(m_folder);
 }
 
 std::string forwarding_system::address(int host, int port) const
