Share what control VMs know of crashes, with the successes beside them

By the logs the part crashed w16, w9, w17 and w10 between 5.1 and 5.8 s. What ran on w10 was reported by an entry that was killed at 6.5 s, to a control VM that was killed at 11.0 s. The control VM that was left knew w10 only with sound requests, so for it a target had ended without the part, and it waited for six crashes instead of four.

Cause: what a control VM knows of crashes ends with it, and the entries that could tell it again end as well.

Change: control VMs share all evidence that they have, whoever reported it, and all of it again with one that has restarted. A crash is never sent without the successes of the requests that were involved. Crashes are merged by incarnation of the target; a success is known by the registry that recorded it and a number, so that it doesn't become later when it goes in circles. Evidence is dropped by the age of the crash, not of its report. Crashes before a withdrawal stay withdrawn, also in a process that started after it.

--- a/packages/control/src/plumfold_control_role.cpp
+++ b/packages/control/src/plumfold_control_role.cpp
@@ -104,7 +104,7 @@
     {
         m_feed->tick();
         m_crashes->tick();
-        m_links->share(*m_feed);
+        m_links->share(*m_feed, *m_crashes);
         if (!m_settings.control->platformAddress.empty())
             m_sharedLimits->tick();
         return m_rpc.timer().afterDelay(feedInterval).then([this] { return feedLoop(); });
--- a/packages/control/src/plumfold_control_service.cpp
+++ b/packages/control/src/plumfold_control_service.cpp
@@ -65,6 +65,12 @@
         for (auto each : params.getNamings())
             namings.push_back(wire::read(each));
         m_context.feed.applyPeerNamings(namings);
+        core::crash_evidence evidence;
+        for (auto each : params.getCrashes())
+            evidence.crashes.push_back(wire::read(each));
+        for (auto each : params.getSuccesses())
+            evidence.successes.push_back(wire::read(each));
+        m_context.crashes.addEvidence(params.getAddress().cStr(), evidence);
         return kj::READY_NOW;
     }
 
--- a/packages/control/src/plumfold_crash_judge.cpp
+++ b/packages/control/src/plumfold_crash_judge.cpp
@@ -3,6 +3,7 @@
 #include "plumfold/core/plumfold_hash.hpp"
 #include "plumfold/runtime/plumfold_clock.hpp"
 #include "plumfold/runtime/plumfold_log.hpp"
+#include "plumfold/runtime/plumfold_secrets.hpp"
 
 #include <absl/strings/str_join.h>
 
@@ -31,6 +32,21 @@
     return names[static_cast<int>(kind)];
 }
 
+core::crash_registry_options registryOptions()
+{
+    core::crash_registry_options options;
+    options.id = runtime::randomNumber();
+    return options;
+}
+
+/// @return when a verdict of the log was withdrawn.
+core::instant withdrawalOf(const core::verdict& verdict)
+{
+    auto now = runtime::unixNow() + core::verdictRetentionMs;
+    auto age = now > verdict.until ? now - verdict.until : 0;
+    return runtime::now() - core::milliseconds(age);
+}
+
 std::uint64_t idOf(const core::trait_set& traits)
 {
     std::uint64_t id = *traits.begin();
@@ -44,6 +60,7 @@
 crash_judge::crash_judge(deployment_feed& feed, leader_client& leader)
     : m_feed(feed)
     , m_leader(leader)
+    , m_registry(registryOptions())
 {
 }
 
@@ -51,14 +68,32 @@
 {
     m_lastReportAt = runtime::now();
     m_nextEvaluationAt = std::min(m_nextEvaluationAt, m_lastReportAt + evaluationInterval);
-    if (!m_registry.addReport(report, m_lastReportAt))
-        return;
+    if (m_registry.addReport(report, m_lastReportAt))
+        onCrash(entry, report);
+}
+
+void crash_judge::onCrash(const std::string& reporter, const core::crash_report& report)
+{
     m_nextEvaluationAt = m_lastReportAt; // entries learn of the suspects
     runtime::log_event("crash_reported")
         .with("target", report.target)
         .with("started_at", report.startedAt)
         .with("service", report.service)
-        .with("entry", entry);
+        .with("reporter", reporter);
+}
+
+core::crash_evidence crash_judge::evidenceAfter(std::uint64_t change) const
+{
+    return m_registry.evidenceAfter(change, runtime::now());
+}
+
+void crash_judge::addEvidence(const std::string& peer, const core::crash_evidence& evidence)
+{
+    auto now = runtime::now();
+    for (const auto& report : m_registry.addEvidence(evidence, now)) {
+        m_lastReportAt = now;
+        onCrash(peer, report);
+    }
 }
 
 void crash_judge::addSuccess(const core::suspect_success& success)
@@ -97,8 +132,12 @@
     if (next == m_logged)
         return;
     for (const auto& [id, verdict] : next) {
-        if (verdict.isWithdrawn)
+        if (verdict.isWithdrawn) {
+            // Evidence may be shared with a process that starts after the withdrawal.
+            if (!m_logged.contains(id))
+                m_registry.withdraw(verdict.traits, withdrawalOf(verdict));
             continue;
+        }
         m_registry.addVerdict(verdict.traits);
         m_own.erase(id);
     }
@@ -107,7 +146,7 @@
         bool isLifted = !verdict.isWithdrawn && (found == next.end() || found->second.isWithdrawn);
         if (!isLifted)
             continue;
-        m_registry.withdraw(verdict.traits);
+        m_registry.withdraw(verdict.traits, runtime::now());
         m_own.erase(id);
         runtime::log_event("verdict_lifted")
             .with("verdict", id)
--- a/packages/control/src/plumfold_crash_judge.hpp
+++ b/packages/control/src/plumfold_crash_judge.hpp
@@ -23,6 +23,12 @@
 
     /// Adds the report of an entry about one target.
     void addReport(const std::string& entry, const core::crash_report& report);
+    /// @return what is known of crashes and successes; see crash_registry::evidenceAfter().
+    core::crash_evidence evidenceAfter(std::uint64_t change) const;
+    /// @return the number of the latest change of the evidence.
+    std::uint64_t latestChange() const { return m_registry.latestChange(); }
+    /// Adds evidence of another control VM.
+    void addEvidence(const std::string& peer, const core::crash_evidence& evidence);
     /// Adds the success of a suspect.
     void addSuccess(const core::suspect_success& success);
     /// Keeps a verdict whose requests still come.
@@ -41,6 +47,7 @@
         core::instant submittedAt {};
     };
 
+    void onCrash(const std::string& reporter, const core::crash_report& report);
     void evaluate();
     void submit(const core::verdict& verdict);
     void publish();
--- a/packages/control/src/plumfold_peer_links.cpp
+++ b/packages/control/src/plumfold_peer_links.cpp
@@ -59,13 +59,13 @@
     }
 }
 
-void peer_links::share(const deployment_feed& feed)
+void peer_links::share(const deployment_feed& feed, const crash_judge& crashes)
 {
     for (auto& [name, each] : m_links)
-        shareWith(each, feed);
+        shareWith(each, feed, crashes);
 }
 
-void peer_links::shareWith(link& to, const deployment_feed& feed)
+void peer_links::shareWith(link& to, const deployment_feed& feed, const crash_judge& crashes)
 {
     if (to.peer == nullptr) {
         if (!to.connecting)
@@ -84,7 +84,8 @@
     auto namings = feed.weightNamings(runtime::nowWithSuspension());
     bool hasNews = !holders.empty() || !loads.empty() || !namings.empty();
     bool newsDue = hasNews && now - to.sharedNewsAt > shareNewsInterval;
-    if (to.shareInFlight || (announcements.empty() && !all && !newsDue))
+    bool isEvidenceDue = to.sharedEvidence < crashes.latestChange();
+    if (to.shareInFlight || (announcements.empty() && !all && !newsDue && !isEvidenceDue))
         return;
     auto request = KJ_ASSERT_NONNULL(to.peer).shareRequest();
     request.setAddress(m_ownAddress);
@@ -108,6 +109,13 @@
     auto outNamings = request.initNamings(namings.size());
     for (unsigned index = 0; index < namings.size(); ++index)
         wire::write(outNamings[index], namings[index]);
+    auto evidence = crashes.evidenceAfter(to.sharedEvidence);
+    auto outCrashes = request.initCrashes(evidence.crashes.size());
+    for (unsigned index = 0; index < evidence.crashes.size(); ++index)
+        wire::write(outCrashes[index], evidence.crashes[index]);
+    auto outSuccesses = request.initSuccesses(evidence.successes.size());
+    for (unsigned index = 0; index < evidence.successes.size(); ++index)
+        wire::write(outSuccesses[index], evidence.successes[index]);
     if (!holders.empty())
         request.setClock(feed.targetClock());
     to.shareInFlight = true;
@@ -115,12 +123,13 @@
     std::uint64_t generation = to.generation;
     auto sent = wire::withTimeout(m_rpc, request.send().ignoreResult(), callTimeout);
     m_tasks.add(sent.then(
-        [&to, change, all, now, parts = std::move(parts)] {
+        [&to, change, all, now, parts = std::move(parts), known = evidence.change] {
             to.shareInFlight = false;
             to.sharedNewsAt = now;
             for (const auto& update : parts)
                 to.sharedParts[update.holder] = { update.holder, update.generation, update.count };
             to.sharedChange = change;
+            to.sharedEvidence = known;
             if (all)
                 to.sharedAllAt = now;
         },
@@ -175,6 +184,7 @@
     ++to.generation;
     to.sharedParts.clear();
     to.sharedChange = 0;
+    to.sharedEvidence = 0;
     to.peer = nullptr;
     to.inFlight = 0;
     // The connection must not be destroyed inside one of its own callbacks.
--- a/packages/control/src/plumfold_peer_links.hpp
+++ b/packages/control/src/plumfold_peer_links.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "plumfold_crash_judge.hpp"
 #include "plumfold_deployment_feed.hpp"
 
 #include "plumfold/core/plumfold_raft_types.hpp"
@@ -26,9 +27,9 @@
     void addMembers(const core::raft_membership& members);
 
     /// Sends each peer the changes of targets and KV parts that it has not received yet, and the loads of
-    /// targets. Covers only what this control VM has received directly, not from peers. To be called
-    /// regularly.
-    void share(const deployment_feed& feed);
+    /// targets. Covers only what this control VM has received directly, not from peers; but all of what it
+    /// knows of crashes, since the others may have restarted. To be called regularly.
+    void share(const deployment_feed& feed, const crash_judge& crashes);
 
 private:
     struct link {
@@ -40,12 +41,14 @@
         std::uint64_t generation = 0; // of the connection; late failures of a previous one are ignored
         bool shareInFlight = false;
         std::uint64_t sharedChange = 0; // latest change of the directory that the peer has received
+        std::uint64_t sharedEvidence
+            = 0; // latest change of the evidence of crashes that the peer has received
         core::instant sharedAllAt {};
         core::instant sharedNewsAt {}; // parts, loads and ages of weight versions
         std::map<std::string, core::part_cursor> sharedParts; // by holder: changes that the peer has received
     };
 
-    void shareWith(link& to, const deployment_feed& feed);
+    void shareWith(link& to, const deployment_feed& feed, const crash_judge& crashes);
     void sendTo(link& to, const core::raft_message& message);
     void connect(link& to);
     void disconnect(link& to, std::uint64_t generation);
--- a/packages/core/include/plumfold/core/plumfold_crash_registry.hpp
+++ b/packages/core/include/plumfold/core/plumfold_crash_registry.hpp
@@ -25,6 +25,22 @@
     auto operator<=>(const crash_report&) const = default;
 };
 
+/// The latest success of a trait that entries reported to one registry.
+struct recorded_success {
+    std::uint64_t trait = 0;
+    std::uint64_t origin = 0; ///< Id of the registry.
+    std::uint64_t number = 0; ///< Later successes have higher ones; unique in the registry.
+    milliseconds age { 0 };
+    auto operator<=>(const recorded_success&) const = default;
+};
+
+/// What a registry knows of crashes, with all that it knows in favour of the requests that were involved.
+struct crash_evidence {
+    std::vector<crash_report> crashes;
+    std::vector<recorded_success> successes;
+    std::uint64_t change = 0; ///< Of the registry; it covers all changes up to this one.
+};
+
 /// A trait whose requests may crash targets.
 struct crash_suspect {
     std::uint64_t trait = 0;
@@ -69,6 +85,8 @@
     std::size_t maxCrashes = 1'024; ///< Limit of the crashes kept; the oldest are dropped.
     std::size_t maxVictims = 512; ///< Limit of the victims kept of one crash.
     std::size_t maxSuspects = 256; ///< Limit of suspects().
+    std::size_t maxCrashesOfEvidence = 32; ///< Limit of the crashes that evidenceAfter() returns.
+    std::uint64_t id = 0; ///< Differs between registries that exchange evidence.
 };
 
 /// Finds what the requests that crash targets have in common, from the reports of all entries about targets
@@ -96,8 +114,21 @@
     /// Records a verdict that was reached elsewhere.
     void addVerdict(const trait_set& traits);
 
-    /// Removes a verdict, and the crashes that it was based on.
-    void withdraw(const trait_set& traits);
+    /// Removes a verdict, and the crashes until then of requests that it applies to. Reports of such crashes
+    /// that arrive later are ignored.
+    void withdraw(const trait_set& traits, instant at);
+
+    /// @return the number of the latest change of crashes or successes.
+    std::uint64_t latestChange() const { return m_latestChange; }
+
+    /// @param change 0 for everything.
+    /// @return the crashes that have changed since, or the first of them, and the successes that have, and
+    /// all successes of requests that were involved in these crashes.
+    crash_evidence evidenceAfter(std::uint64_t change, instant now) const;
+
+    /// Merges the evidence of another registry. Crashes and successes that are known count once.
+    /// @return the crashes that were not known.
+    std::vector<crash_report> addEvidence(const crash_evidence& evidence, instant now);
 
     /// @return the traits that a success would clear, those with most crashes first.
     std::vector<crash_suspect> suspects(instant now) const;
@@ -110,16 +141,24 @@
 private:
     using crash_key = std::pair<std::string, unix_milliseconds>; // target and its start
     struct victim {
-        std::uint64_t customer = 0;
+        request_traits request;
         std::vector<request_trait> traits; // the fingerprint first
     };
     struct crash {
         std::string target;
+        unix_milliseconds startedAt = 0;
         std::string service;
         instant reportedAt {}; // first report
         instant endedAt {};
         std::map<std::uint64_t, victim> victims; // by fingerprint
+        std::uint64_t change = 0;
+    };
+    struct success {
+        std::uint64_t number = 0;
+        instant at {};
+        std::uint64_t change = 0;
     };
+    using success_map = std::map<std::uint64_t, success>; // by origin, the latest of each
     /// A trait and the crashes that it may have caused.
     struct candidate {
         trait_kind kind = trait_kind::request;
@@ -137,6 +176,8 @@
         std::uint64_t customer = 0;
     };
 
+    bool isWithdrawn(const crash_report& report, instant endedAt) const;
+    void dropOldestCrash();
     std::optional<instant> latestSuccess(const request_trait& trait) const;
     std::vector<const trait_set*> verdictsOn(const victim& victim) const;
     bool isExplained(const crash& crash) const;
@@ -156,7 +197,9 @@
 
     crash_registry_options m_options;
     std::map<crash_key, crash> m_crashes;
-    std::unordered_map<std::uint64_t, instant> m_successes; // latest one
+    std::unordered_map<std::uint64_t, success_map> m_successes; // by trait
+    std::map<trait_set, instant> m_withdrawals;
+    std::uint64_t m_latestChange = 0;
     std::map<std::uint64_t, std::set<trait_set>> m_verdicts; // by the first trait
 };
 
--- a/packages/core/src/plumfold_crash_registry.cpp
+++ b/packages/core/src/plumfold_crash_registry.cpp
@@ -7,31 +7,50 @@
 
 bool crash_registry::addReport(const crash_report& report, instant now)
 {
+    if (isWithdrawn(report, now - report.age))
+        return false;
     auto [place, isNew] = m_crashes.try_emplace({ report.target, report.startedAt });
     auto& known = place->second;
     if (isNew) {
         known.target = report.target;
+        known.startedAt = report.startedAt;
         known.service = report.service;
         known.reportedAt = now;
         known.endedAt = now - report.age;
+        known.change = ++m_latestChange;
     }
     for (const auto& each : report.victims) {
-        if (known.victims.size() < m_options.maxVictims)
-            known.victims.try_emplace(each.fingerprint, victim { each.customer, listTraits(each) });
+        bool isAdded = known.victims.size() < m_options.maxVictims
+            && known.victims.try_emplace(each.fingerprint, victim { each, listTraits(each) }).second;
+        if (isAdded)
+            known.change = ++m_latestChange;
     }
-    if (m_crashes.size() <= m_options.maxCrashes)
-        return isNew;
-    m_crashes.erase(
-        std::min_element(m_crashes.begin(), m_crashes.end(), [](const auto& left, const auto& right) {
-            return left.second.reportedAt < right.second.reportedAt;
-        }));
+    if (m_crashes.size() > m_options.maxCrashes)
+        dropOldestCrash();
     return isNew;
 }
 
+bool crash_registry::isWithdrawn(const crash_report& report, instant endedAt) const
+{
+    return std::any_of(m_withdrawals.begin(), m_withdrawals.end(), [&](const auto& withdrawal) {
+        return endedAt < withdrawal.second
+            && std::any_of(report.victims.begin(), report.victims.end(),
+                [&](const auto& each) { return hasTraits(listTraits(each), withdrawal.first); });
+    });
+}
+
+void crash_registry::dropOldestCrash()
+{
+    m_crashes.erase(std::min_element(m_crashes.begin(), m_crashes.end(),
+        [](const auto& left, const auto& right) { return left.second.endedAt < right.second.endedAt; }));
+}
+
 void crash_registry::addSuccess(std::uint64_t trait, instant at)
 {
-    auto& latest = m_successes[trait];
-    latest = std::max(latest, at);
+    auto [place, isNew] = m_successes[trait].try_emplace(m_options.id);
+    auto& latest = place->second;
+    if (isNew || latest.at < at)
+        latest = { latest.number + 1, at, ++m_latestChange };
 }
 
 /// @return when a request with a trait last succeeded. A part that is sound for one customer is sound for
@@ -40,8 +59,11 @@
 {
     std::optional<instant> latest;
     for (auto id : { trait.id, trait.wider }) {
-        if (auto success = m_successes.find(id); success != m_successes.end())
-            latest = std::max(latest.value_or(instant::min()), success->second);
+        auto successes = m_successes.find(id);
+        if (successes == m_successes.end())
+            continue;
+        for (const auto& [origin, success] : successes->second)
+            latest = std::max(latest.value_or(instant::min()), success.at);
     }
     return latest;
 }
@@ -98,7 +120,7 @@
             continue;
         for (const auto& trait : victim.traits) {
             if (isOpen(victim, verdicts, trait))
-                all.push_back({ &trait, &crash, fingerprint, victim.customer });
+                all.push_back({ &trait, &crash, fingerprint, victim.request.customer });
         }
     }
 }
@@ -272,16 +294,17 @@
         m_verdicts[*traits.begin()].insert(traits);
 }
 
-void crash_registry::withdraw(const trait_set& traits)
+void crash_registry::withdraw(const trait_set& traits, instant at)
 {
     if (traits.empty())
         return;
+    auto& withdrawnAt = m_withdrawals.try_emplace(traits, at).first->second;
+    withdrawnAt = std::max(withdrawnAt, at);
     std::erase_if(m_crashes, [&](const auto& each) {
-        return std::any_of(each.second.victims.begin(), each.second.victims.end(), [&](const auto& victim) {
-            auto verdicts = verdictsOn(victim.second);
-            return std::any_of(
-                verdicts.begin(), verdicts.end(), [&](const auto* each) { return *each == traits; });
-        });
+        const auto& [key, crash] = each;
+        return crash.endedAt < withdrawnAt
+            && std::any_of(crash.victims.begin(), crash.victims.end(),
+                [&](const auto& victim) { return hasTraits(victim.second.traits, traits); });
     });
     auto found = m_verdicts.find(*traits.begin());
     if (found == m_verdicts.end())
@@ -313,9 +336,12 @@
 
 void crash_registry::expire(instant now)
 {
-    std::erase_if(
-        m_crashes, [&](const auto& each) { return now - each.second.reportedAt > m_options.maxCrashAge; });
-    std::erase_if(m_successes, [&](const auto& each) { return now - each.second > m_options.maxCrashAge; });
+    auto isOld = [&](instant at) { return now - at > m_options.maxCrashAge; };
+    std::erase_if(m_crashes, [&](const auto& each) { return isOld(each.second.endedAt); });
+    for (auto& [trait, successes] : m_successes)
+        std::erase_if(successes, [&](const auto& each) { return isOld(each.second.at); });
+    std::erase_if(m_successes, [](const auto& each) { return each.second.empty(); });
+    std::erase_if(m_withdrawals, [&](const auto& each) { return isOld(each.second); });
 }
 
 } // namespace plumfold::core
--- a/packages/wire/include/plumfold/wire/plumfold_convert.hpp
+++ b/packages/wire/include/plumfold/wire/plumfold_convert.hpp
@@ -120,6 +120,9 @@
 void write(SuspectSuccess::Builder out, const core::suspect_success& value);
 core::suspect_success read(SuspectSuccess::Reader in);
 
+void write(RecordedSuccess::Builder out, const core::recorded_success& value);
+core::recorded_success read(RecordedSuccess::Reader in);
+
 void write(CrashVerdict::Builder out, const core::crash_verdict& value);
 core::crash_verdict read(CrashVerdict::Reader in);
 
--- a/packages/wire/schema/plumfold.capnp
+++ b/packages/wire/schema/plumfold.capnp
@@ -188,9 +188,11 @@
 }
 interface ControlPeer {
   deliver @0 (message :RaftMessage) -> ();
-  # What targets announced to this control VM itself, how many entries follow it, and the entries' suspects.
+  # What targets announced to this control VM itself, how many entries follow it, and what any control VM told it about
+  # targets that ended: crashes and successes belong together, see core::crash_evidence.
   share @1 (address :Text, failureDomain :Text, entries :UInt32, targets :List(AnnouncedTarget),
-      parts :List(PartNews), clock :UInt64, loads :List(TargetLoad), namings :List(WeightNaming)) -> ();
+      parts :List(PartNews), clock :UInt64, loads :List(TargetLoad), namings :List(WeightNaming),
+      crashes :List(CrashReport), successes :List(RecordedSuccess)) -> ();
 }
 interface Operator {
   form @0 () -> (reply :Reply);
@@ -233,10 +235,11 @@
 }
 
 # Requests that crash targets, see core::request_traits, core::crash_report, core::suspect_success,
-# core::crash_suspect and core::crash_verdict.
+# core::recorded_success, core::crash_suspect and core::crash_verdict.
 struct RequestTraits { fingerprint @0 :UInt64; customer @1 :UInt64; isolated @2 :Bool; parts @3 :List(UInt64); }
 struct CrashReport { target @0 :Text; startedAt @1 :UInt64; service @2 :Text; victims @3 :List(RequestTraits); ageMs @4 :UInt32; }
 struct SuspectSuccess { trait @0 :UInt64; ageMs @1 :UInt32; }
+struct RecordedSuccess { trait @0 :UInt64; origin @1 :UInt64; number @2 :UInt64; ageMs @3 :UInt32; }
 struct CrashSuspect { trait @0 :UInt64; crashes @1 :UInt32; }
 struct CrashVerdict {
   id @0 :UInt64;
--- a/packages/wire/src/plumfold_convert_crashes.cpp
+++ b/packages/wire/src/plumfold_convert_crashes.cpp
@@ -66,6 +66,20 @@
     return core::suspect_success { in.getTrait(), core::milliseconds(in.getAgeMs()) };
 }
 
+void write(RecordedSuccess::Builder out, const core::recorded_success& value)
+{
+    out.setTrait(value.trait);
+    out.setOrigin(value.origin);
+    out.setNumber(value.number);
+    out.setAgeMs(millisecondsOf(value.age));
+}
+
+core::recorded_success read(RecordedSuccess::Reader in)
+{
+    return core::recorded_success { in.getTrait(), in.getOrigin(), in.getNumber(),
+        core::milliseconds(in.getAgeMs()) };
+}
+
 void write(CrashVerdict::Builder out, const core::crash_verdict& value)
 {
     out.setId(value.id);
--- a/tests/core/plumfold_crash_registry_tests.cpp
+++ b/tests/core/plumfold_crash_registry_tests.cpp
@@ -139,7 +139,7 @@
     for (int count = 0; count < 3; ++count)
         history.crash({ guilty });
     REQUIRE(history.condemned() == fingerprints { guilty });
-    history.registry.withdraw({ guilty });
+    history.registry.withdraw({ guilty }, history.now);
     CHECK(history.condemned().empty());
     for (int count = 0; count < 3; ++count)
         history.crash({ guilty });
