Share the successes of a trait with the other control VMs once a second

Seen by reading: each report of a success changed the evidence, and each change goes from each control VM to each other one. With all suspects succeeding at nine entries that is nine changes a second for each of 256 traits, between failure domains.

Change: a success gets a new number only a second after the last one that got one. What is known here of the time of the latest success stays exact, and goes along with the next crash. Of two successes within a second, the later one can matter alone only for a crash that is ten seconds after the first.

Core tests tagged crashes: 38 pass. Bytes were not measured.

--- a/packages/core/include/plumfold/core/plumfold_crash_registry.hpp
+++ b/packages/core/include/plumfold/core/plumfold_crash_registry.hpp
@@ -86,6 +86,8 @@
     std::size_t maxVictims = 512; ///< Limit of the victims kept of one crash.
     std::size_t maxSuspects = 256; ///< Limit of suspects().
     std::size_t maxCrashesOfEvidence = 32; ///< Limit of the crashes that evidenceAfter() returns.
+    /// A trait that keeps succeeding changes the evidence again after this time; small beside maxSuccessAge.
+    milliseconds successInterval { 1'000 };
     std::uint64_t id = 0; ///< Differs between registries that exchange evidence.
 };
 
@@ -156,6 +158,7 @@
     struct success {
         std::uint64_t number = 0;
         instant at {};
+        instant numberedAt {}; // when the success with this number was; later ones share it for a time
         std::uint64_t change = 0;
     };
     using success_map = std::map<std::uint64_t, success>; // by origin, the latest of each
--- a/packages/core/src/plumfold_crash_evidence.cpp
+++ b/packages/core/src/plumfold_crash_evidence.cpp
@@ -64,7 +64,7 @@
         auto& known = place->second;
         auto at = now - each.age;
         if (isNew || known.number < each.number)
-            known = { each.number, at, ++m_latestChange };
+            known = { each.number, at, at, ++m_latestChange };
         // Evidence that arrives late makes crashes seem later. Successes beside them must not seem earlier.
         else if (known.number == each.number && !added.empty())
             known.at = std::max(known.at, at);
--- a/packages/core/src/plumfold_crash_registry.cpp
+++ b/packages/core/src/plumfold_crash_registry.cpp
@@ -49,8 +49,9 @@
 {
     auto [place, isNew] = m_successes[trait].try_emplace(m_options.id);
     auto& latest = place->second;
-    if (isNew || latest.at < at)
-        latest = { latest.number + 1, at, ++m_latestChange };
+    if (isNew || latest.numberedAt + m_options.successInterval <= at)
+        latest = { latest.number + 1, at, at, ++m_latestChange };
+    latest.at = std::max(latest.at, at);
 }
 
 /// @return when a request with a trait last succeeded. A part that is sound for one customer is sound for
--- a/tests/core/plumfold_crash_evidence_tests.cpp
+++ b/tests/core/plumfold_crash_evidence_tests.cpp
@@ -137,6 +137,20 @@
     CHECK(registries.condemned(0) == trait_set { customerPart(7) });
 }
 
+TEST_CASE("A trait that keeps succeeding changes the evidence once a second", "[crashes]")
+{
+    sharing_registries registries;
+    for (int count = 0; count < 100; ++count) {
+        registries.all[0].addSuccess(customerPart(7), registries.now);
+        registries.now += 100ms;
+    }
+    CHECK(registries.all[0].latestChange() == 10);
+    registries.share(0, 1);
+    for (std::uint64_t count = 0; count < 4; ++count)
+        registries.crash(1, { requestOf(100 + count, { 7 }) });
+    CHECK(registries.condemned(1).empty());
+}
+
 TEST_CASE("Evidence is shared in limited pieces that lose nothing", "[crashes]")
 {
     sharing_registries registries;
