Failing tests: targets count as warm at entries that start after their failure domain is back in service

A target that becomes cold while its failure domain is out of service may announce it late, so entries treat all targets of a domain as cold for the cold time after its return. They put this down per target when they hear of the return.

That targets are not cold for longer than needed at an entry that starts later holds now and must hold after the fix.

--- a/tests/core/plumfold_target_selector_tests.cpp
+++ b/tests/core/plumfold_target_selector_tests.cpp
@@ -213,6 +213,24 @@
     CHECK_FALSE(selector.choose(requestOf(), start + milliseconds(4000)).chosen->isCold);
 }
 
+TEST_CASE("Targets that are announced after their failure domain is back in service count as cold",
+    "[target_board][cold]")
+{
+    auto selector = selectorOf({ engine("t1") });
+    selector.setServices({ coldLimits() });
+    selector.setOutOfService({ "a" }, start);
+    selector.setOutOfService({}, start + milliseconds(1000));
+    // A control VM that has just started knows no targets.
+    selector.applyAnnouncements({}, true, start + milliseconds(1100));
+    selector.applyAnnouncements({ engine("t1"), engine("t2") }, true, start + milliseconds(1200));
+    for (const auto* other : { "t1", "t2" }) {
+        auto request = requestOf();
+        request.excluded = { other };
+        CHECK(selector.choose(request, start + milliseconds(3999)).chosen->isCold);
+        CHECK_FALSE(selector.choose(request, start + milliseconds(4000)).chosen->isCold);
+    }
+}
+
 TEST_CASE("An earlier announcement does not replace a later one", "[target_board][cold]")
 {
     auto cold = engine("t1");
--- a/tests/forwarding/plumfold_shared_limit_tests.cpp
+++ b/tests/forwarding/plumfold_shared_limit_tests.cpp
@@ -1,9 +1,9 @@
 #include "support/plumfold_disturbances.hpp"
 #include "support/plumfold_forwarding_system.hpp"
+#include "support/plumfold_request_rates.hpp"
 
 #include <catch2/catch.hpp>
 
-#include <algorithm>
 #include <chrono>
 #include <thread>
 
@@ -17,24 +17,6 @@
 constexpr double maxColdRequests = coldRate * 1.5 + 5; // in any second
 constexpr auto coldTime = 4'000ms;
 
-/// @return the largest number of requests that a target received within one second.
-std::size_t maxRequestsPerSecond(const scripted_target& target)
-{
-    auto requests = target.requests();
-    std::vector<std::chrono::steady_clock::time_point> times;
-    for (const auto& each : requests)
-        times.push_back(each.receivedAt);
-    std::sort(times.begin(), times.end());
-    std::size_t most = 0;
-    std::size_t first = 0;
-    for (std::size_t last = 0; last < times.size(); ++last) {
-        while (times[last] - times[first] >= 1s)
-            ++first;
-        most = std::max(most, last - first + 1);
-    }
-    return most;
-}
-
 /// Control VMs and more entries than the limits that they share allow requests.
 class system_of_many_entries : public forwarding_system {
 public:
