Make the history of weight versions one of numbered events with ages

The return of failure domains to service needs the same: events that observers learn of at different times, of which the earliest report counts. No change of behaviour; the wire format keeps its layout. Core tests tagged [weights] pass.

--- a/packages/control/src/plumfold_control_service.cpp
+++ b/packages/control/src/plumfold_control_service.cpp
@@ -61,7 +61,7 @@
         for (auto each : params.getLoads())
             loads.push_back(wire::read(each));
         m_context.feed.updateLoads(loads, false);
-        std::vector<core::weight_naming> namings;
+        std::vector<core::event_age> namings;
         for (auto each : params.getNamings())
             namings.push_back(wire::read(each));
         m_context.feed.applyPeerNamings(namings);
--- a/packages/control/src/plumfold_deployment_feed.cpp
+++ b/packages/control/src/plumfold_deployment_feed.cpp
@@ -56,7 +56,7 @@
             .with("leader", view.leaderAddress);
     bool newDocument = view.deployment->document.version != m_view.deployment->document.version;
     m_view = std::move(view);
-    m_weights.observeCurrent(m_view.deployment->weights, runtime::nowWithSuspension());
+    m_weights.observeLatest(m_view.deployment->weights, runtime::nowWithSuspension());
     if (newDocument)
         updateServices();
     wake();
@@ -245,7 +245,7 @@
     updateTargetClock(clock);
 }
 
-void deployment_feed::applyPeerNamings(const std::vector<core::weight_naming>& namings)
+void deployment_feed::applyPeerNamings(const std::vector<core::event_age>& namings)
 {
     m_weights.observe(namings, runtime::nowWithSuspension());
 }
--- a/packages/control/src/plumfold_deployment_feed.hpp
+++ b/packages/control/src/plumfold_deployment_feed.hpp
@@ -3,10 +3,10 @@
 #include "plumfold/control/plumfold_control_node.hpp"
 #include "plumfold/core/plumfold_crash_registry.hpp"
 #include "plumfold/core/plumfold_crash_screen.hpp"
+#include "plumfold/core/plumfold_event_history.hpp"
 #include "plumfold/core/plumfold_part_directory.hpp"
 #include "plumfold/core/plumfold_target_directory.hpp"
 #include "plumfold/core/plumfold_target_selector.hpp"
-#include "plumfold/core/plumfold_weight_history.hpp"
 #include "plumfold/runtime/plumfold_settings.hpp"
 #include "plumfold/wire/plumfold_rpc_connection.hpp"
 #include "plumfold/wire/plumfold_rpc_thread.hpp"
@@ -57,7 +57,7 @@
     /// @param clock the targets' clock in milliseconds; 0: unknown.
     void applyPeerParts(const std::vector<core::part_update>& parts, std::uint64_t clock);
     /// Applies when weight versions were named, as far as another control VM knows.
-    void applyPeerNamings(const std::vector<core::weight_naming>& namings);
+    void applyPeerNamings(const std::vector<core::event_age>& namings);
     /// Starts a generation of a holder that this control VM polls, without any parts.
     void resetParts(const std::string& holder, std::uint64_t generation);
     /// Applies changes that this control VM polled from a holder.
@@ -90,7 +90,7 @@
     const core::part_directory& parts() const { return m_parts; }
     /// @param at a time of runtime::nowWithSuspension().
     /// @return the weight versions that were named, with their ages at that time.
-    std::vector<core::weight_naming> weightNamings(core::instant at) const { return m_weights.namings(at); }
+    std::vector<core::event_age> weightNamings(core::instant at) const { return m_weights.ages(at); }
     /// @param directOnly only those that this control VM polled itself.
     /// @return the loads that are not stale.
     std::vector<core::target_load> loads(bool directOnly) const;
@@ -151,7 +151,7 @@
     core::instant m_lastTick {};
     core::target_directory m_directory;
     core::part_directory m_parts;
-    core::weight_history m_weights; // in times of runtime::nowWithSuspension()
+    core::event_history m_weights; // in times of runtime::nowWithSuspension()
     std::vector<core::part_store> m_stores; // from the current deployment
     std::map<std::string, double> m_coldRates; // requests per second by service, from the current deployment
     /// The latest load report of a target.
--- a/packages/core/include/plumfold/core/plumfold_target_selector.hpp
+++ b/packages/core/include/plumfold/core/plumfold_target_selector.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "plumfold/core/plumfold_deployment.hpp"
+#include "plumfold/core/plumfold_event_history.hpp"
 #include "plumfold/core/plumfold_prompt_parts.hpp"
 #include "plumfold/core/plumfold_target_directory.hpp"
-#include "plumfold/core/plumfold_weight_history.hpp"
 
 #include <deque>
 #include <map>
@@ -129,7 +129,7 @@
     /// Sets the current weight version by model. A version whose naming is not known counts as named now.
     void setWeights(const std::map<std::string, std::uint64_t>& weights, instant now);
     /// Applies when weight versions were named. Call it before setWeights().
-    void applyWeightNamings(const std::vector<weight_naming>& namings, instant now);
+    void applyWeightNamings(const std::vector<event_age>& namings, instant now);
     void setServices(const std::vector<service_limits>& services);
     /// Applies load reports; those of unknown targets are ignored.
     void applyLoads(const std::vector<target_load>& loads, instant now);
@@ -223,7 +223,7 @@
     target_selector_options m_options;
     std::map<std::string, tracked_target> m_targets;
     std::set<std::string> m_outOfService;
-    weight_history m_weights;
+    event_history m_weights;
     std::map<std::string, service_limits> m_services;
     std::uint32_t m_entries = 1;
 };
--- a/packages/core/src/plumfold_target_selector.cpp
+++ b/packages/core/src/plumfold_target_selector.cpp
@@ -64,10 +64,10 @@
 
 void target_selector::setWeights(const std::map<std::string, std::uint64_t>& weights, instant now)
 {
-    m_weights.observeCurrent(weights, now);
+    m_weights.observeLatest(weights, now);
 }
 
-void target_selector::applyWeightNamings(const std::vector<weight_naming>& namings, instant now)
+void target_selector::applyWeightNamings(const std::vector<event_age>& namings, instant now)
 {
     m_weights.observe(namings, now);
 }
@@ -103,13 +103,13 @@
 
 bool target_selector::hasCurrentWeights(const tracked_target& target, const std::string& model) const
 {
-    auto current = m_weights.currentVersion(model);
+    auto current = m_weights.latest(model);
     return model.empty() || !current || weightVersionOf(target, model) == *current;
 }
 
 std::string target_selector::currentWeightVersion(const std::string& model) const
 {
-    if (auto current = m_weights.currentVersion(model))
+    if (auto current = m_weights.latest(model))
         return std::to_string(*current);
     for (const auto& [name, target] : m_targets) {
         for (const auto& loaded : target.last.models) {
@@ -126,7 +126,7 @@
 {
     if (model.empty())
         return true;
-    auto supersededAt = m_weights.supersededAt(model, weightVersionOf(target, model));
+    auto supersededAt = m_weights.firstAfter(model, weightVersionOf(target, model));
     return !supersededAt || now - *supersededAt < m_options.staleWeightsGracePeriod;
 }
 
--- a/packages/forwarding/src/plumfold_deployment_follower.hpp
+++ b/packages/forwarding/src/plumfold_deployment_follower.hpp
@@ -28,7 +28,7 @@
     std::string sharedLimitIssuer; ///< Control VM that grants what shared limits allow: ip:port.
     std::vector<core::part_update> parts;
     std::vector<core::target_load> loads;
-    std::vector<core::weight_naming> weightNamings; ///< Their ages are upper bounds.
+    std::vector<core::event_age> weightNamings; ///< Their ages are upper bounds.
     std::vector<core::crash_verdict> verdicts; ///< All of them if any has changed; else empty.
     std::optional<std::vector<core::crash_suspect>> suspects; ///< All of them, if any has changed.
     std::uint64_t targetClockMs = 0; ///< The targets' clock; 0: unknown.
--- a/packages/wire/include/plumfold/wire/plumfold_convert.hpp
+++ b/packages/wire/include/plumfold/wire/plumfold_convert.hpp
@@ -96,8 +96,8 @@
 void write(DeploymentState::Builder out, const core::deployment_state& value);
 core::deployment_state read(DeploymentState::Reader in);
 
-void write(WeightNaming::Builder out, const core::weight_naming& value);
-core::weight_naming read(WeightNaming::Reader in);
+void write(EventAge::Builder out, const core::event_age& value);
+core::event_age read(EventAge::Reader in);
 
 void write(AnnouncedTarget::Builder out, const core::target_announcement& value);
 core::target_announcement read(AnnouncedTarget::Reader in);
--- a/packages/wire/schema/plumfold.capnp
+++ b/packages/wire/schema/plumfold.capnp
@@ -106,8 +106,8 @@
 struct DeploymentDocument { version @0 :UInt64; text @1 :Text; }
 struct InServiceCommand { failureDomain @0 :Text; inService @1 :Bool; }
 struct NamedWeights { model @0 :Text; version @1 :UInt64; }
-# A weight version that became current, see core::weight_naming.
-struct WeightNaming { model @0 :Text; version @1 :UInt64; ageMs @2 :UInt64; }
+# See core::event_age.
+struct EventAge { subject @0 :Text; number @1 :UInt64; ageMs @2 :UInt64; }
 struct DeploymentState {
   revision @0 :UInt64;
   document @1 :DeploymentDocument;
@@ -190,7 +190,7 @@
   deliver @0 (message :RaftMessage) -> ();
   # What targets announced to this control VM itself, how many entries follow it, and the entries' suspects.
   share @1 (address :Text, failureDomain :Text, entries :UInt32, targets :List(AnnouncedTarget),
-      parts :List(PartNews), clock :UInt64, loads :List(TargetLoad), namings :List(WeightNaming)) -> ();
+      parts :List(PartNews), clock :UInt64, loads :List(TargetLoad), namings :List(EventAge)) -> ();
 }
 interface Operator {
   form @0 () -> (reply :Reply);
@@ -216,7 +216,7 @@
       -> (fresh :Bool, deployment :DeploymentState, feed :UInt64, change :UInt64, everything :Bool,
           targets :List(AnnouncedTarget), control :List(ControlAddress), entries :UInt32, parts :List(PartNews), clock :UInt64,
           loads :List(TargetLoad), sharedLimits :Text, verdictsDigest :UInt64, verdicts :List(CrashVerdict),
-          suspects :List(CrashSuspect), suspectsDigest :UInt64, namings :List(WeightNaming));
+          suspects :List(CrashSuspect), suspectsDigest :UInt64, namings :List(EventAge));
   # Asks the holder of the lease shared-limits/ and the entry's failure domain for one start on a cold target.
   startCold @3 (service :Text, target :Text) -> (granted :Bool, retryAfterMs :UInt32);
   # Asks the same control VM for one retry beyond the share of the entry's own requests.
--- a/packages/wire/src/plumfold_convert_deployment.cpp
+++ b/packages/wire/src/plumfold_convert_deployment.cpp
@@ -45,16 +45,16 @@
     return value;
 }
 
-void write(WeightNaming::Builder out, const core::weight_naming& value)
+void write(EventAge::Builder out, const core::event_age& value)
 {
-    out.setModel(value.model);
-    out.setVersion(value.version);
+    out.setSubject(value.subject);
+    out.setNumber(value.number);
     out.setAgeMs(static_cast<std::uint64_t>(value.age.count()));
 }
 
-core::weight_naming read(WeightNaming::Reader in)
+core::event_age read(EventAge::Reader in)
 {
-    return { text(in.getModel()), in.getVersion(), core::milliseconds(in.getAgeMs()) };
+    return { text(in.getSubject()), in.getNumber(), core::milliseconds(in.getAgeMs()) };
 }
 
 void write(AnnouncedTarget::Builder out, const core::target_announcement& value)
--- a/tests/core/plumfold_weight_history_tests.cpp
+++ b/tests/core/plumfold_event_history_tests.cpp
@@ -1,5 +1,5 @@
+#include "plumfold/core/plumfold_event_history.hpp"
 #include "plumfold/core/plumfold_target_selector.hpp"
-#include "plumfold/core/plumfold_weight_history.hpp"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
@@ -22,36 +22,36 @@
 
 TEST_CASE("The earliest report of when a weight version became current is kept", "[weights]")
 {
-    weight_history history;
-    history.observeCurrent({ { "m", 5 } }, after(8'000)); // learned late
-    CHECK(history.supersededAt("m", 4) == after(8'000));
+    event_history history;
+    history.observeLatest({ { "m", 5 } }, after(8'000)); // learned late
+    CHECK(history.firstAfter("m", 4) == after(8'000));
     history.observe({ { "m", 5, milliseconds(7'500) } }, after(8'100));
-    CHECK(history.supersededAt("m", 4) == after(600));
-    history.observeCurrent({ { "m", 5 } }, after(9'000));
+    CHECK(history.firstAfter("m", 4) == after(600));
+    history.observeLatest({ { "m", 5 } }, after(9'000));
     history.observe({ { "m", 5, milliseconds(100) } }, after(9'000));
-    CHECK(history.supersededAt("m", 4) == after(600));
-    CHECK_FALSE(history.supersededAt("m", 5));
-    CHECK_FALSE(history.supersededAt("other", 4));
+    CHECK(history.firstAfter("m", 4) == after(600));
+    CHECK_FALSE(history.firstAfter("m", 5));
+    CHECK_FALSE(history.firstAfter("other", 4));
 }
 
 TEST_CASE("A version that was missed counts for targets with older weights", "[weights]")
 {
-    weight_history history;
-    history.observeCurrent({ { "m", 6 } }, after(5'000));
+    event_history history;
+    history.observeLatest({ { "m", 6 } }, after(5'000));
     history.observe({ { "m", 5, milliseconds(4'000) } }, after(5'000));
-    CHECK(history.currentVersion("m") == 6);
-    CHECK(history.supersededAt("m", 4) == after(1'000));
-    CHECK(history.supersededAt("m", 5) == after(5'000));
+    CHECK(history.latest("m") == 6);
+    CHECK(history.firstAfter("m", 4) == after(1'000));
+    CHECK(history.firstAfter("m", 5) == after(5'000));
 }
 
 TEST_CASE("Weights do not count as superseded later although old versions are forgotten", "[weights]")
 {
-    weight_history history;
+    event_history history;
     for (int version = 5; version <= 12; ++version)
         history.observe("m", static_cast<std::uint64_t>(version), after(version * 100));
-    CHECK(history.namings(after(1'200)).size() == 4);
-    CHECK(*history.supersededAt("m", 4) <= after(500));
-    CHECK(*history.supersededAt("m", 11) == after(1'200));
+    CHECK(history.ages(after(1'200)).size() == 4);
+    CHECK(*history.firstAfter("m", 4) <= after(500));
+    CHECK(*history.firstAfter("m", 11) == after(1'200));
 }
 
 TEST_CASE("Observers that exchange ages never count from later than the earliest of them", "[weights]")
@@ -59,7 +59,7 @@
     rc::prop("observers with clocks of their own", [] {
         auto namedAt = *rc::gen::inRange(0, 10'000);
         auto observers = *rc::gen::inRange(2, 6);
-        std::vector<weight_history> all(static_cast<std::size_t>(observers));
+        std::vector<event_history> all(static_cast<std::size_t>(observers));
         // The clocks of the observers differ by an hour each.
         auto clock = [&](int observer, int ms) { return after(ms) + std::chrono::hours(observer); };
         int time = namedAt;
@@ -67,17 +67,17 @@
         for (int observer = 0; observer < observers; ++observer) {
             auto heardAfter = *rc::gen::inRange(0, 8'000);
             earliest = observer == 0 ? heardAfter : std::min(earliest, heardAfter);
-            all[static_cast<std::size_t>(observer)].observeCurrent(
+            all[static_cast<std::size_t>(observer)].observeLatest(
                 { { "m", 5 } }, clock(observer, namedAt + heardAfter));
             time = std::max(time, namedAt + heardAfter);
         }
         for (int from = 0; from < observers; ++from) {
             for (int to = 0; to < observers; ++to)
                 all[static_cast<std::size_t>(to)].observe(
-                    all[static_cast<std::size_t>(from)].namings(clock(from, time)), clock(to, time));
+                    all[static_cast<std::size_t>(from)].ages(clock(from, time)), clock(to, time));
         }
         for (int observer = 0; observer < observers; ++observer)
-            RC_ASSERT(all[static_cast<std::size_t>(observer)].supersededAt("m", 4)
+            RC_ASSERT(all[static_cast<std::size_t>(observer)].firstAfter("m", 4)
                 == clock(observer, namedAt + earliest));
     });
 }
