Count the cold time after a return to service from the return, not from when an entry hears of it

Callers saw: a cold target got 80 requests in a second where it bears 18.5, from entries that restarted after its failure domain came back; targets become cold while they are out of service, and their announcements may say so late.

Cause: target_selector put down the return per target, at its own time, and only if it had seen the domain out of service itself. An entry that starts later, one that missed the whole time out of service, and a target that a complete list left out and a later one named again had no such time.

Change: the deployment state keeps the revision at which each failure domain was last returned. Control VMs keep the earliest time of each return in an event_history, exchange the ages, and send them to entries, as they do for weight versions. Entries derive the cold time from the failure domain, not from the target. Ages of returns are those at the time of the response: a delayed response makes the return younger and the cold time longer, never shorter.

setOutOfService() no longer detects returns, so the tests of target_selector set the return with setReturns(); what they check is unchanged.

Conclusion: a control VM that has just restarted counts returns from its start until its peers tell it their ages, so entries that start then count targets as cold for longer, never for shorter. What an entry does between waking up and its first update still rests on what it knew before it was suspended.

--- a/packages/control/src/plumfold_control_service.cpp
+++ b/packages/control/src/plumfold_control_service.cpp
@@ -61,10 +61,8 @@
         for (auto each : params.getLoads())
             loads.push_back(wire::read(each));
         m_context.feed.updateLoads(loads, false);
-        std::vector<core::event_age> namings;
-        for (auto each : params.getNamings())
-            namings.push_back(wire::read(each));
-        m_context.feed.applyPeerNamings(namings);
+        m_context.feed.applyPeerEvents(
+            wire::readEventAges(params.getNamings()), wire::readEventAges(params.getReturns()));
         return kj::READY_NOW;
     }
 
@@ -133,7 +131,7 @@
                 .waitForUpdate(params.getKnownDeployment(), change, params.getKnownVerdicts(), wait)
                 .then([this, call, change, arrivedAt]() mutable {
                     writeFollowResults(call, change);
-                    writeNamings(call, arrivedAt);
+                    writeEvents(call, arrivedAt);
                 });
         });
     }
@@ -226,12 +224,12 @@
         }
     }
 
-    void writeNamings(FollowContext& call, core::instant arrivedAt)
+    void writeEvents(FollowContext& call, core::instant arrivedAt)
     {
         auto namings = m_context.feed.weightNamings(arrivedAt);
-        auto out = call.getResults().initNamings(namings.size());
-        for (unsigned index = 0; index < namings.size(); ++index)
-            wire::write(out[index], namings[index]);
+        wire::write(call.getResults().initNamings(namings.size()), namings);
+        auto returns = m_context.feed.returns(runtime::nowWithSuspension());
+        wire::write(call.getResults().initReturns(returns.size()), returns);
     }
 
     void writeParts(FollowContext& call)
--- a/packages/control/src/plumfold_deployment_feed.cpp
+++ b/packages/control/src/plumfold_deployment_feed.cpp
@@ -56,7 +56,9 @@
             .with("leader", view.leaderAddress);
     bool newDocument = view.deployment->document.version != m_view.deployment->document.version;
     m_view = std::move(view);
-    m_weights.observeLatest(m_view.deployment->weights, runtime::nowWithSuspension());
+    auto now = runtime::nowWithSuspension();
+    m_weights.observeLatest(m_view.deployment->weights, now);
+    m_returns.observeLatest(m_view.deployment->returns, now);
     if (newDocument)
         updateServices();
     wake();
@@ -245,9 +247,12 @@
     updateTargetClock(clock);
 }
 
-void deployment_feed::applyPeerNamings(const std::vector<core::event_age>& namings)
+void deployment_feed::applyPeerEvents(
+    const std::vector<core::event_age>& namings, const std::vector<core::event_age>& returns)
 {
-    m_weights.observe(namings, runtime::nowWithSuspension());
+    auto now = runtime::nowWithSuspension();
+    m_weights.observe(namings, now);
+    m_returns.observe(returns, now);
 }
 
 void deployment_feed::resetParts(const std::string& holder, std::uint64_t generation)
--- a/packages/control/src/plumfold_deployment_feed.hpp
+++ b/packages/control/src/plumfold_deployment_feed.hpp
@@ -56,8 +56,10 @@
     /// Applies updates about the parts of stores and engines from another control VM.
     /// @param clock the targets' clock in milliseconds; 0: unknown.
     void applyPeerParts(const std::vector<core::part_update>& parts, std::uint64_t clock);
-    /// Applies when weight versions were named, as far as another control VM knows.
-    void applyPeerNamings(const std::vector<core::event_age>& namings);
+    /// Applies when weight versions were named and failure domains returned to service, as far as another
+    /// control VM knows.
+    void applyPeerEvents(
+        const std::vector<core::event_age>& namings, const std::vector<core::event_age>& returns);
     /// Starts a generation of a holder that this control VM polls, without any parts.
     void resetParts(const std::string& holder, std::uint64_t generation);
     /// Applies changes that this control VM polled from a holder.
@@ -91,6 +93,9 @@
     /// @param at a time of runtime::nowWithSuspension().
     /// @return the weight versions that were named, with their ages at that time.
     std::vector<core::event_age> weightNamings(core::instant at) const { return m_weights.ages(at); }
+    /// @param at a time of runtime::nowWithSuspension().
+    /// @return the returns of failure domains to service, with their ages at that time.
+    std::vector<core::event_age> returns(core::instant at) const { return m_returns.ages(at); }
     /// @param directOnly only those that this control VM polled itself.
     /// @return the loads that are not stale.
     std::vector<core::target_load> loads(bool directOnly) const;
@@ -152,6 +157,7 @@
     core::target_directory m_directory;
     core::part_directory m_parts;
     core::event_history m_weights; // in times of runtime::nowWithSuspension()
+    core::event_history m_returns; // of failure domains to service; in the same times
     std::vector<core::part_store> m_stores; // from the current deployment
     std::map<std::string, double> m_coldRates; // requests per second by service, from the current deployment
     /// The latest load report of a target.
--- a/packages/control/src/plumfold_peer_links.cpp
+++ b/packages/control/src/plumfold_peer_links.cpp
@@ -9,8 +9,8 @@
 
 /// Interval at which a peer is sent all announcements, so that targets do not time out there.
 constexpr core::milliseconds shareAllInterval { 1500 };
-/// Interval at which a peer is sent the KV parts and loads that this control VM polls, and the ages of weight
-/// versions.
+/// Interval at which a peer is sent the KV parts and loads that this control VM polls, and the ages of
+/// events.
 constexpr core::milliseconds shareNewsInterval { 150 };
 constexpr unsigned maxInFlight = 64;
 constexpr std::chrono::milliseconds connectTimeout { 500 };
@@ -82,7 +82,8 @@
     auto holders = feed.assignedHolders();
     auto loads = feed.loads(true);
     auto namings = feed.weightNamings(runtime::nowWithSuspension());
-    bool hasNews = !holders.empty() || !loads.empty() || !namings.empty();
+    auto returns = feed.returns(runtime::nowWithSuspension());
+    bool hasNews = !holders.empty() || !loads.empty() || !namings.empty() || !returns.empty();
     bool newsDue = hasNews && now - to.sharedNewsAt > shareNewsInterval;
     if (to.shareInFlight || (announcements.empty() && !all && !newsDue))
         return;
@@ -105,9 +106,8 @@
     auto outLoads = request.initLoads(loads.size());
     for (unsigned index = 0; index < loads.size(); ++index)
         wire::write(outLoads[index], loads[index]);
-    auto outNamings = request.initNamings(namings.size());
-    for (unsigned index = 0; index < namings.size(); ++index)
-        wire::write(outNamings[index], namings[index]);
+    wire::write(request.initNamings(namings.size()), namings);
+    wire::write(request.initReturns(returns.size()), returns);
     if (!holders.empty())
         request.setClock(feed.targetClock());
     to.shareInFlight = true;
--- a/packages/control/src/plumfold_peer_links.hpp
+++ b/packages/control/src/plumfold_peer_links.hpp
@@ -41,7 +41,7 @@
         bool shareInFlight = false;
         std::uint64_t sharedChange = 0; // latest change of the directory that the peer has received
         core::instant sharedAllAt {};
-        core::instant sharedNewsAt {}; // parts, loads and ages of weight versions
+        core::instant sharedNewsAt {}; // parts, loads and ages of events
         std::map<std::string, core::part_cursor> sharedParts; // by holder: changes that the peer has received
     };
 
--- a/packages/core/include/plumfold/core/plumfold_deployment_state.hpp
+++ b/packages/core/include/plumfold/core/plumfold_deployment_state.hpp
@@ -20,6 +20,8 @@
     std::uint64_t revision = 0; ///< Incremented with every change of the members below.
     deployment_document document;
     std::set<std::string> outOfService; ///< Failure domains that get no new requests.
+    /// Revision at which each failure domain was last returned to service.
+    std::map<std::string, std::uint64_t> returns;
     std::map<std::string, std::uint64_t> weights; ///< Current weight version of each model.
     bool operator==(const deployment_state&) const = default;
 
--- a/packages/core/include/plumfold/core/plumfold_event_history.hpp
+++ b/packages/core/include/plumfold/core/plumfold_event_history.hpp
@@ -36,6 +36,9 @@
     /// @return the number of the latest event of a subject; nothing if none is known.
     std::optional<std::uint64_t> latest(const std::string& subject) const;
 
+    /// @return when the latest event of a subject took place; nothing if none is known.
+    std::optional<instant> latestAt(const std::string& subject) const;
+
     /// @return when the first event after the given one took place; nothing if none is later.
     std::optional<instant> firstAfter(const std::string& subject, std::uint64_t number) const;
 
--- a/packages/core/include/plumfold/core/plumfold_target_selector.hpp
+++ b/packages/core/include/plumfold/core/plumfold_target_selector.hpp
@@ -122,10 +122,15 @@
     /// @param isComplete whether they cover all targets; those that are missing count as leaving.
     void applyAnnouncements(const std::vector<target_announcement>& targets, bool isComplete, instant now);
 
-    /// Excludes the targets of these failure domains; replaces the former set. Targets of a failure domain
-    /// that is no longer excluded count as cold for the cold time of their service, since they may have
-    /// become cold without an announcement that has arrived yet.
-    void setOutOfService(std::set<std::string> failureDomains, instant now);
+    /// Excludes the targets of these failure domains; replaces the former set.
+    void setOutOfService(std::set<std::string> failureDomains);
+    /// Sets the number of the latest return to service by failure domain. From the return on, targets count
+    /// as cold for the cold time of their service, since they may have become cold without an announcement
+    /// that has arrived yet. A return whose time is not known counts as taking place now.
+    void setReturns(const std::map<std::string, std::uint64_t>& returns, instant now);
+    /// Applies when failure domains returned to service. Call it before setReturns().
+    /// @param returns their ages must not be overestimated.
+    void applyReturnAges(const std::vector<event_age>& returns, instant now);
     /// Sets the current weight version by model. A version whose naming is not known counts as named now.
     void setWeights(const std::map<std::string, std::uint64_t>& weights, instant now);
     /// Applies when weight versions were named. Call it before setWeights().
@@ -184,7 +189,6 @@
     struct tracked_target {
         target_announcement last;
         instant coldUntil {}; ///< As announced.
-        instant assumedColdUntil {};
         instant coldStartRefusedUntil {};
         instant backoffUntil {};
         std::optional<instant> lastAnswerAt; ///< Latest answer to this entry.
@@ -223,6 +227,7 @@
     target_selector_options m_options;
     std::map<std::string, tracked_target> m_targets;
     std::set<std::string> m_outOfService;
+    event_history m_returns; // of failure domains to service
     event_history m_weights;
     std::map<std::string, service_limits> m_services;
     std::uint32_t m_entries = 1;
--- a/packages/core/src/plumfold_deployment_state.cpp
+++ b/packages/core/src/plumfold_deployment_state.cpp
@@ -16,6 +16,8 @@
     bool changed
         = inService ? outOfService.erase(failureDomain) > 0 : outOfService.insert(failureDomain).second;
     revision += changed;
+    if (changed && inService)
+        returns[failureDomain] = revision;
     return changed;
 }
 
--- a/packages/core/src/plumfold_event_history.cpp
+++ b/packages/core/src/plumfold_event_history.cpp
@@ -44,6 +44,14 @@
     return found->second.rbegin()->first;
 }
 
+std::optional<instant> event_history::latestAt(const std::string& subject) const
+{
+    auto found = m_events.find(subject);
+    if (found == m_events.end() || found->second.empty())
+        return std::nullopt;
+    return found->second.rbegin()->second;
+}
+
 std::optional<instant> event_history::firstAfter(const std::string& subject, std::uint64_t number) const
 {
     auto found = m_events.find(subject);
--- a/packages/core/src/plumfold_target_selector.cpp
+++ b/packages/core/src/plumfold_target_selector.cpp
@@ -51,17 +51,21 @@
     }
 }
 
-void target_selector::setOutOfService(std::set<std::string> failureDomains, instant now)
+void target_selector::setOutOfService(std::set<std::string> failureDomains)
 {
-    for (auto& [name, target] : m_targets) {
-        const auto& domain = target.last.failureDomain;
-        auto limits = m_services.find(target.last.service);
-        if (m_outOfService.contains(domain) && !failureDomains.contains(domain) && limits != m_services.end())
-            target.assumedColdUntil = now + limits->second.coldTime;
-    }
     m_outOfService = std::move(failureDomains);
 }
 
+void target_selector::setReturns(const std::map<std::string, std::uint64_t>& returns, instant now)
+{
+    m_returns.observeLatest(returns, now);
+}
+
+void target_selector::applyReturnAges(const std::vector<event_age>& returns, instant now)
+{
+    m_returns.observe(returns, now);
+}
+
 void target_selector::setWeights(const std::map<std::string, std::uint64_t>& weights, instant now)
 {
     m_weights.observeLatest(weights, now);
@@ -182,8 +186,10 @@
 bool target_selector::isCold(const tracked_target& target, instant now) const
 {
     auto limits = m_services.find(target.last.service);
-    bool isCold = now < std::max(target.coldUntil, target.assumedColdUntil);
-    return isCold && limits != m_services.end() && limits->second.coldRequestsPerSecond > 0;
+    if (limits == m_services.end() || limits->second.coldRequestsPerSecond <= 0)
+        return false;
+    auto returnedAt = m_returns.latestAt(target.last.failureDomain);
+    return now < target.coldUntil || (returnedAt && now < *returnedAt + limits->second.coldTime);
 }
 
 placement_result target_selector::choose(const placement_request& request, instant now)
--- a/packages/forwarding/src/plumfold_deployment_follower.cpp
+++ b/packages/forwarding/src/plumfold_deployment_follower.cpp
@@ -143,10 +143,10 @@
         update.loads.push_back(wire::read(each));
     // The ages are those at the arrival of the call, which was not earlier than the call was made.
     auto sinceCall = std::chrono::ceil<core::milliseconds>(runtime::nowWithSuspension() - m_calledAt);
-    for (auto each : response.getNamings()) {
-        update.weightNamings.push_back(wire::read(each));
-        update.weightNamings.back().age += sinceCall;
-    }
+    update.weightNamings = wire::readEventAges(response.getNamings());
+    for (auto& each : update.weightNamings)
+        each.age += sinceCall;
+    update.returns = wire::readEventAges(response.getReturns());
     for (auto each : response.getVerdicts())
         update.verdicts.push_back(wire::read(each));
     m_knownVerdicts = response.getVerdictsDigest();
--- a/packages/forwarding/src/plumfold_deployment_follower.hpp
+++ b/packages/forwarding/src/plumfold_deployment_follower.hpp
@@ -29,6 +29,7 @@
     std::vector<core::part_update> parts;
     std::vector<core::target_load> loads;
     std::vector<core::event_age> weightNamings; ///< Their ages are upper bounds.
+    std::vector<core::event_age> returns; ///< Of failure domains to service; their ages are lower bounds.
     std::vector<core::crash_verdict> verdicts; ///< All of them if any has changed; else empty.
     std::optional<std::vector<core::crash_suspect>> suspects; ///< All of them, if any has changed.
     std::uint64_t targetClockMs = 0; ///< The targets' clock; 0: unknown.
--- a/packages/forwarding/src/plumfold_forwarding_role.cpp
+++ b/packages/forwarding/src/plumfold_forwarding_role.cpp
@@ -126,6 +126,7 @@
         m_state.targetClockMs = update.targetClockMs;
         m_state.targetClockReadAt = now;
         m_state.targetSelector.applyWeightNamings(update.weightNamings, now);
+        m_state.targetSelector.applyReturnAges(update.returns, now);
         if (update.deployment)
             applyDeployment(*update.deployment, now);
         m_metrics.set("plumfold_known_targets", static_cast<double>(m_state.targetSelector.size()));
@@ -155,7 +156,8 @@
 
     void applyDeployment(const core::deployment_state& next, core::instant now)
     {
-        m_state.targetSelector.setOutOfService(next.outOfService, now);
+        m_state.targetSelector.setOutOfService(next.outOfService);
+        m_state.targetSelector.setReturns(next.returns, now);
         m_state.targetSelector.setWeights(next.weights, now);
         m_state.deploymentRevision = next.revision;
         auto previousVersion = m_state.deployment ? m_state.deployment->version() : 0;
--- a/packages/wire/include/plumfold/wire/plumfold_convert.hpp
+++ b/packages/wire/include/plumfold/wire/plumfold_convert.hpp
@@ -96,8 +96,8 @@
 void write(DeploymentState::Builder out, const core::deployment_state& value);
 core::deployment_state read(DeploymentState::Reader in);
 
-void write(EventAge::Builder out, const core::event_age& value);
-core::event_age read(EventAge::Reader in);
+void write(capnp::List<EventAge>::Builder out, const std::vector<core::event_age>& values);
+std::vector<core::event_age> readEventAges(capnp::List<EventAge>::Reader in);
 
 void write(AnnouncedTarget::Builder out, const core::target_announcement& value);
 core::target_announcement read(AnnouncedTarget::Reader in);
--- a/packages/wire/schema/plumfold.capnp
+++ b/packages/wire/schema/plumfold.capnp
@@ -106,6 +106,7 @@
 struct DeploymentDocument { version @0 :UInt64; text @1 :Text; }
 struct InServiceCommand { failureDomain @0 :Text; inService @1 :Bool; }
 struct NamedWeights { model @0 :Text; version @1 :UInt64; }
+struct ReturnToService { failureDomain @0 :Text; revision @1 :UInt64; }
 # See core::event_age.
 struct EventAge { subject @0 :Text; number @1 :UInt64; ageMs @2 :UInt64; }
 struct DeploymentState {
@@ -113,6 +114,7 @@
   document @1 :DeploymentDocument;
   outOfService @2 :List(Text);    # failure domains
   weights @3 :List(NamedWeights);
+  returns @4 :List(ReturnToService);
 }
 struct LeaseCommand { name @0 :Text; holder @1 :Text; durationMs @2 :UInt32; }
 struct LeaseResult { granted @0 :Bool; fence @1 :UInt64; takeovers @2 :UInt64; first @3 :Bool; }
@@ -190,7 +192,8 @@
   deliver @0 (message :RaftMessage) -> ();
   # What targets announced to this control VM itself, how many entries follow it, and the entries' suspects.
   share @1 (address :Text, failureDomain :Text, entries :UInt32, targets :List(AnnouncedTarget),
-      parts :List(PartNews), clock :UInt64, loads :List(TargetLoad), namings :List(EventAge)) -> ();
+      parts :List(PartNews), clock :UInt64, loads :List(TargetLoad), namings :List(EventAge),
+      returns :List(EventAge)) -> ();
 }
 interface Operator {
   form @0 () -> (reply :Reply);
@@ -210,13 +213,15 @@
   # a quorum has first confirmed that no newer revision is deployed. sharedLimits is the address of the control VM
   # that serves startCold and retry for this entry. The verdicts are all that are in force or were withdrawn
   # recently; they are left out if their digest is the known one. So are the suspects. The ages of the namings are
-  # those at the time at which the call arrived.
+  # those at the time at which the call arrived, so that they can be bounded from above; those of the returns to
+  # service are those at the time of the response.
   follow @2 (knownDeployment :UInt64, feed :UInt64, knownChange :UInt64, waitMs :UInt32, confirmed :Bool,
       parts :List(PartCursor), knownVerdicts :UInt64, knownSuspects :UInt64)
       -> (fresh :Bool, deployment :DeploymentState, feed :UInt64, change :UInt64, everything :Bool,
           targets :List(AnnouncedTarget), control :List(ControlAddress), entries :UInt32, parts :List(PartNews), clock :UInt64,
           loads :List(TargetLoad), sharedLimits :Text, verdictsDigest :UInt64, verdicts :List(CrashVerdict),
-          suspects :List(CrashSuspect), suspectsDigest :UInt64, namings :List(EventAge));
+          suspects :List(CrashSuspect), suspectsDigest :UInt64, namings :List(EventAge),
+          returns :List(EventAge));
   # Asks the holder of the lease shared-limits/ and the entry's failure domain for one start on a cold target.
   startCold @3 (service :Text, target :Text) -> (granted :Bool, retryAfterMs :UInt32);
   # Asks the same control VM for one retry beyond the share of the entry's own requests.
--- a/packages/wire/src/plumfold_convert_deployment.cpp
+++ b/packages/wire/src/plumfold_convert_deployment.cpp
@@ -31,6 +31,12 @@
         weights[index].setModel(model);
         weights[index++].setVersion(version);
     }
+    auto returns = out.initReturns(value.returns.size());
+    index = 0;
+    for (const auto& [failureDomain, revision] : value.returns) {
+        returns[index].setFailureDomain(failureDomain);
+        returns[index++].setRevision(revision);
+    }
 }
 
 core::deployment_state read(DeploymentState::Reader in)
@@ -42,19 +48,28 @@
         value.outOfService.insert(std::move(name));
     for (auto each : in.getWeights())
         value.weights[text(each.getModel())] = each.getVersion();
+    for (auto each : in.getReturns())
+        value.returns[text(each.getFailureDomain())] = each.getRevision();
     return value;
 }
 
-void write(EventAge::Builder out, const core::event_age& value)
+void write(capnp::List<EventAge>::Builder out, const std::vector<core::event_age>& values)
 {
-    out.setSubject(value.subject);
-    out.setNumber(value.number);
-    out.setAgeMs(static_cast<std::uint64_t>(value.age.count()));
+    unsigned index = 0;
+    for (const auto& value : values) {
+        auto each = out[index++];
+        each.setSubject(value.subject);
+        each.setNumber(value.number);
+        each.setAgeMs(static_cast<std::uint64_t>(value.age.count()));
+    }
 }
 
-core::event_age read(EventAge::Reader in)
+std::vector<core::event_age> readEventAges(capnp::List<EventAge>::Reader in)
 {
-    return { text(in.getSubject()), in.getNumber(), core::milliseconds(in.getAgeMs()) };
+    std::vector<core::event_age> values;
+    for (auto each : in)
+        values.push_back({ text(each.getSubject()), each.getNumber(), core::milliseconds(each.getAgeMs()) });
+    return values;
 }
 
 void write(AnnouncedTarget::Builder out, const core::target_announcement& value)
--- a/tests/core/plumfold_target_selector_tests.cpp
+++ b/tests/core/plumfold_target_selector_tests.cpp
@@ -1,3 +1,4 @@
+#include "plumfold/core/plumfold_deployment_state.hpp"
 #include "plumfold/core/plumfold_target_selector.hpp"
 
 #include <catch2/catch.hpp>
@@ -161,7 +162,7 @@
     leaving.state = target_state::leaving;
     selector.applyAnnouncements({ leaving }, false, start);
     CHECK(selector.choose(requestOf(), start).chosen->target == "t2");
-    selector.setOutOfService({ "b" }, start);
+    selector.setOutOfService({ "b" });
     CHECK_FALSE(selector.choose(requestOf(), start).chosen);
 }
 
@@ -204,8 +205,9 @@
 {
     auto selector = selectorOf({ engine("t1") });
     selector.setServices({ coldLimits() });
-    selector.setOutOfService({ "a" }, start);
-    selector.setOutOfService({}, start + milliseconds(1000));
+    selector.setOutOfService({ "a" });
+    selector.setOutOfService({});
+    selector.setReturns({ { "a", 2 } }, start + milliseconds(1000));
     selector.applyAnnouncements(
         { engine("t1") }, false, start + milliseconds(1100)); // sent before it was cold
     CHECK(selector.choose(requestOf(), start + milliseconds(1200)).chosen->isCold);
@@ -218,8 +220,9 @@
 {
     auto selector = selectorOf({ engine("t1") });
     selector.setServices({ coldLimits() });
-    selector.setOutOfService({ "a" }, start);
-    selector.setOutOfService({}, start + milliseconds(1000));
+    selector.setOutOfService({ "a" });
+    selector.setOutOfService({});
+    selector.setReturns({ { "a", 2 } }, start + milliseconds(1000));
     // A control VM that has just started knows no targets.
     selector.applyAnnouncements({}, true, start + milliseconds(1100));
     selector.applyAnnouncements({ engine("t1"), engine("t2") }, true, start + milliseconds(1200));
@@ -231,6 +234,41 @@
     }
 }
 
+TEST_CASE("An entry that starts after a failure domain came back counts cold time from the return",
+    "[target_board][cold]")
+{
+    auto selector = selectorOf({ engine("t1") });
+    selector.setServices({ coldLimits() });
+    selector.applyReturnAges({ { "a", 2, milliseconds(1000) } }, start);
+    selector.setReturns({ { "a", 2 } }, start);
+    CHECK(selector.choose(requestOf(), start + milliseconds(1999)).chosen->isCold);
+    CHECK_FALSE(selector.choose(requestOf(), start + milliseconds(2000)).chosen->isCold);
+    selector.setOutOfService({ "a" });
+    selector.setOutOfService({});
+    selector.setReturns({ { "a", 4 } }, start + milliseconds(5000));
+    selector.applyReturnAges(
+        { { "a", 2, milliseconds(6500) }, { "a", 4, milliseconds(500) } }, start + milliseconds(5500));
+    CHECK(selector.choose(requestOf(), start + milliseconds(7999)).chosen->isCold);
+    CHECK_FALSE(selector.choose(requestOf(), start + milliseconds(8000)).chosen->isCold);
+}
+
+TEST_CASE("Each return of a failure domain to service has a number of its own", "[control][cold]")
+{
+    deployment_state state;
+    CHECK_FALSE(state.setInService("a", true)); // it was not out of service
+    CHECK(state.returns.empty());
+    REQUIRE(state.setInService("a", false));
+    CHECK(state.returns.empty());
+    REQUIRE(state.setInService("a", true));
+    auto first = state.returns.at("a");
+    CHECK(first == state.revision);
+    CHECK_FALSE(state.setInService("a", true)); // sent again
+    CHECK(state.returns.at("a") == first);
+    REQUIRE(state.setInService("a", false));
+    REQUIRE(state.setInService("a", true));
+    CHECK(state.returns.at("a") > first);
+}
+
 TEST_CASE("An earlier announcement does not replace a later one", "[target_board][cold]")
 {
     auto cold = engine("t1");
