--- a/packages/control/include/plumfold/control/plumfold_control_node.hpp
+++ b/packages/control/include/plumfold/control/plumfold_control_node.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "plumfold/control/plumfold_durable_log.hpp"
+#include "plumfold/core/plumfold_command_clock.hpp"
 #include "plumfold/core/plumfold_configuration_view.hpp"
 #include "plumfold/core/plumfold_control_state.hpp"
 #include "plumfold/core/plumfold_raft_node.hpp"
@@ -154,7 +155,7 @@
     std::uint64_t m_appliedTerm = 0;
     core::raft_membership m_appliedMembers;
     core::raft_node m_raft;
-    core::unix_milliseconds m_lastCommandTime = 0;
+    core::command_clock m_commandClock;
     sender m_send;
     view_listener m_onViewChanged;
     control_view m_view; // as last published
--- a/packages/control/src/plumfold_control_node.cpp
+++ b/packages/control/src/plumfold_control_node.cpp
@@ -111,7 +111,7 @@
     core::command_result result;
     if (entry.kind == core::entry_kind::command) {
         auto command = wire::decode<wire::Command>(entry.payload);
-        m_lastCommandTime = std::max(m_lastCommandTime, command.at);
+        m_commandClock.observe(command.at, runtime::nowWithSuspension());
         result = m_state.apply(command);
     }
     if (entry.kind == core::entry_kind::membership)
@@ -194,7 +194,7 @@
         event.callback->done(rejection("the data folder is full: free space on the control VM's disk"));
         return;
     }
-    event.command.at = std::max(runtime::unixNow(), m_lastCommandTime);
+    event.command.at = m_commandClock.next(runtime::unixNow(), runtime::nowWithSuspension());
     auto index = m_raft.propose(wire::encode<wire::Command>(event.command), runtime::now());
     if (!index) {
         event.callback->done(rejection("this control VM just lost its lead: call the leader"));
