--- a/packages/control/src/plumfold_peer_links.hpp
+++ b/packages/control/src/plumfold_peer_links.hpp
@@ -44,7 +44,7 @@
         std::uint64_t sharedEvidence
             = 0; // latest change of the evidence of crashes that the peer has received
         core::instant sharedAllAt {};
-        core::instant sharedNewsAt {}; // parts, loads and ages of weight versions
+        core::instant sharedNewsAt {}; // parts, loads and ages of events
         std::map<std::string, core::part_cursor> sharedParts; // by holder: changes that the peer has received
     };
 
--- a/packages/core/src/plumfold_target_selector.cpp
+++ b/packages/core/src/plumfold_target_selector.cpp
@@ -55,24 +55,28 @@
     }
 }
 
-void target_selector::setOutOfService(std::set<std::string> failureDomains, instant now)
+void target_selector::setOutOfService(std::set<std::string> failureDomains)
 {
-    for (auto& [name, target] : m_targets) {
-        const auto& domain = target.last.failureDomain;
-        auto limits = m_services.find(target.last.service);
-        if (m_outOfService.contains(domain) && !failureDomains.contains(domain) && limits != m_services.end())
-            target.assumedColdUntil = now + limits->second.coldTime;
-    }
     m_outOfService = std::move(failureDomains);
 }
 
+void target_selector::setReturns(const std::map<std::string, std::uint64_t>& returns, instant now)
+{
+    m_returns.observeLatest(returns, now);
+}
+
+void target_selector::applyReturnAges(const std::vector<event_age>& returns, instant now)
+{
+    m_returns.observe(returns, now);
+}
+
 void target_selector::setWeights(const std::map<std::string, std::uint64_t>& weights, instant now)
 {
-    m_weights.observeCurrent(weights, now);
+    m_weights.observeLatest(weights, now);
 }
 
-std::vector<weight_naming> target_selector::applyWeightNamings(
-    const std::vector<weight_naming>& namings, instant now)
+std::vector<event_age> target_selector::applyWeightNamings(
+    const std::vector<event_age>& namings, instant now)
 {
     return m_weights.observe(namings, now);
 }
@@ -108,13 +112,13 @@
 
 bool target_selector::hasCurrentWeights(const tracked_target& target, const std::string& model) const
 {
-    auto current = m_weights.currentVersion(model);
+    auto current = m_weights.latest(model);
     return model.empty() || !current || weightVersionOf(target, model) == *current;
 }
 
 std::string target_selector::currentWeightVersion(const std::string& model) const
 {
-    if (auto current = m_weights.currentVersion(model))
+    if (auto current = m_weights.latest(model))
         return std::to_string(*current);
     for (const auto& [name, target] : m_targets) {
         for (const auto& loaded : target.last.models) {
@@ -131,7 +135,7 @@
 {
     if (model.empty())
         return true;
-    auto supersededAt = m_weights.supersededAt(model, weightVersionOf(target, model));
+    auto supersededAt = m_weights.firstAfter(model, weightVersionOf(target, model));
     return !supersededAt || now - *supersededAt < m_options.staleWeightsGracePeriod;
 }
 
@@ -187,8 +191,10 @@
 bool target_selector::isCold(const tracked_target& target, instant now) const
 {
     auto limits = m_services.find(target.last.service);
-    bool isCold = now < std::max(target.coldUntil, target.assumedColdUntil);
-    return isCold && limits != m_services.end() && limits->second.coldRequestsPerSecond > 0;
+    if (limits == m_services.end() || limits->second.coldRequestsPerSecond <= 0)
+        return false;
+    auto returnedAt = m_returns.latestAt(target.last.failureDomain);
+    return now < target.coldUntil || (returnedAt && now < *returnedAt + limits->second.coldTime);
 }
 
 /// @return whether this entry has as many requests on a brittle target as it may have.
--- a/packages/forwarding/src/plumfold_forwarding_role.cpp
+++ b/packages/forwarding/src/plumfold_forwarding_role.cpp
@@ -128,9 +128,10 @@
         m_state.targetClockReadAt = now;
         for (const auto& each : m_state.targetSelector.applyWeightNamings(update.weightNamings, now))
             runtime::log_event("weights_named")
-                .with("model", each.model)
-                .with("version", each.version)
+                .with("model", each.subject)
+                .with("version", each.number)
                 .with("age_ms", each.age.count());
+        m_state.targetSelector.applyReturnAges(update.returns, now);
         if (update.deployment)
             applyDeployment(*update.deployment, now);
         m_metrics.set("plumfold_known_targets", static_cast<double>(m_state.targetSelector.size()));
@@ -160,7 +161,8 @@
 
     void applyDeployment(const core::deployment_state& next, core::instant now)
     {
-        m_state.targetSelector.setOutOfService(next.outOfService, now);
+        m_state.targetSelector.setOutOfService(next.outOfService);
+        m_state.targetSelector.setReturns(next.returns, now);
         m_state.targetSelector.setWeights(next.weights, now);
         m_state.deploymentRevision = next.revision;
         auto previousVersion = m_state.deployment ? m_state.deployment->version() : 0;
