--- a/tests/forwarding/support/plumfold_scripted_exchange.hpp
+++ b/tests/forwarding/support/plumfold_scripted_exchange.hpp
@@ -15,6 +15,8 @@
     std::string buffer; // received but not yet parsed
     recorded_request request;
     bool keepAlive = true;
+    int owner = 0; // process at the other end, see link_cuts; 0: any
+    bool isNew = true; // no request was received yet
 
     void send(const std::string& bytes) { socket.sendBytes(bytes.data(), static_cast<int>(bytes.size())); }
     /// Closes the connection with a reset.
--- a/tests/forwarding/support/plumfold_scripted_target.cpp
+++ b/tests/forwarding/support/plumfold_scripted_target.cpp
@@ -131,8 +131,10 @@
         { "versioned", &scripted_target::streamVersionedEvents },
         { "events-cut-slow", &scripted_target::streamSlowlyWhenResumed },
     };
-    exchange current { socket, {}, {}, true };
+    exchange current { socket, {}, {}, true, 0, true };
     try {
+        if (m_cuts)
+            current.owner = m_cuts->ownerOf(socket.peerAddress(), socket.address());
         while (current.keepAlive && readRequest(current)) {
             {
                 std::lock_guard lock(m_mutex);
@@ -175,14 +177,31 @@
     std::erase_if(m_sockets, [&](const auto& each) { return each.impl() == socket.impl(); });
 }
 
+bool scripted_target::passesLink(exchange& current) const
+{
+    if (!m_cuts)
+        return true;
+    auto state = m_cuts->stateOf(current.owner);
+    bool isRefused = state == link_state::refusing && current.isNew;
+    if (state == link_state::whole || (state == link_state::refusing && !isRefused))
+        return true;
+    while (!m_stopping && m_cuts->stateOf(current.owner) == link_state::hanging)
+        std::this_thread::sleep_for(std::chrono::microseconds(pollMicroseconds));
+    current.socket.setLinger(true, 0);
+    current.socket.close();
+    return false;
+}
+
 bool scripted_target::readRequest(exchange& current)
 {
     current.request = {};
     auto fill = [&] {
-        while (!current.socket.poll(Poco::Timespan(0, pollMicroseconds), Poco::Net::Socket::SELECT_READ)) {
-            if (m_stopping)
+        do {
+            if (m_stopping || !passesLink(current))
                 return false;
-        }
+        } while (!current.socket.poll(Poco::Timespan(0, pollMicroseconds), Poco::Net::Socket::SELECT_READ));
+        if (!passesLink(current))
+            return false;
         char bytes[4096];
         int got = current.socket.receiveBytes(bytes, sizeof(bytes));
         current.buffer.append(bytes, static_cast<std::size_t>(std::max(got, 0)));
@@ -209,6 +228,7 @@
     }
     current.request.body = current.buffer.substr(0, length);
     current.buffer.erase(0, length);
+    current.isNew = false;
     return true;
 }
 
--- a/tests/forwarding/support/plumfold_scripted_target.hpp
+++ b/tests/forwarding/support/plumfold_scripted_target.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "plumfold_link_cuts.hpp"
+
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocket.h>
 
@@ -7,6 +9,7 @@
 #include <chrono>
 #include <functional>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <optional>
 #include <string>
@@ -69,6 +72,9 @@
     {
         m_crashCondition = std::move(condition);
     }
+    /// Lets the target treat connections as the state of their process' link says. Call it before the target
+    /// serves requests of that process.
+    void setLinkCuts(std::shared_ptr<const link_cuts> cuts) { m_cuts = std::move(cuts); }
     /// Ends the target as the end of its process would: all connections are closed and new ones are refused.
     void crash();
     bool hasCrashed() const { return m_crashed; }
@@ -84,6 +90,9 @@
     void accept();
     void serve(Poco::Net::StreamSocket socket);
     bool readRequest(exchange& current);
+    /// Resets or suspends a connection whose link is cut.
+    /// @return whether the connection may still be used.
+    bool passesLink(exchange& current) const;
     bool isMisdirected(const recorded_request& request) const;
     void crashWhileServing(exchange& current);
     /// @return whether the request was rejected because of the target's weights.
@@ -143,6 +152,7 @@
     std::atomic<bool> m_stopping { false };
     std::atomic<bool> m_crashed { false };
     std::function<bool(const recorded_request&)> m_crashCondition;
+    std::shared_ptr<const link_cuts> m_cuts;
     std::vector<Poco::Net::StreamSocket> m_sockets; // of all connections
     std::vector<std::thread> m_connections;
     std::thread m_thread;
