--- a/packages/control/src/plumfold_control_service.cpp
+++ b/packages/control/src/plumfold_control_service.cpp
@@ -51,8 +51,14 @@
         std::vector<core::target_announcement> targets;
         for (auto each : params.getTargets())
             targets.push_back(wire::read(each));
-        control_peer_state state { params.getFailureDomain().cStr(), params.getEntries(), {} };
+        control_peer_state state { params.getFailureDomain().cStr(), params.getEntries(), {}, {} };
         m_context.feed.applyPeerUpdate(params.getAddress().cStr(), std::move(state), targets);
+        if (params.getHasFollowers()) {
+            std::vector<core::entry_address> followers;
+            for (auto each : params.getFollowers())
+                followers.push_back(wire::read(each));
+            m_context.feed.applyPeerFollowers(params.getAddress().cStr(), std::move(followers));
+        }
         std::vector<core::part_update> parts;
         for (auto each : params.getParts())
             parts.push_back(wire::read(each));
@@ -119,7 +125,7 @@
     kj::Promise<void> follow(FollowContext call) override
     {
         auto params = call.getParams();
-        m_context.feed.recordFollower(m_name);
+        m_context.feed.recordFollower({ m_name, params.getRelayAddress().cStr(), m_failureDomain });
         auto arrivedAt = runtime::nowWithSuspension();
         kj::Promise<void> ready = kj::READY_NOW;
         if (params.getConfirmed())
@@ -217,6 +223,7 @@
             writeTarget(targets[index], changed[index]);
         writeParts(call);
         writeVerdicts(call);
+        writeHelpers(call);
         auto domains = feed.controlDomains();
         auto control = out.initControl(domains.size());
         unsigned index = 0;
@@ -226,6 +233,18 @@
         }
     }
 
+    void writeHelpers(FollowContext& call)
+    {
+        auto helpers = m_context.feed.helpersOf(m_name, m_failureDomain);
+        auto digest = core::digestOf(helpers);
+        call.getResults().setHelpersDigest(digest);
+        if (digest == call.getParams().getKnownHelpers())
+            return;
+        auto out = call.getResults().initHelpers(helpers.size());
+        for (unsigned index = 0; index < helpers.size(); ++index)
+            wire::write(out[index], helpers[index]);
+    }
+
     void writeNamings(FollowContext& call, core::instant arrivedAt)
     {
         auto namings = m_context.feed.weightNamings(arrivedAt);
--- a/packages/control/src/plumfold_deployment_feed.cpp
+++ b/packages/control/src/plumfold_deployment_feed.cpp
@@ -115,6 +115,7 @@
     const std::string& from, control_peer_state state, const std::vector<core::target_announcement>& targets)
 {
     state.lastSeenAt = runtime::now();
+    state.followers = std::move(m_peers[from].followers);
     m_peers[from] = std::move(state);
     auto before = m_directory.latestChange();
     for (const auto& target : targets)
@@ -276,9 +277,41 @@
         m_parts.apply({ holder, 0, 0, 0, false, {} }, runtime::now());
 }
 
-void deployment_feed::recordFollower(const std::string& entry)
+void deployment_feed::recordFollower(const core::entry_address& entry)
 {
-    m_followers[entry] = runtime::now();
+    m_followers[entry.name] = { entry, runtime::now() };
+}
+
+void deployment_feed::applyPeerFollowers(const std::string& from, std::vector<core::entry_address> followers)
+{
+    m_peers[from].followers = std::move(followers);
+}
+
+std::vector<core::entry_address> deployment_feed::followers() const
+{
+    std::vector<core::entry_address> out;
+    for (const auto& [name, each] : m_followers) {
+        if (!each.address.address.empty())
+            out.push_back(each.address);
+    }
+    return out;
+}
+
+std::vector<core::entry_address> deployment_feed::helpersOf(
+    const std::string& entry, const std::string& failureDomain) const
+{
+    auto now = runtime::now();
+    auto known = followers();
+    for (const auto& [address, state] : m_peers) {
+        if (now - state.lastSeenAt < peerTimeout)
+            known.insert(known.end(), state.followers.begin(), state.followers.end());
+    }
+    // An entry that changes its control VM is listed by both for a time.
+    std::sort(known.begin(), known.end());
+    known.erase(std::unique(known.begin(), known.end(),
+                    [](const auto& left, const auto& right) { return left.name == right.name; }),
+        known.end());
+    return core::selectHelpers(entry, failureDomain, std::move(known));
 }
 
 void deployment_feed::setCrashVerdicts(
@@ -329,7 +362,8 @@
     m_parts.expire(now, maxPartsAge);
     std::erase_if(
         m_loadReports, [&](const auto& each) { return now - each.second.sentAt > maxLoadReportAge; });
-    std::erase_if(m_followers, [&](const auto& each) { return now - each.second > followerTimeout; });
+    std::erase_if(
+        m_followers, [&](const auto& each) { return now - each.second.lastSeenAt > followerTimeout; });
     if (!silent.empty())
         wake();
 }
--- a/packages/control/src/plumfold_deployment_feed.hpp
+++ b/packages/control/src/plumfold_deployment_feed.hpp
@@ -4,6 +4,7 @@
 #include "plumfold/core/plumfold_crash_registry.hpp"
 #include "plumfold/core/plumfold_crash_screen.hpp"
 #include "plumfold/core/plumfold_part_directory.hpp"
+#include "plumfold/core/plumfold_relay_helpers.hpp"
 #include "plumfold/core/plumfold_target_directory.hpp"
 #include "plumfold/core/plumfold_target_selector.hpp"
 #include "plumfold/core/plumfold_weight_history.hpp"
@@ -28,6 +29,7 @@
 struct control_peer_state {
     std::string failureDomain;
     std::uint32_t entries = 0; ///< Number of entries that follow it.
+    std::vector<core::entry_address> followers; ///< Those of them that accept relayed requests.
     core::instant lastSeenAt {}; ///< When its latest share call was received.
 };
 
@@ -71,7 +73,11 @@
     /// @param isDirect whether this control VM polled them itself; otherwise another one shared them.
     void updateLoads(const std::vector<core::target_load>& loads, bool isDirect);
     /// Records that an entry follows this control VM.
-    void recordFollower(const std::string& entry);
+    /// @param entry its address is empty if it accepts no relayed requests.
+    void recordFollower(const core::entry_address& entry);
+    /// Replaces the entries that follow another control VM and accept relayed requests.
+    /// @param from the address of that control VM, ip:port.
+    void applyPeerFollowers(const std::string& from, std::vector<core::entry_address> followers);
 
     /// Replaces the verdicts on requests that crash targets, and the suspects.
     void setCrashVerdicts(std::vector<core::verdict> verdicts, std::vector<core::crash_suspect> suspects);
@@ -108,6 +114,11 @@
     std::map<std::string, std::string> controlDomains() const;
     /// @return the number of entries that follow any control VM, as far as known here; at least 1.
     std::uint32_t entryCount() const;
+    /// @return the entries that follow this control VM and accept relayed requests.
+    std::vector<core::entry_address> followers() const;
+    /// @return the entries to which an entry may relay requests.
+    std::vector<core::entry_address> helpersOf(
+        const std::string& entry, const std::string& failureDomain) const;
     /// @return the number of entries that follow this control VM.
     std::uint32_t followerCount() const { return static_cast<std::uint32_t>(m_followers.size()); }
     /// @return the address of the control VM that a failure domain is assigned to: its first one by address,
@@ -164,7 +175,11 @@
     std::uint64_t m_targetClock = 0; // milliseconds, as last read; 0: unknown
     core::instant m_targetClockReadAt {};
     std::map<std::string, control_peer_state> m_peers; // by address
-    std::map<std::string, core::instant> m_followers; // last seen, by entry name
+    struct follower {
+        core::entry_address address;
+        core::instant lastSeenAt {};
+    };
+    std::map<std::string, follower> m_followers; // by entry name
     std::vector<core::verdict> m_verdicts;
     std::uint64_t m_verdictsDigest = 0;
     std::vector<core::crash_suspect> m_suspects;
--- a/packages/control/src/plumfold_peer_links.cpp
+++ b/packages/control/src/plumfold_peer_links.cpp
@@ -7,7 +7,8 @@
 
 namespace {
 
-/// Interval at which a peer is sent all announcements, so that targets do not time out there.
+/// Interval at which a peer is sent all announcements, so that targets do not time out there, and the
+/// entries that follow this control VM.
 constexpr core::milliseconds shareAllInterval { 1500 };
 /// Interval at which a peer is sent the KV parts and loads that this control VM polls, and the ages of weight
 /// versions.
@@ -108,6 +109,13 @@
     auto outNamings = request.initNamings(namings.size());
     for (unsigned index = 0; index < namings.size(); ++index)
         wire::write(outNamings[index], namings[index]);
+    if (all) {
+        auto followers = feed.followers();
+        request.setHasFollowers(true);
+        auto outFollowers = request.initFollowers(followers.size());
+        for (unsigned index = 0; index < followers.size(); ++index)
+            wire::write(outFollowers[index], followers[index]);
+    }
     if (!holders.empty())
         request.setClock(feed.targetClock());
     to.shareInFlight = true;
--- a/packages/core/include/plumfold/core/plumfold_deployment.hpp
+++ b/packages/core/include/plumfold/core/plumfold_deployment.hpp
@@ -115,6 +115,9 @@
     /// @return the customer that holds the key, or null.
     const customer_access* findCustomer(std::string_view key) const;
 
+    /// @return the customer with the name, or null.
+    const customer_access* findCustomerNamed(std::string_view name) const;
+
     /// @return the service, or null.
     const service_limits* findService(std::string_view name) const;
 
--- a/packages/core/include/plumfold/core/plumfold_target_selector.hpp
+++ b/packages/core/include/plumfold/core/plumfold_target_selector.hpp
@@ -69,6 +69,7 @@
     std::optional<placement> chosen;
     placement_failure reason = placement_failure::no_target; ///< Valid if nothing was chosen.
     milliseconds retryAfter { 0 }; ///< Time after which a retry may succeed.
+    bool isBackedOff = false; ///< Nothing was chosen while targets are in back-off after failures.
 };
 
 /// Result of an attempt, as evidence of the target's health.
@@ -146,6 +147,12 @@
     /// Excludes a cold target for a time because no request may start on it.
     void onColdStartRefused(const std::string& target, instant until);
 
+    /// Ends all back-offs: the failures were not those of the targets.
+    void clearBackoffs(instant now);
+
+    /// @return the number of targets that announce themselves as ready.
+    std::size_t readyTargets() const;
+
     /// @return the KV cache tokens that a request is expected to occupy when it ends.
     static std::uint64_t expectedTokens(const placement_request& request)
     {
--- a/packages/core/src/plumfold_deployment.cpp
+++ b/packages/core/src/plumfold_deployment.cpp
@@ -99,6 +99,13 @@
     return found == m_customersByKey.end() ? nullptr : &m_customers[found->second];
 }
 
+const customer_access* deployment::findCustomerNamed(std::string_view name) const
+{
+    auto found = std::find_if(
+        m_customers.begin(), m_customers.end(), [&](const auto& each) { return each.name == name; });
+    return found == m_customers.end() ? nullptr : &*found;
+}
+
 const service_limits* deployment::findService(std::string_view name) const
 {
     auto found = m_servicesByName.find(name);
--- a/packages/core/src/plumfold_target_selector.cpp
+++ b/packages/core/src/plumfold_target_selector.cpp
@@ -215,6 +215,10 @@
     }
     answer.reason = nextColdStart ? placement_failure::cold : placement_failure::no_target;
     answer.retryAfter = retryWithoutTarget;
+    answer.isBackedOff = std::any_of(m_targets.begin(), m_targets.end(), [&](const auto& each) {
+        return each.second.last.service == request.service && isResponsive(each.second, now)
+            && now < each.second.backoffUntil;
+    });
     if (nextColdStart)
         answer.retryAfter
             = std::max(minRetryAfterCold, std::chrono::ceil<milliseconds>(*nextColdStart - now));
@@ -397,6 +401,20 @@
     each.backoffUntil = now + each.currentBackoff;
 }
 
+void target_selector::clearBackoffs(instant now)
+{
+    for (auto& [name, each] : m_targets) {
+        each.backoffUntil = now;
+        each.currentBackoff = milliseconds(0);
+    }
+}
+
+std::size_t target_selector::readyTargets() const
+{
+    return static_cast<std::size_t>(std::count_if(m_targets.begin(), m_targets.end(),
+        [](const auto& each) { return each.second.last.state == target_state::ready; }));
+}
+
 void target_selector::onColdStartRefused(const std::string& target, instant until)
 {
     if (auto found = m_targets.find(target); found != m_targets.end())
--- a/packages/forwarding/src/plumfold_caller_connection.cpp
+++ b/packages/forwarding/src/plumfold_caller_connection.cpp
@@ -43,8 +43,9 @@
 
 } // namespace
 
-caller_connection::caller_connection(forwarding_state& state, asio::ip::tcp::socket socket)
+caller_connection::caller_connection(forwarding_state& state, asio::ip::tcp::socket socket, bool isRelay)
     : m_state(state)
+    , m_isRelay(isRelay)
     , m_stream(std::move(socket))
     , m_readTimer(state.io)
 {
@@ -65,12 +66,17 @@
         m_isServing = true;
         request_parser parser;
         auto limits = limitsOf(m_state);
-        parser.header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
+        parser.header_limit(
+            static_cast<std::uint32_t>(limits.maxHeaderBytes) + (m_isRelay ? maxRelayHeaderBytes : 0));
         parser.body_limit(limits.maxBodyBytes);
         if (!co_await readRequest(parser))
             co_return;
         ++m_state.openRequests;
-        request_forwarder forwarder(m_state, *this, parser.release());
+        auto request = parser.release();
+        std::optional<relayed_request> relayed;
+        if (m_isRelay)
+            relayed = takeRelayHeaders(request.base());
+        request_forwarder forwarder(m_state, *this, std::move(request), std::move(relayed));
         open = co_await forwarder.run();
         --m_state.openRequests;
         m_isServing = false;
@@ -97,6 +103,11 @@
     m_stream.expires_never();
     startReadTimer(limits.headerTimeout);
     co_await http::async_read_header(m_stream, m_buffer, parser, into(error));
+    if (!error && m_isRelay && !hasRelaySecret(parser.get().base(), m_state.settings.process.clusterSecret)) {
+        m_readTimer.cancel();
+        co_await rejectStranger();
+        co_return false;
+    }
     if (!error && !hasKnownTransferCoding(parser.get().base()))
         error = http::error::bad_transfer_encoding;
     if (!error && !parser.is_done()) {
@@ -131,6 +142,19 @@
     });
 }
 
+/// Only entries that know the cluster secret may relay requests.
+task<void> caller_connection::rejectStranger()
+{
+    runtime::log_event("relay_refused", runtime::log_level::warning).with("reason", "no cluster secret");
+    http::response<http::empty_body> response(http::status::forbidden, 11);
+    response.keep_alive(false);
+    response.prepare_payload();
+    m_stream.expires_after(errorWriteTimeout);
+    error_code ignored;
+    co_await http::async_write(m_stream, response, into(ignored));
+    co_await lingeringClose();
+}
+
 task<void> caller_connection::rejectMalformed(const error_code& error, const request_parser& parser)
 {
     http::response<http::empty_body> response(statusOf(error), 11);
--- a/packages/forwarding/src/plumfold_caller_connection.hpp
+++ b/packages/forwarding/src/plumfold_caller_connection.hpp
@@ -10,7 +10,8 @@
 /// A connection of a caller. Reads its requests one at a time and forwards each.
 class caller_connection : public std::enable_shared_from_this<caller_connection> {
 public:
-    caller_connection(forwarding_state& state, asio::ip::tcp::socket socket);
+    /// @param isRelay whether the peer is another entry that relays requests; it has to prove that.
+    caller_connection(forwarding_state& state, asio::ip::tcp::socket socket, bool isRelay);
     ~caller_connection();
     caller_connection(const caller_connection&) = delete;
     caller_connection& operator=(const caller_connection&) = delete;
@@ -35,9 +36,11 @@
     task<bool> readRequest(request_parser& parser);
     void startReadTimer(core::milliseconds time);
     task<void> rejectMalformed(const error_code& error, const request_parser& parser);
+    task<void> rejectStranger();
     task<void> lingeringClose();
 
     forwarding_state& m_state;
+    bool m_isRelay;
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer;
     std::function<void()> m_onDisconnect;
--- a/packages/forwarding/src/plumfold_deployment_follower.cpp
+++ b/packages/forwarding/src/plumfold_deployment_follower.cpp
@@ -116,6 +116,8 @@
     request.setKnownChange(m_knownChange);
     request.setKnownVerdicts(m_knownVerdicts);
     request.setKnownSuspects(m_knownSuspects);
+    request.setRelayAddress(m_settings.forwarding->relayAddress);
+    request.setKnownHelpers(m_knownHelpers);
     request.setWaitMs(m_justConnected ? 0 : longPollWaitMs);
     auto timeout = !m_confirmed ? quorumConfirmTimeout : m_justConnected ? firstPollTimeout : pollTimeout;
     request.setConfirmed(!m_confirmed);
@@ -156,6 +158,12 @@
         for (auto each : response.getSuspects())
             update.suspects->push_back(wire::read(each));
     }
+    if (response.getHelpersDigest() != m_knownHelpers) {
+        m_knownHelpers = response.getHelpersDigest();
+        update.helpers.emplace();
+        for (auto each : response.getHelpers())
+            update.helpers->push_back(wire::read(each));
+    }
     for (auto each : response.getParts()) {
         update.parts.push_back(wire::read(each));
         const auto& received = update.parts.back();
--- a/packages/forwarding/src/plumfold_deployment_follower.hpp
+++ b/packages/forwarding/src/plumfold_deployment_follower.hpp
@@ -3,6 +3,7 @@
 #include "plumfold/core/plumfold_crash_screen.hpp"
 #include "plumfold/core/plumfold_deployment_state.hpp"
 #include "plumfold/core/plumfold_part_directory.hpp"
+#include "plumfold/core/plumfold_relay_helpers.hpp"
 #include "plumfold/core/plumfold_target_directory.hpp"
 #include "plumfold/core/plumfold_target_selector.hpp"
 #include "plumfold/runtime/plumfold_settings.hpp"
@@ -32,6 +33,7 @@
     std::vector<core::crash_verdict> verdicts; ///< All of them if any has changed; else empty.
     std::optional<std::vector<core::crash_suspect>> suspects; ///< All of them, if any has changed.
     std::uint64_t targetClockMs = 0; ///< The targets' clock; 0: unknown.
+    std::optional<std::vector<core::entry_address>> helpers; ///< All of them, if any has changed.
 };
 
 /// Long-polls a control VM for changes of the deployment, the targets and the KV parts. Prefers a control VM
@@ -71,6 +73,7 @@
     std::uint64_t m_knownChange = 0;
     std::uint64_t m_knownVerdicts = 0; // digest
     std::uint64_t m_knownSuspects = 0; // digest
+    std::uint64_t m_knownHelpers = 0; // digest
     bool m_confirmed = false; // a quorum has confirmed an update at least once
     bool m_justConnected = true;
     core::instant m_calledAt {}; // the current call, with suspensions
--- a/packages/forwarding/src/plumfold_forwarding_role.cpp
+++ b/packages/forwarding/src/plumfold_forwarding_role.cpp
@@ -9,6 +9,7 @@
 #include "plumfold/runtime/plumfold_clock.hpp"
 #include "plumfold/runtime/plumfold_log.hpp"
 
+#include <optional>
 #include <thread>
 
 namespace plumfold::forwarding {
@@ -16,6 +17,7 @@
 namespace {
 
 constexpr core::milliseconds housekeepingInterval { 500 };
+constexpr core::milliseconds linkCheckInterval { 100 };
 constexpr core::milliseconds partsExpiryTime { 10'000 };
 constexpr core::milliseconds drainCheckInterval { 20 };
 /// The load balancer probes readiness every second and removes this entry after two failures.
@@ -62,7 +64,12 @@
             asio::post(m_io, [this, update = std::move(update)] { applyUpdate(update); });
         })
     {
-        asio::co_spawn(m_io, accept(), asio::detached);
+        asio::co_spawn(m_io, accept(m_acceptor, false), asio::detached);
+        if (!m_settings.forwarding->relayAddress.empty()) {
+            m_relayAcceptor.emplace(m_io, endpointOf(m_settings.forwarding->relayAddress));
+            asio::co_spawn(m_io, accept(*m_relayAcceptor, true), asio::detached);
+        }
+        asio::co_spawn(m_io, watchLink(), asio::detached);
         asio::co_spawn(m_io, runHousekeeping(), asio::detached);
         m_thread = std::thread([this] { m_io.run(); });
     }
@@ -103,6 +110,8 @@
     {
         error_code ignored;
         m_acceptor.close(ignored);
+        if (m_relayAcceptor)
+            m_relayAcceptor->close(ignored);
         for (auto* caller : m_state.callerConnections)
             caller->closeIfIdle();
     }
@@ -128,6 +137,9 @@
         m_state.targetSelector.applyWeightNamings(update.weightNamings, now);
         if (update.deployment)
             applyDeployment(*update.deployment, now);
+        m_state.link.setTargetCount(m_state.targetSelector.readyTargets());
+        if (update.helpers)
+            m_state.helpers.setHelpers(*update.helpers);
         m_metrics.set("plumfold_known_targets", static_cast<double>(m_state.targetSelector.size()));
     }
 
@@ -180,12 +192,12 @@
         m_status.setReady(m_state.deployment != nullptr && !m_state.stopping);
     }
 
-    task<void> accept()
+    task<void> accept(asio::ip::tcp::acceptor& acceptor, bool isRelay)
     {
         while (true) {
             error_code error;
             asio::ip::tcp::socket socket(m_io);
-            co_await m_acceptor.async_accept(socket, into(error));
+            co_await acceptor.async_accept(socket, into(error));
             if (error == asio::error::operation_aborted || error == asio::error::bad_descriptor)
                 co_return;
             if (error) {
@@ -194,12 +206,20 @@
                 co_await pause(drainCheckInterval);
                 continue;
             }
-            auto connection = std::make_shared<caller_connection>(m_state, std::move(socket));
+            auto connection = std::make_shared<caller_connection>(m_state, std::move(socket), isRelay);
             asio::co_spawn(
                 m_io, [connection] { return connection->run(); }, asio::detached);
         }
     }
 
+    task<void> watchLink()
+    {
+        while (true) {
+            co_await pause(linkCheckInterval);
+            m_state.checkLink(runtime::now());
+        }
+    }
+
     task<void> runHousekeeping()
     {
         while (true) {
@@ -228,6 +248,7 @@
     crash_report_client m_crashReports;
     forwarding_state m_state;
     asio::ip::tcp::acceptor m_acceptor;
+    std::optional<asio::ip::tcp::acceptor> m_relayAcceptor; // for requests of other entries
     status_listener m_status;
     std::thread m_thread;
     deployment_follower m_follower;
--- a/packages/forwarding/src/plumfold_forwarding_state.hpp
+++ b/packages/forwarding/src/plumfold_forwarding_state.hpp
@@ -11,8 +11,11 @@
 #include "plumfold/core/plumfold_buffer_budget.hpp"
 #include "plumfold/core/plumfold_crash_screen.hpp"
 #include "plumfold/core/plumfold_deployment.hpp"
+#include "plumfold/core/plumfold_link_health.hpp"
 #include "plumfold/core/plumfold_part_directory.hpp"
+#include "plumfold/core/plumfold_relay_helpers.hpp"
 #include "plumfold/core/plumfold_target_selector.hpp"
+#include "plumfold/runtime/plumfold_log.hpp"
 #include "plumfold/runtime/plumfold_metrics.hpp"
 #include "plumfold/runtime/plumfold_settings.hpp"
 
@@ -42,12 +45,30 @@
     core::admission admission {};
     core::part_directory parts {};
     core::part_planner partPlanner {};
+    core::link_health link {}; ///< To all targets.
+    core::relay_helpers helpers { settings.process.failureDomain };
     std::uint64_t targetClockMs = 0; ///< The targets' clock as last reported; 0: unknown.
     core::instant targetClockReadAt {}; ///< When targetClockMs was received.
     bool stopping = false; ///< Graceful shutdown: responses close their connections.
     std::size_t openRequests = 0;
     std::set<caller_connection*> callerConnections {}; ///< Open connections; each adds and removes itself.
 
+    /// Judges the link to all targets anew.
+    void checkLink(core::instant now)
+    {
+        auto change = link.update(now);
+        if (!change)
+            return;
+        // Back-offs were earned by the link.
+        targetSelector.clearBackoffs(now);
+        runtime::log_event(change->isLost ? "link_lost" : "link_regained")
+            .with("failed_targets", change->failedTargets)
+            .with("silent_targets", change->silentTargets)
+            .with("ready_targets", targetSelector.readyTargets())
+            .with("helpers_known", helpers.empty() ? "false" : "true");
+        metrics.set("plumfold_link_lost", change->isLost ? 1 : 0);
+    }
+
     /// Tells control VMs of suspects that have succeeded here.
     void reportSuccesses(core::instant now)
     {
--- a/packages/forwarding/src/plumfold_request_attempt.cpp
+++ b/packages/forwarding/src/plumfold_request_attempt.cpp
@@ -127,6 +127,8 @@
         co_return core::attempt_result::not_started;
     }
     m_attemptedTargets.insert(placement.target);
+    m_hasReceived = false;
+    m_linkAttempt = m_state.link.onSent(placement.target, runtime::now());
     m_fetchedFrom.clear();
     m_fetches = m_saves = m_fetchTokens = 0;
     m_sentAt = runtime::now();
@@ -157,9 +159,7 @@
     out.version(httpVersion);
     platform::encodeTargetRequest(m_request.base(), makeTargetHead(placement), out);
     out.body() = { m_request.body().data(), m_request.body().size() };
-    bool hasBody = !m_request.body().empty() || m_request.find(http::field::content_length) != m_request.end()
-        || m_request.chunked();
-    if (hasBody)
+    if (hasBody())
         out.content_length(m_request.body().size());
     error_code error;
     connection.stream.expires_at(m_deadline);
@@ -195,6 +195,7 @@
         co_await http::async_read_header(connection.stream, connection.buffer, parser, into(error));
         if (error)
             co_return classifyFailure(error);
+        onBytes();
         bool isInterim = parser.get().result_int() / 100 == 1;
         if (isInterim)
             continue;
@@ -202,6 +203,14 @@
         auto head = platform::decodeTargetResponse(parser.get().result_int(), parser.get().base());
         if (head.idleTimeout)
             connection.idleTimeout = *head.idleTimeout;
+        std::optional<relay_result> relayed;
+        if (!m_helper.empty()) {
+            relayed = takeRelayResult(parser.get().base());
+            if (!relayed)
+                co_return classifyFailure(http::error::partial_message);
+            m_lastTarget = relayed->target;
+            m_lastVersion = relayed->softwareVersion;
+        }
         bool isMismatched = !head.requestId.empty() && head.requestId != m_head.id;
         bool isStream = !isMismatched && !head.isNotExecuted && m_route->kind == core::request_kind::stream
             && parser.get().result_int() == statusOk && !head.isEncoded && head.isSigned;
@@ -213,7 +222,10 @@
                 co_return classifyFailure(http::error::partial_message);
             continue;
         }
-        auto end = isStream ? co_await relayStream(parser) : co_await receiveBuffered(parser, head);
+        bool isRelayFailure = relayed && relayed->outcome != relay_outcome::by_target;
+        auto end = isRelayFailure ? co_await receiveRelayFailure(parser, *relayed)
+            : isStream            ? co_await relayStream(parser)
+                                  : co_await receiveBuffered(parser, head);
         bool isComplete = parser.is_done() && !parser.need_eof();
         bool isReusable = isComplete && end != core::attempt_result::lost && parser.keep_alive();
         if (isReusable && connection.buffer.size() == 0 && !m_callerDisconnected)
@@ -224,6 +236,17 @@
     co_return core::attempt_result::lost;
 }
 
+/// Bytes of a helper say nothing about the link to targets.
+void request_forwarder::onBytes()
+{
+    m_lastByteAt = runtime::now();
+    m_hasReceived = true;
+    if (!m_helper.empty())
+        return;
+    m_state.link.onBytes(m_lastByteAt);
+    m_state.checkLink(m_lastByteAt);
+}
+
 task<bool> request_forwarder::discardBody(target_response_parser& parser)
 {
     std::string chunk;
@@ -243,7 +266,8 @@
     co_await http::async_read_some(m_connection->stream, m_connection->buffer, parser, into(error));
     if (error == http::error::need_buffer)
         error = {};
-    m_lastByteAt = runtime::now();
+    if (body.size < buffer.size())
+        onBytes();
     chunk.assign(buffer.data(), buffer.size() - body.size);
     if (error)
         m_reason = error.message();
@@ -305,8 +329,8 @@
         if (!co_await readChunk(parser, chunk))
             co_return classifyFailure(asio::error::connection_reset);
         // A target that was restarted under its name may have another software version.
-        bool isSameTarget
-            = m_events.hasEvents() || m_state.targetSelector.isIncarnation(m_lastTarget, m_lastStart);
+        bool isSameTarget = !m_helper.empty() || m_events.hasEvents()
+            || m_state.targetSelector.isIncarnation(m_lastTarget, m_lastStart);
         if (m_origin && !isSameTarget) {
             m_reason = "target_restarted";
             co_return core::attempt_result::lost;
@@ -343,7 +367,8 @@
 void request_forwarder::beginStream(std::string softwareVersion)
 {
     m_origin = core::stream_origin { m_service, std::move(softwareVersion) };
-    if (!m_route->isResumable || m_origin->softwareVersion.empty())
+    // A helper has recorded it.
+    if (!m_route->isResumable || m_origin->softwareVersion.empty() || !m_helper.empty())
         return;
     auto deadline = m_head.deadline.value_or(defaultDeadline);
     auto keepFor = std::min(deadline, core::maxStreamKeepTime) + streamRecordMargin;
@@ -364,6 +389,8 @@
     m_streamHead.version(httpVersion);
     m_streamHead.chunked(true);
     m_streamHead.keep_alive(m_request.keep_alive() && !m_state.stopping);
+    if (m_relayed)
+        encodeRelayResult(relayResult(true), m_streamHead);
     http::response_serializer<http::empty_body> serializer(m_streamHead);
     error_code error;
     m_caller.stream().expires_after(callerWriteTimeout);
@@ -385,8 +412,7 @@
 /// Abandons an attempt on an unresponsive target early when the request may be retried on another one.
 void request_forwarder::armWatchdog()
 {
-    bool replaceable = m_route->kind == core::request_kind::idempotent || m_route->isResumable;
-    if (!replaceable)
+    if (!isIdempotent())
         return;
     m_watchdog.expires_after(watchdogInterval);
     m_watchdog.async_wait([this, alive = std::weak_ptr<bool>(m_alive)](const error_code& error) {
@@ -411,8 +437,9 @@
         return;
     auto now = runtime::now();
     bool quiet = now - m_lastByteAt >= unresponsiveTargetTimeout;
-    if (quiet && m_attemptedTargets.size() < m_route->maxAttempts
-        && m_state.targetSelector.isSilent(m_lastTarget, now)) {
+    bool isLinkSuspect = m_isTrial || (m_state.link.isLost() && !m_state.helpers.empty());
+    if (quiet && m_attemptedTargets.size() - m_excludedBefore < maxAttempts()
+        && (isLinkSuspect || m_state.targetSelector.isSilent(m_lastTarget, now))) {
         m_targetUnresponsive = true;
         m_connection->stream.close();
         return;
--- a/packages/forwarding/src/plumfold_request_forwarder.cpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.cpp
@@ -20,6 +20,8 @@
 constexpr int placementWaitDivisor = 8;
 /// A request that asked for starts on this many cold targets goes to warm ones only.
 constexpr unsigned maxColdStartRequests = 3;
+/// With more targets unreachable, a request is not sent to further ones.
+constexpr std::size_t maxUnreachableTargets = 3;
 
 std::string_view view(beast::string_view in)
 {
@@ -36,11 +38,12 @@
 
 } // namespace
 
-request_forwarder::request_forwarder(
-    forwarding_state& state, caller_connection& caller, http::request<http::string_body> request)
+request_forwarder::request_forwarder(forwarding_state& state, caller_connection& caller,
+    http::request<http::string_body> request, std::optional<relayed_request> relayed)
     : m_state(state)
     , m_caller(caller)
     , m_request(std::move(request))
+    , m_relayed(std::move(relayed))
     , m_head(platform::decodeCallerRequest(m_request.base()))
     , m_deployment(state.deployment)
     , m_receivedAt(runtime::now())
@@ -57,12 +60,12 @@
 
 task<bool> request_forwarder::run()
 {
-    if (!m_deployment)
+    if (!m_deployment && !m_relayed)
         co_await waitForDeployment();
-    if (admit()) {
+    if (m_relayed ? admitRelayed() : admit()) {
         m_caller.watchForDisconnect([this] { onCallerDisconnected(); });
         armDeadline();
-        if (!isTakeUp() || co_await findOrigin())
+        if (m_relayed || !isTakeUp() || co_await findOrigin())
             co_await runAttempts();
         m_deadlineTimer.cancel();
         m_caller.stopWatchingForDisconnect();
@@ -120,6 +123,11 @@
     return !rejectCondemned();
 }
 
+std::string request_forwarder::hostOfRequest() const
+{
+    return hostOf(m_request);
+}
+
 bool request_forwarder::isTakeUp() const
 {
     return m_route->kind == core::request_kind::stream
@@ -221,10 +229,8 @@
 
 bool request_forwarder::mayRetry() const
 {
-    bool idempotent = m_route->kind == core::request_kind::idempotent
-        || (m_route->kind == core::request_kind::stream && m_route->isResumable);
-    return !m_callerDisconnected && !m_timedOut && !m_isCrashSuspect && (idempotent || !m_mayHaveExecuted)
-        && m_attemptedTargets.size() < m_route->maxAttempts;
+    return !m_callerDisconnected && !m_timedOut && !m_isCrashSuspect && (isIdempotent() || !m_mayHaveExecuted)
+        && m_attemptedTargets.size() - m_excludedBefore < maxAttempts();
 }
 
 /// Nothing is counted before the first request was sent.
@@ -243,10 +249,17 @@
     while (true) {
         if (rejectCondemned())
             co_return;
+        if (mustRelay()) {
+            if (!co_await relay())
+                m_reason = "link_lost";
+            break;
+        }
         auto request = placementRequest();
         auto selection = m_state.targetSelector.choose(request, runtime::now());
         if (!selection.chosen) {
-            if (runtime::now() < waitUntil && m_attemptCount == 0 && !m_callerDisconnected) {
+            if (mayRelayAfter(selection) && co_await relay())
+                break;
+            if (!m_relayed && runtime::now() < waitUntil && m_attemptCount == 0 && !m_callerDisconnected) {
                 error_code ignored;
                 timer.expires_after(placementPollInterval);
                 co_await timer.async_wait(into(ignored));
@@ -275,11 +288,20 @@
         auto attemptResult = co_await attempt(*selection.chosen);
         m_connection.reset();
         m_watchdog.cancel();
-        m_state.targetSelector.onAttemptEnded(selection.chosen->target, attemptResult,
+        m_state.link.onEnded(m_linkAttempt);
+        bool isUnanswered = attemptResult == core::attempt_result::not_reached
+            || (attemptResult == core::attempt_result::lost && !m_hasReceived);
+        if (isUnanswered)
+            m_state.link.onFailure(selection.chosen->target);
+        m_state.checkLink(runtime::now());
+        // While the link is lost, a failure says nothing about the target.
+        bool isLinkFault = isUnanswered && m_state.link.isLost();
+        m_state.targetSelector.onAttemptEnded(selection.chosen->target,
+            isLinkFault ? core::attempt_result::abandoned : attemptResult,
             core::target_selector::expectedTokens(request), runtime::now());
         if (attemptResult == core::attempt_result::not_started)
             continue;
-        if (attemptResult == core::attempt_result::lost && m_mayTargetHaveEnded)
+        if (attemptResult == core::attempt_result::lost && m_mayTargetHaveEnded && !isLinkFault)
             co_await onTargetLost(*selection.chosen);
         bool hasSurvived = attemptResult == core::attempt_result::answered
             || attemptResult == core::attempt_result::failed;
@@ -293,17 +315,40 @@
             break;
         if (attemptResult == core::attempt_result::not_reached)
             m_unreachableTargets.insert(selection.chosen->target);
-        if (!mayRetry() || m_unreachableTargets.size() > 3)
+        if (!mayRetry())
             break;
         bool isWithinBudget = co_await takeRetryBudget();
         if (!isWithinBudget)
             break;
+        if (m_unreachableTargets.size() > maxUnreachableTargets) {
+            if (!m_relayed)
+                co_await relay();
+            break;
+        }
         m_response.reset();
     }
     if (!m_response && !m_streamStarted)
         finishUnanswered();
 }
 
+/// @return whether the request goes to another entry because this one reaches no target.
+bool request_forwarder::mustRelay()
+{
+    m_isTrial = false;
+    if (m_relayed || !m_state.link.isLost() || m_state.helpers.empty())
+        return false;
+    bool isRepeatable = isIdempotent() && maxAttempts() > 1;
+    m_isTrial = m_attemptCount == 0 && m_state.link.tryTakeTrial(isRepeatable, runtime::now());
+    return !m_isTrial;
+}
+
+/// Targets in back-off here may be in reach of other entries.
+bool request_forwarder::mayRelayAfter(const core::placement_result& selection) const
+{
+    return !m_relayed && (selection.isBackedOff || !m_unreachableTargets.empty())
+        && (m_attemptCount == 0 || mayRetry());
+}
+
 /// @return whether the request may start on a cold target.
 task<bool> request_forwarder::requestColdStart(const core::placement& placement)
 {
@@ -387,6 +432,8 @@
     out.version(httpVersion);
     for (const auto& field : m_response->fields)
         out.insert(field.name_string(), field.value());
+    if (m_relayed)
+        encodeRelayResult(relayResult(m_outcome == "answered" || m_outcome == "target_failed"), out);
     out.body() = std::move(m_response->body);
     out.keep_alive(m_request.keep_alive() && !m_state.stopping);
     out.prepare_payload();
@@ -425,6 +472,7 @@
         .with("status", m_response ? m_response->status : (m_streamStarted ? statusOk : 0))
         .with("framing", m_answerFraming)
         .with("partial_event_bytes", m_partialEventBytes)
+        .with("relayed", m_relayed ? "true" : "false")
         .with("may_have_run", m_mayHaveExecuted ? "true" : "false")
         .with("sends", m_attemptCount)
         .with("cold_start_requests", m_coldStartRequests)
--- a/packages/forwarding/src/plumfold_request_forwarder.hpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.hpp
@@ -2,6 +2,7 @@
 
 #include "plumfold_caller_connection.hpp"
 #include "plumfold_forwarding_state.hpp"
+#include "plumfold_relay_protocol.hpp"
 
 #include "plumfold/core/plumfold_event_cursor.hpp"
 #include "plumfold/core/plumfold_request_traits.hpp"
@@ -17,12 +18,15 @@
 inline constexpr core::milliseconds defaultDeadline { 30'000 }; ///< Of requests without one.
 inline constexpr unsigned httpVersion = 11;
 inline constexpr unsigned statusOk = 200;
+/// For requests that no helper took.
+inline constexpr core::milliseconds relayRetryAfter { 500 };
 
 /// Forwards one request of a caller to a target, with retries on others, until it has a final response.
 class request_forwarder {
 public:
-    request_forwarder(
-        forwarding_state& state, caller_connection& caller, http::request<http::string_body> request);
+    /// @param relayed what another entry has decided that relays the request; nothing for a caller's request.
+    request_forwarder(forwarding_state& state, caller_connection& caller,
+        http::request<http::string_body> request, std::optional<relayed_request> relayed = {});
 
     /// Forwards the request and sends the final response to the caller.
     /// @return whether the caller's connection is kept alive.
@@ -50,6 +54,17 @@
 
     task<void> waitForDeployment();
     bool admit();
+    bool admitRelayed();
+    std::string hostOfRequest() const;
+    bool isIdempotent() const;
+    bool hasBody() const;
+    std::size_t maxAttempts() const;
+    relay_result relayResult(bool isFromTarget) const;
+    bool mustRelay();
+    bool mayRelayAfter(const core::placement_result& selection) const;
+    task<bool> relay();
+    task<core::attempt_result> relayOnce(const core::entry_address& helper);
+    relayed_request makeRelayedRequest() const;
     void reject(http::status status, std::string reason, std::optional<core::milliseconds> retryAfter = {});
     bool isTakeUp() const;
     std::string customerName() const;
@@ -73,7 +88,10 @@
     task<core::attempt_result> receive(target_connection& connection);
     task<core::attempt_result> receiveBuffered(
         target_response_parser& parser, const platform::target_response_head& head);
+    task<core::attempt_result> receiveRelayFailure(
+        target_response_parser& parser, const relay_result& relayed);
     task<core::attempt_result> relayStream(target_response_parser& parser);
+    void onBytes();
     task<bool> discardBody(target_response_parser& parser);
     task<bool> readChunk(target_response_parser& parser, std::string& chunk);
     task<bool> relayChunk(std::string chunk);
@@ -97,6 +115,7 @@
     forwarding_state& m_state;
     caller_connection& m_caller;
     http::request<http::string_body> m_request;
+    std::optional<relayed_request> m_relayed; // of a request that another entry relays
     platform::caller_request_head m_head;
     std::shared_ptr<const core::deployment> m_deployment;
     const core::route* m_route = nullptr;
@@ -109,6 +128,14 @@
 
     std::set<std::string> m_attemptedTargets; // a request was sent to these
     std::set<std::string> m_unreachableTargets;
+    std::size_t m_excludedBefore = 0; // attempted targets of the entry that relayed the request
+    std::string m_helper; // entry to which the current attempt relays the request; empty: none
+    bool m_isHelperUnavailable = false; // it takes no requests now
+    std::optional<core::milliseconds> m_helperRetryAfter;
+    bool m_isUnavailable = false; // this entry takes no relayed requests now
+    bool m_isTrial = false; // the current attempt tries whether the link is back
+    bool m_hasReceived = false; // any byte in the current attempt
+    std::uint64_t m_linkAttempt = 0; // see core::link_health
     std::string m_lastTarget;
     std::string m_lastWeights;
     std::string m_lastVersion; // software version of the last target
--- a/packages/runtime/include/plumfold/runtime/plumfold_settings.hpp
+++ b/packages/runtime/include/plumfold/runtime/plumfold_settings.hpp
@@ -66,6 +66,7 @@
     std::vector<std::string> control; ///< Seed control VMs: ip:port of their platform addresses.
     std::uint64_t controlPort = 0; ///< RPC port of the control VMs.
     std::string metricsAddress; ///< Serves metrics as Prometheus text; empty for none.
+    std::string relayAddress; ///< Accepts requests that other entries relay; empty for none.
     std::uint64_t retryPercent = 20; ///< Retries to a service, as a share of its requests.
     std::uint64_t retryWindowMs = 10'000;
     std::uint64_t weightsBoundMs = 10'000; ///< Time limit for starting requests on stale weights.
--- a/packages/runtime/src/plumfold_settings.cpp
+++ b/packages/runtime/src/plumfold_settings.cpp
@@ -125,6 +125,7 @@
         { "control", &forwarding_settings::control, "a list of ip:port", true, true },
         { "controlPort", &forwarding_settings::controlPort, "a port, 1 to 65535", true, false, 1, 65'535 },
         { "metricsAddress", &forwarding_settings::metricsAddress, "ip:port; empty for none", false, true },
+        { "relayAddress", &forwarding_settings::relayAddress, "ip:port; empty for none", false, true },
         { "retryPercent", &forwarding_settings::retryPercent, "percent, 0 to 100", false, false, 0, 100 },
         { "retryWindowMs", &forwarding_settings::retryWindowMs, "milliseconds, 100 to 600000", false, false,
             100, 600'000 },
@@ -351,6 +352,7 @@
         add("/forwarding/callerAddress", checked.forwarding->callerAddress);
         add("/forwarding/readinessAddress", checked.forwarding->readinessAddress);
         add("/forwarding/metricsAddress", checked.forwarding->metricsAddress);
+        add("/forwarding/relayAddress", checked.forwarding->relayAddress);
     }
     if (checked.store) {
         add("/store/address", checked.store->address);
--- a/packages/wire/include/plumfold/wire/plumfold_convert.hpp
+++ b/packages/wire/include/plumfold/wire/plumfold_convert.hpp
@@ -6,6 +6,7 @@
 #include "plumfold/core/plumfold_dispatch_types.hpp"
 #include "plumfold/core/plumfold_part_directory.hpp"
 #include "plumfold/core/plumfold_raft_types.hpp"
+#include "plumfold/core/plumfold_relay_helpers.hpp"
 #include "plumfold/core/plumfold_stream_origin.hpp"
 #include "plumfold/core/plumfold_suspect_registry.hpp"
 #include "plumfold/core/plumfold_target_directory.hpp"
@@ -96,6 +97,8 @@
 void write(DeploymentState::Builder out, const core::deployment_state& value);
 core::deployment_state read(DeploymentState::Reader in);
 
+void write(EntryAddress::Builder out, const core::entry_address& value);
+core::entry_address read(EntryAddress::Reader in);
 void write(WeightNaming::Builder out, const core::weight_naming& value);
 core::weight_naming read(WeightNaming::Reader in);
 
--- a/packages/wire/schema/plumfold.capnp
+++ b/packages/wire/schema/plumfold.capnp
@@ -190,7 +190,8 @@
   deliver @0 (message :RaftMessage) -> ();
   # What targets announced to this control VM itself, how many entries follow it, and the entries' suspects.
   share @1 (address :Text, failureDomain :Text, entries :UInt32, targets :List(AnnouncedTarget),
-      parts :List(PartNews), clock :UInt64, loads :List(TargetLoad), namings :List(WeightNaming)) -> ();
+      parts :List(PartNews), clock :UInt64, loads :List(TargetLoad), namings :List(WeightNaming),
+      followers :List(EntryAddress), hasFollowers :Bool) -> ();
 }
 interface Operator {
   form @0 () -> (reply :Reply);
@@ -210,13 +211,15 @@
   # a quorum has first confirmed that no newer revision is deployed. sharedLimits is the address of the control VM
   # that serves startCold and retry for this entry. The verdicts are all that are in force or were withdrawn
   # recently; they are left out if their digest is the known one. So are the suspects. The ages of the namings are
-  # those at the time at which the call arrived.
+  # those at the time at which the call arrived. The helpers are other entries to which this one may relay requests;
+  # they are left out if their digest is the known one.
   follow @2 (knownDeployment :UInt64, feed :UInt64, knownChange :UInt64, waitMs :UInt32, confirmed :Bool,
-      parts :List(PartCursor), knownVerdicts :UInt64, knownSuspects :UInt64)
+      parts :List(PartCursor), knownVerdicts :UInt64, knownSuspects :UInt64, relayAddress :Text, knownHelpers :UInt64)
       -> (fresh :Bool, deployment :DeploymentState, feed :UInt64, change :UInt64, everything :Bool,
           targets :List(AnnouncedTarget), control :List(ControlAddress), entries :UInt32, parts :List(PartNews), clock :UInt64,
           loads :List(TargetLoad), sharedLimits :Text, verdictsDigest :UInt64, verdicts :List(CrashVerdict),
-          suspects :List(CrashSuspect), suspectsDigest :UInt64, namings :List(WeightNaming));
+          suspects :List(CrashSuspect), suspectsDigest :UInt64, namings :List(WeightNaming),
+          helpers :List(EntryAddress), helpersDigest :UInt64);
   # Asks the holder of the lease shared-limits/ and the entry's failure domain for one start on a cold target.
   startCold @3 (service :Text, target :Text) -> (granted :Bool, retryAfterMs :UInt32);
   # Asks the same control VM for one retry beyond the share of the entry's own requests.
@@ -277,6 +280,8 @@
   busy @5 :Bool;
 }
 struct ControlAddress { address @0 :Text; failureDomain @1 :Text; }
+# Where an entry accepts relayed requests, see core::entry_address.
+struct EntryAddress { name @0 :Text; address @1 :Text; failureDomain @2 :Text; }
 
 # ---------------------------------------------------------------- between entries
 
--- a/packages/wire/src/plumfold_convert_deployment.cpp
+++ b/packages/wire/src/plumfold_convert_deployment.cpp
@@ -45,6 +45,18 @@
     return value;
 }
 
+void write(EntryAddress::Builder out, const core::entry_address& value)
+{
+    out.setName(value.name);
+    out.setAddress(value.address);
+    out.setFailureDomain(value.failureDomain);
+}
+
+core::entry_address read(EntryAddress::Reader in)
+{
+    return { in.getName().cStr(), in.getAddress().cStr(), in.getFailureDomain().cStr() };
+}
+
 void write(WeightNaming::Builder out, const core::weight_naming& value)
 {
     out.setModel(value.model);
--- a/tests/forwarding/plumfold_partitioned_entry_tests.cpp
+++ b/tests/forwarding/plumfold_partitioned_entry_tests.cpp
@@ -62,6 +62,48 @@
     checkServed(system);
 }
 
+TEST_CASE("A caller that leaves cancels its relayed request at the target", "[forwarding][partition]")
+{
+    partitioned_system system;
+    system.setLink(1, link_state::resetting);
+    REQUIRE(system.eventually([&] {
+        system.request(1, "/stock/whole");
+        return system.logOf("n1").find("event=link_lost") != std::string::npos;
+    }));
+    raw_caller caller(system.callerAddress(1));
+    auto receivedBefore = system.received();
+    caller.send(partitioned_system::requestBytes("/shop/never", partitioned_system::nextId(), "order"));
+    REQUIRE(system.eventually([&] { return system.received() > receivedBefore; }));
+    auto cancelledBefore = system.cancelled();
+    caller.close();
+    system.sleepFor(milliseconds(500));
+    CHECK(system.cancelled() == cancelledBefore + 1);
+}
+
+TEST_CASE("Requests at the relay address need the cluster secret", "[forwarding][partition]")
+{
+    partitioned_system system;
+    auto receivedBefore = system.received();
+    auto send = [&](const std::string& secret) {
+        raw_caller caller(system.relayAddress(1));
+        caller.send(partitioned_system::requestBytes("/shop/whole", partitioned_system::nextId(), "order",
+            { { "Api-Key", "" }, { "Plumfold-Relay-Secret", secret }, { "Plumfold-Relay-Customer", "espuma" },
+                { "Plumfold-Relay-Service", "shop" }, { "Plumfold-Relay-Time-Left", "1000" },
+                { "Plumfold-Relay-Attempts-Left", "1" } }));
+        return caller.receive().status;
+    };
+    CHECK(send("") == 403);
+    CHECK(send("guess") == 403);
+    CHECK(system.received() == receivedBefore);
+    CHECK(send("test") == 200);
+    CHECK(system.received() == receivedBefore + 1);
+    // The headers give a caller nothing at the address for callers.
+    auto response = system.request(1, "/shop/whole", "order",
+        { { "Api-Key", "unknown" }, { "Plumfold-Relay-Secret", "test" },
+            { "Plumfold-Relay-Customer", "espuma" }, { "Plumfold-Relay-Service", "shop" } });
+    CHECK(response.status == 401);
+}
+
 TEST_CASE(
     "When all entries are cut from all targets, requests are refused at once", "[forwarding][partition]")
 {
--- a/tests/forwarding/support/plumfold_forwarding_system.cpp
+++ b/tests/forwarding/support/plumfold_forwarding_system.cpp
@@ -200,7 +200,8 @@
         { { "process", process },
             { "forwarding",
                 { { "callerAddress", callerAddress(number) },
-                    { "readinessAddress", address(20 + number, 8001) }, { "control", seeds() },
+                    { "readinessAddress", address(20 + number, 8001) },
+                    { "relayAddress", address(20 + number, 8002) }, { "control", seeds() },
                     { "controlPort", rpcPort }, { "weightsBoundMs", m_weightsBound.count() } } } });
 }
 
--- a/tests/forwarding/support/plumfold_partitioned_system.hpp
+++ b/tests/forwarding/support/plumfold_partitioned_system.hpp
@@ -85,6 +85,25 @@
 
     static void sleepFor(milliseconds time) { std::this_thread::sleep_for(time); }
 
+    void setLink(int entry, link_state state) { m_cuts->set(processOf(entry), state); }
+    std::string relayAddress(int entry) const { return address(20 + entry, 8002); }
+    /// @return the number of requests that all targets have received.
+    std::size_t received() const
+    {
+        std::size_t count = 0;
+        for (const auto* target : m_targets)
+            count += target->requests().size();
+        return count;
+    }
+    /// @return the number of requests that were cancelled at targets.
+    int cancelled() const
+    {
+        int count = 0;
+        for (const auto* target : m_targets)
+            count += target->abandoned();
+        return count;
+    }
+
     /// First tries, and how many of them were served in time.
     struct tries {
         int sent = 0;
