--- a/packages/control/src/plumfold_control_service.cpp
+++ b/packages/control/src/plumfold_control_service.cpp
@@ -1,6 +1,7 @@
 #include "plumfold_control_service.hpp"
 
 #include "plumfold_kj_completion.hpp"
+#include "plumfold_wire_lists.hpp"
 
 #include "plumfold/runtime/plumfold_clock.hpp"
 #include "plumfold/runtime/plumfold_log.hpp"
@@ -48,29 +49,15 @@
     kj::Promise<void> share(ShareContext call) override
     {
         auto params = call.getParams();
-        std::vector<core::target_announcement> targets;
-        for (auto each : params.getTargets())
-            targets.push_back(wire::read(each));
         control_peer_state state { params.getFailureDomain().cStr(), params.getEntries(), {}, {} };
-        m_context.feed.applyPeerUpdate(params.getAddress().cStr(), std::move(state), targets);
-        if (params.getHasFollowers()) {
-            std::vector<core::entry_address> followers;
-            for (auto each : params.getFollowers())
-                followers.push_back(wire::read(each));
-            m_context.feed.applyPeerFollowers(params.getAddress().cStr(), std::move(followers));
-        }
-        std::vector<core::part_update> parts;
-        for (auto each : params.getParts())
-            parts.push_back(wire::read(each));
-        m_context.feed.applyPeerParts(parts, params.getClock());
-        std::vector<core::target_load> loads;
-        for (auto each : params.getLoads())
-            loads.push_back(wire::read(each));
-        m_context.feed.updateLoads(loads, false);
-        std::vector<core::weight_naming> namings;
-        for (auto each : params.getNamings())
-            namings.push_back(wire::read(each));
-        m_context.feed.applyPeerNamings(namings);
+        std::string from = params.getAddress().cStr();
+        m_context.feed.applyPeerUpdate(
+            from, std::move(state), readList<core::target_announcement>(params.getTargets()));
+        if (params.getHasFollowers())
+            m_context.feed.applyPeerFollowers(from, readList<core::entry_address>(params.getFollowers()));
+        m_context.feed.applyPeerParts(readList<core::part_update>(params.getParts()), params.getClock());
+        m_context.feed.updateLoads(readList<core::target_load>(params.getLoads()), false);
+        m_context.feed.applyPeerNamings(readList<core::weight_naming>(params.getNamings()));
         return kj::READY_NOW;
     }
 
@@ -240,17 +227,13 @@
         call.getResults().setHelpersDigest(digest);
         if (digest == call.getParams().getKnownHelpers())
             return;
-        auto out = call.getResults().initHelpers(helpers.size());
-        for (unsigned index = 0; index < helpers.size(); ++index)
-            wire::write(out[index], helpers[index]);
+        writeList(call.getResults().initHelpers(helpers.size()), helpers);
     }
 
     void writeNamings(FollowContext& call, core::instant arrivedAt)
     {
         auto namings = m_context.feed.weightNamings(arrivedAt);
-        auto out = call.getResults().initNamings(namings.size());
-        for (unsigned index = 0; index < namings.size(); ++index)
-            wire::write(out[index], namings[index]);
+        writeList(call.getResults().initNamings(namings.size()), namings);
     }
 
     void writeParts(FollowContext& call)
--- a/packages/core/include/plumfold/core/plumfold_link_health.hpp
+++ b/packages/core/include/plumfold/core/plumfold_link_health.hpp
@@ -16,7 +16,7 @@
     /// Distinct targets that have to fail in a row; fewer if fewer are known, but at least minTargets.
     std::size_t targets = 3;
     std::size_t minTargets = 2;
-    /// Requests without a byte from any target for this long count as failures.
+    /// Requests without a byte from any target for this long, beyond the predicted time, count as failures.
     milliseconds silenceTimeout { 1'500 };
     /// Interval of attempts on targets while the link is lost; it doubles up to maxTrialInterval.
     milliseconds trialInterval { 300 };
@@ -47,8 +47,9 @@
     void setTargetCount(std::size_t count) { m_targetCount = count; }
 
     /// Records that a request was sent to a target.
+    /// @param expected predicted time to the first byte; 0: unknown.
     /// @return the number of the attempt, for onEnded().
-    std::uint64_t onSent(const std::string& target, instant now);
+    std::uint64_t onSent(const std::string& target, instant now, milliseconds expected = milliseconds(0));
     void onEnded(std::uint64_t attempt) { m_pending.erase(attempt); }
     /// Records that a target could not be reached, or was lost before it sent a byte.
     void onFailure(const std::string& target) { m_failed.insert(target); }
@@ -68,7 +69,7 @@
 private:
     struct pending_attempt {
         std::string target;
-        instant sentAt {};
+        instant silentFrom {}; // without a byte until then, the target counts as silent
     };
 
     std::set<std::string> silentTargets(instant now) const;
--- a/packages/core/src/plumfold_link_health.cpp
+++ b/packages/core/src/plumfold_link_health.cpp
@@ -4,9 +4,9 @@
 
 namespace plumfold::core {
 
-std::uint64_t link_health::onSent(const std::string& target, instant now)
+std::uint64_t link_health::onSent(const std::string& target, instant now, milliseconds expected)
 {
-    m_pending[++m_lastAttempt] = { target, now };
+    m_pending[++m_lastAttempt] = { target, now + expected + m_options.silenceTimeout };
     return m_lastAttempt;
 }
 
@@ -22,7 +22,7 @@
     if (now - m_lastBytesAt < m_options.silenceTimeout)
         return silent;
     for (const auto& [number, attempt] : m_pending) {
-        if (now - attempt.sentAt >= m_options.silenceTimeout)
+        if (now >= attempt.silentFrom)
             silent.insert(attempt.target);
     }
     return silent;
--- a/packages/forwarding/src/plumfold_request_attempt.cpp
+++ b/packages/forwarding/src/plumfold_request_attempt.cpp
@@ -128,7 +128,8 @@
     }
     m_attemptedTargets.insert(placement.target);
     m_hasReceived = false;
-    m_linkAttempt = m_state.link.onSent(placement.target, runtime::now());
+    m_linkAttempt = m_state.link.onSent(placement.target, runtime::now(),
+        core::milliseconds(static_cast<std::int64_t>(placement.predictedMs)));
     m_fetchedFrom.clear();
     m_fetches = m_saves = m_fetchTokens = 0;
     m_sentAt = runtime::now();
--- a/packages/forwarding/src/plumfold_request_forwarder.cpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.cpp
@@ -331,24 +331,6 @@
         finishUnanswered();
 }
 
-/// @return whether the request goes to another entry because this one reaches no target.
-bool request_forwarder::mustRelay()
-{
-    m_isTrial = false;
-    if (m_relayed || !m_state.link.isLost() || m_state.helpers.empty())
-        return false;
-    bool isRepeatable = isIdempotent() && maxAttempts() > 1;
-    m_isTrial = m_attemptCount == 0 && m_state.link.tryTakeTrial(isRepeatable, runtime::now());
-    return !m_isTrial;
-}
-
-/// Targets in back-off here may be in reach of other entries.
-bool request_forwarder::mayRelayAfter(const core::placement_result& selection) const
-{
-    return !m_relayed && (selection.isBackedOff || !m_unreachableTargets.empty())
-        && (m_attemptCount == 0 || mayRetry());
-}
-
 /// @return whether the request may start on a cold target.
 task<bool> request_forwarder::requestColdStart(const core::placement& placement)
 {
--- a/packages/forwarding/src/plumfold_request_relay.cpp
+++ b/packages/forwarding/src/plumfold_request_relay.cpp
@@ -90,6 +90,24 @@
     return out;
 }
 
+/// @return whether the request goes to another entry because this one reaches no target.
+bool request_forwarder::mustRelay()
+{
+    m_isTrial = false;
+    if (m_relayed || !m_state.link.isLost() || m_state.helpers.empty())
+        return false;
+    bool isRepeatable = isIdempotent() && maxAttempts() > 1;
+    m_isTrial = m_attemptCount == 0 && m_state.link.tryTakeTrial(isRepeatable, runtime::now());
+    return !m_isTrial;
+}
+
+/// Targets in back-off here may be in reach of other entries.
+bool request_forwarder::mayRelayAfter(const core::placement_result& selection) const
+{
+    return !m_relayed && (selection.isBackedOff || !m_unreachableTargets.empty())
+        && (m_attemptCount == 0 || mayRetry());
+}
+
 /// Relays the request to helpers until one has answered it.
 /// @return whether the request has ended; false if no helper took it.
 task<bool> request_forwarder::relay()
--- a/tests/core/plumfold_link_health_tests.cpp
+++ b/tests/core/plumfold_link_health_tests.cpp
@@ -102,6 +102,15 @@
     }
 }
 
+TEST_CASE("Requests that are predicted to take long are not silent before that time", "[link]")
+{
+    auto health = healthOf(3);
+    for (const auto* target : { "a", "b", "c" })
+        health.onSent(target, after(0), milliseconds(2'000));
+    CHECK_FALSE(health.update(after(3'499)));
+    CHECK(health.update(after(3'500)) == link_change { true, 0, 3 });
+}
+
 TEST_CASE("Bytes of any target show that a lost link is back", "[link]")
 {
     auto health = lostAt(100);
