--- a/packages/control/src/plumfold_control_service.cpp
+++ b/packages/control/src/plumfold_control_service.cpp
@@ -1,6 +1,7 @@
 #include "plumfold_control_service.hpp"
 
 #include "plumfold_kj_completion.hpp"
+#include "plumfold_wire_lists.hpp"
 
 #include "plumfold/runtime/plumfold_clock.hpp"
 #include "plumfold/runtime/plumfold_log.hpp"
@@ -48,27 +49,19 @@
     kj::Promise<void> share(ShareContext call) override
     {
         auto params = call.getParams();
-        std::vector<core::target_announcement> targets;
-        for (auto each : params.getTargets())
-            targets.push_back(wire::read(each));
-        control_peer_state state { params.getFailureDomain().cStr(), params.getEntries(), {} };
-        m_context.feed.applyPeerUpdate(params.getAddress().cStr(), std::move(state), targets);
-        std::vector<core::part_update> parts;
-        for (auto each : params.getParts())
-            parts.push_back(wire::read(each));
-        m_context.feed.applyPeerParts(parts, params.getClock());
-        std::vector<core::target_load> loads;
-        for (auto each : params.getLoads())
-            loads.push_back(wire::read(each));
-        m_context.feed.updateLoads(loads, false);
+        control_peer_state state { params.getFailureDomain().cStr(), params.getEntries(), {}, {} };
+        std::string from = params.getAddress().cStr();
+        m_context.feed.applyPeerUpdate(
+            from, std::move(state), readList<core::target_announcement>(params.getTargets()));
+        if (params.getHasFollowers())
+            m_context.feed.applyPeerFollowers(from, readList<core::entry_address>(params.getFollowers()));
+        m_context.feed.applyPeerParts(readList<core::part_update>(params.getParts()), params.getClock());
+        m_context.feed.updateLoads(readList<core::target_load>(params.getLoads()), false);
         m_context.feed.applyPeerEvents(
             wire::readEventAges(params.getNamings()), wire::readEventAges(params.getReturns()));
-        core::crash_evidence evidence;
-        for (auto each : params.getCrashes())
-            evidence.crashes.push_back(wire::read(each));
-        for (auto each : params.getSuccesses())
-            evidence.successes.push_back(wire::read(each));
-        m_context.crashes.addEvidence(params.getAddress().cStr(), evidence);
+        m_context.crashes.addEvidence(from,
+            { readList<core::crash_report>(params.getCrashes()),
+                readList<core::recorded_success>(params.getSuccesses()) });
         return kj::READY_NOW;
     }
 
@@ -123,7 +116,7 @@
     kj::Promise<void> follow(FollowContext call) override
     {
         auto params = call.getParams();
-        m_context.feed.recordFollower(m_name);
+        m_context.feed.recordFollower({ m_name, params.getRelayAddress().cStr(), m_failureDomain });
         auto arrivedAt = runtime::nowWithSuspension();
         kj::Promise<void> ready = kj::READY_NOW;
         if (params.getConfirmed())
@@ -221,6 +214,7 @@
             writeTarget(targets[index], changed[index]);
         writeParts(call);
         writeVerdicts(call);
+        writeHelpers(call);
         auto domains = feed.controlDomains();
         auto control = out.initControl(domains.size());
         unsigned index = 0;
@@ -230,6 +224,16 @@
         }
     }
 
+    void writeHelpers(FollowContext& call)
+    {
+        auto helpers = m_context.feed.helpersOf(m_name, m_failureDomain);
+        auto digest = core::digestOf(helpers);
+        call.getResults().setHelpersDigest(digest);
+        if (digest == call.getParams().getKnownHelpers())
+            return;
+        writeList(call.getResults().initHelpers(helpers.size()), helpers);
+    }
+
     void writeEvents(FollowContext& call, core::instant arrivedAt)
     {
         auto namings = m_context.feed.weightNamings(arrivedAt);
--- a/packages/wire/src/plumfold_convert_deployment.cpp
+++ b/packages/wire/src/plumfold_convert_deployment.cpp
@@ -53,6 +53,18 @@
     return value;
 }
 
+void write(EntryAddress::Builder out, const core::entry_address& value)
+{
+    out.setName(value.name);
+    out.setAddress(value.address);
+    out.setFailureDomain(value.failureDomain);
+}
+
+core::entry_address read(EntryAddress::Reader in)
+{
+    return { in.getName().cStr(), in.getAddress().cStr(), in.getFailureDomain().cStr() };
+}
+
 void write(capnp::List<EventAge>::Builder out, const std::vector<core::event_age>& values)
 {
     unsigned index = 0;
