A target that has ended does not count against the link of an entry

Cause (read, not traced): several targets that crash in a row look like a lost link, so their crashes were not reported and requests were refused as link_lost. Change: the probe of the crash detector decides; a target that has ended does not count, and crashes are reported in any case.

--- a/packages/forwarding/src/plumfold_request_forwarder.cpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.cpp
@@ -36,6 +36,16 @@
     return host;
 }
 
+/// Counts a failure against the link of this entry, unless the target has ended.
+task<void> countLinkFailure(
+    forwarding_state& state, std::string target, core::unix_milliseconds startedAt, std::string address)
+{
+    if (co_await state.crashes.hasEnded(target, startedAt, address))
+        co_return;
+    state.link.onFailure(target);
+    state.checkLink(runtime::now());
+}
+
 } // namespace
 
 request_forwarder::request_forwarder(forwarding_state& state, caller_connection& caller,
@@ -292,8 +302,10 @@
         bool isUnanswered = attemptResult == core::attempt_result::not_reached
             || (attemptResult == core::attempt_result::lost && !m_hasReceived);
         if (isUnanswered)
-            m_state.link.onFailure(selection.chosen->target);
-        m_state.checkLink(runtime::now());
+            asio::co_spawn(m_state.io,
+                countLinkFailure(m_state, selection.chosen->target, selection.chosen->startedAt,
+                    selection.chosen->address),
+                asio::detached);
         // While the link is lost, a failure says nothing about the target.
         bool isLinkFault = isUnanswered && m_state.link.isLost();
         m_state.targetSelector.onAttemptEnded(selection.chosen->target,
@@ -301,7 +313,7 @@
             core::target_selector::expectedTokens(request), runtime::now());
         if (attemptResult == core::attempt_result::not_started)
             continue;
-        if (attemptResult == core::attempt_result::lost && m_mayTargetHaveEnded && !isLinkFault)
+        if (attemptResult == core::attempt_result::lost && m_mayTargetHaveEnded)
             co_await onTargetLost(*selection.chosen);
         bool hasSurvived = attemptResult == core::attempt_result::answered
             || attemptResult == core::attempt_result::failed;
