--- a/packages/forwarding/src/plumfold_request_forwarder.cpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.cpp
@@ -40,7 +40,8 @@
 task<void> countLinkFailure(
     forwarding_state& state, std::string target, core::unix_milliseconds startedAt, std::string address)
 {
-    if (co_await state.crashes.hasEnded(target, startedAt, address))
+    bool hasEnded = co_await state.crashes.hasEnded(target, startedAt, address);
+    if (hasEnded)
         co_return;
     state.link.onFailure(target);
     state.checkLink(runtime::now());
