Let the times of commands advance with monotonic time, so that leases end after a clock was ahead

Callers would see: after the clock of a leader was ahead for some seconds, and the control VM that orders loads of weights is gone, no target gets new weights for as long as the clock had been ahead; with it the grants of cold starts and retries of a failure domain whose issuer is gone. Found by reading; no report is known to stem from it.

Cause: the time of a command was the leader's time of day, but at least the latest time in the log, which stood still until the time of day had caught up. The age of a lease was taken from the clock of whoever leads.

Change: core::command_clock keeps the largest lead of the commands' times over monotonic time with suspensions, and the times advance from there. A follower that sees a command later keeps a smaller lead, so a lease can only end later.

Conclusion: a clock that is set ahead still makes leases end early at that moment. The issuers of shared limits wait that out themselves (core::lease_usage); the lease of the orders to targets does not.

--- a/packages/core/include/plumfold/core/plumfold_command_clock.hpp
+++ b/packages/core/include/plumfold/core/plumfold_command_clock.hpp
@@ -2,9 +2,13 @@
 
 #include "plumfold/core/plumfold_time.hpp"
 
+#include <cstdint>
+#include <optional>
+
 namespace plumfold::core {
 
-/// Gives the commands of the replicated log their times, which never decrease.
+/// Gives the commands of the replicated log their times. These never decrease and advance at least as fast as
+/// monotonic time, so that leases end even if the clock of a leader was ahead for a while.
 class command_clock {
 public:
     /// Records the time of a command in the log.
@@ -17,7 +21,7 @@
     unix_milliseconds next(unix_milliseconds wallClock, instant now);
 
 private:
-    unix_milliseconds m_latest = 0;
+    std::optional<std::int64_t> m_offsetMs; // largest lead of the commands' times over monotonic time
 };
 
 } // namespace plumfold::core
--- a/packages/core/src/plumfold_command_clock.cpp
+++ b/packages/core/src/plumfold_command_clock.cpp
@@ -4,15 +4,25 @@
 
 namespace plumfold::core {
 
-void command_clock::observe(unix_milliseconds at, instant)
+namespace {
+
+std::int64_t monotonicMs(instant now)
+{
+    return std::chrono::duration_cast<milliseconds>(now.time_since_epoch()).count();
+}
+
+} // namespace
+
+void command_clock::observe(unix_milliseconds at, instant now)
 {
-    m_latest = std::max(m_latest, at);
+    auto offset = static_cast<std::int64_t>(at) - monotonicMs(now);
+    m_offsetMs = std::max(m_offsetMs.value_or(offset), offset);
 }
 
-unix_milliseconds command_clock::next(unix_milliseconds wallClock, instant)
+unix_milliseconds command_clock::next(unix_milliseconds wallClock, instant now)
 {
-    m_latest = std::max(m_latest, wallClock);
-    return m_latest;
+    observe(wallClock, now);
+    return static_cast<unix_milliseconds>(monotonicMs(now) + *m_offsetMs);
 }
 
 } // namespace plumfold::core
