--- a/tests/forwarding/support/plumfold_forwarding_system.cpp
+++ b/tests/forwarding/support/plumfold_forwarding_system.cpp
@@ -21,7 +21,6 @@
 
 constexpr int controlVms = 3;
 constexpr int receiveTimeoutSeconds = 10;
-constexpr std::chrono::milliseconds announceInterval { 500 };
 constexpr int firstTargetHost = 140;
 constexpr int rpcPort = 7000;
 constexpr int platformPort = 7080;
@@ -251,13 +250,15 @@
     }
 }
 
-void forwarding_system::startAnnouncing()
+void forwarding_system::startAnnouncing(std::chrono::milliseconds interval)
 {
-    m_announcer = std::thread([this] {
+    m_announcer = std::thread([this, interval] {
         while (!m_stopping) {
-            for (const auto& [name, target] : m_targets)
-                announce(name);
-            std::this_thread::sleep_for(announceInterval);
+            for (const auto& [name, target] : m_targets) {
+                if (!target.server->isSilent())
+                    announce(name);
+            }
+            std::this_thread::sleep_for(interval);
         }
     });
 }
--- a/tests/forwarding/support/plumfold_forwarding_system.hpp
+++ b/tests/forwarding/support/plumfold_forwarding_system.hpp
@@ -74,8 +74,8 @@
     void announce(const std::string& target, const std::string& state = "ready");
     /// Lets all targets announce a later start from now on.
     void announceRestarts() { ++m_targetStart; }
-    /// Announces all targets periodically until destruction, as real targets do.
-    void startAnnouncing();
+    /// Announces all targets that are not silent periodically until destruction, as real targets do.
+    void startAnnouncing(std::chrono::milliseconds interval = std::chrono::milliseconds(500));
 
     /// @return the configuration of the tests with the given version.
     nlohmann::json deployment(int version) const;
--- a/tests/forwarding/support/plumfold_scripted_exchange.hpp
+++ b/tests/forwarding/support/plumfold_scripted_exchange.hpp
@@ -11,12 +11,17 @@
 
 /// One request on one connection.
 struct scripted_target::exchange {
+    const scripted_target& target;
     Poco::Net::StreamSocket socket;
     std::string buffer; // received but not yet parsed
     recorded_request request;
     bool keepAlive = true;
 
-    void send(const std::string& bytes) { socket.sendBytes(bytes.data(), static_cast<int>(bytes.size())); }
+    void send(const std::string& bytes)
+    {
+        target.waitWhileSilent();
+        socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+    }
     /// Closes the connection with a reset.
     void reset()
     {
--- a/tests/forwarding/support/plumfold_scripted_target.cpp
+++ b/tests/forwarding/support/plumfold_scripted_target.cpp
@@ -16,6 +16,8 @@
 constexpr std::chrono::milliseconds timeUntilCrash { 40 };
 constexpr std::chrono::milliseconds workTime { 100 };
 constexpr std::chrono::milliseconds timeUntilListenerCloses { 15 };
+constexpr std::chrono::milliseconds silencePollInterval { 2 };
+constexpr int listenerQueue = 64;
 
 } // namespace
 
@@ -46,6 +48,9 @@
 void scripted_target::accept()
 {
     while (!m_stopping) {
+        waitWhileSilent();
+        if (m_isQueueClosed.exchange(false))
+            ::listen(m_listener.impl()->sockfd(), listenerQueue);
         if (!m_listener.poll(Poco::Timespan(0, pollMicroseconds), Poco::Net::Socket::SELECT_READ))
             continue;
         try {
@@ -76,6 +81,21 @@
     ::shutdown(m_listener.impl()->sockfd(), SHUT_RDWR);
 }
 
+void scripted_target::fallSilent(std::chrono::milliseconds time, bool keepsQueue)
+{
+    m_silentUntil = std::chrono::steady_clock::now() + time;
+    if (keepsQueue)
+        return;
+    ::listen(m_listener.impl()->sockfd(), 0);
+    m_isQueueClosed = true;
+}
+
+void scripted_target::waitWhileSilent() const
+{
+    while (!m_stopping && isSilent())
+        std::this_thread::sleep_for(silencePollInterval);
+}
+
 /// @return whether a request is meant for a former target at this address.
 bool scripted_target::isMisdirected(const recorded_request& request) const
 {
@@ -131,7 +151,7 @@
         { "versioned", &scripted_target::streamVersionedEvents },
         { "events-cut-slow", &scripted_target::streamSlowlyWhenResumed },
     };
-    exchange current { socket, {}, {}, true };
+    exchange current { *this, socket, {}, {}, true };
     try {
         while (current.keepAlive && readRequest(current)) {
             {
@@ -183,6 +203,7 @@
             if (m_stopping)
                 return false;
         }
+        waitWhileSilent();
         char bytes[4096];
         int got = current.socket.receiveBytes(bytes, sizeof(bytes));
         current.buffer.append(bytes, static_cast<std::size_t>(std::max(got, 0)));
--- a/tests/forwarding/support/plumfold_scripted_target.hpp
+++ b/tests/forwarding/support/plumfold_scripted_target.hpp
@@ -73,6 +73,12 @@
     void crash();
     bool hasCrashed() const { return m_crashed; }
 
+    /// Lets the target neither read, send nor accept for a time, and then go on with what it had.
+    /// @param keepsQueue whether the system still queues new connections meanwhile, as for a suspended
+    /// process; otherwise it drops them.
+    void fallSilent(std::chrono::milliseconds time, bool keepsQueue);
+    bool isSilent() const { return std::chrono::steady_clock::now() < m_silentUntil.load(); }
+
     std::vector<recorded_request> requests() const;
     /// @return number of connections that the entry closed while a request was being served.
     int abandoned() const { return m_abandoned; }
@@ -81,6 +87,7 @@
     struct exchange;
     using behaviour = void (scripted_target::*)(exchange&);
 
+    void waitWhileSilent() const;
     void accept();
     void serve(Poco::Net::StreamSocket socket);
     bool readRequest(exchange& current);
@@ -142,6 +149,8 @@
     std::atomic<int> m_abandoned { 0 };
     std::atomic<bool> m_stopping { false };
     std::atomic<bool> m_crashed { false };
+    std::atomic<std::chrono::steady_clock::time_point> m_silentUntil {};
+    std::atomic<bool> m_isQueueClosed { false };
     std::function<bool(const recorded_request&)> m_crashCondition;
     std::vector<Poco::Net::StreamSocket> m_sockets; // of all connections
     std::vector<std::thread> m_connections;
