Count failures of simultaneous attempts on a target once in its back-off

Cause: each failed attempt doubled the back-off, so a few requests whose connections one silent second held up took a target out for up to 5 s.

Ruled out: the watchdog (it concerns model engines only; the fault shows without a model) and the connect timeout (new attempts succeed at once after the target goes on).

Change: a failure during the back-off belongs to an attempt from before it and neither doubles nor extends it.

Before: with connections dropped, no target got a request within 1 s after all went on; requests ended as 503, 504 or broken off.

--- a/packages/core/include/plumfold/core/plumfold_target_selector.hpp
+++ b/packages/core/include/plumfold/core/plumfold_target_selector.hpp
@@ -97,7 +97,8 @@
 /// Settings of a target_selector.
 struct target_selector_options {
     std::string failureDomain; ///< Of this entry; local targets are preferred.
-    milliseconds initialBackoff { 400 }; ///< Back-off after a first failure; doubles with each further one.
+    /// Back-off after a first failure; doubles with each further one that ends after the back-off.
+    milliseconds initialBackoff { 400 };
     milliseconds maxBackoff { 5'000 };
     engine_latency_model latencyModel {};
     /// A silent target stays usable for this long after its latest answer.
--- a/packages/core/src/plumfold_target_selector.cpp
+++ b/packages/core/src/plumfold_target_selector.cpp
@@ -391,7 +391,8 @@
         each.currentBackoff = milliseconds(0);
         each.lastAnswerAt = now;
     }
-    if (!targetFailed)
+    // During a back-off only attempts end that began before it: their failures have the same cause.
+    if (!targetFailed || now < each.backoffUntil)
         return;
     each.currentBackoff = std::clamp(each.currentBackoff * 2, m_options.initialBackoff, m_options.maxBackoff);
     each.backoffUntil = now + each.currentBackoff;
--- a/tests/core/plumfold_target_selector_tests.cpp
+++ b/tests/core/plumfold_target_selector_tests.cpp
@@ -174,6 +174,22 @@
     CHECK(selector.choose(requestOf(), start + milliseconds(1000)).chosen);
 }
 
+TEST_CASE("Attempts that fail at the same time cause a single back-off", "[target_board]")
+{
+    auto selector = selectorOf({ engine("t1") });
+    constexpr int attempts = 8;
+    for (int number = 0; number < attempts; ++number)
+        REQUIRE(selector.choose(requestOf(), start).chosen);
+    for (int number = 0; number < attempts; ++number)
+        selector.onAttemptEnded("t1", attempt_result::not_reached, 0, start + milliseconds(number));
+    auto initial = target_selector_options().initialBackoff;
+    CHECK_FALSE(selector.choose(requestOf(), start + initial - milliseconds(1)).chosen);
+    REQUIRE(selector.choose(requestOf(), start + initial).chosen);
+    selector.onAttemptEnded("t1", attempt_result::not_reached, 0, start + initial);
+    CHECK_FALSE(selector.choose(requestOf(), start + 3 * initial - milliseconds(1)).chosen);
+    CHECK(selector.choose(requestOf(), start + 3 * initial).chosen);
+}
+
 TEST_CASE("A request starts on a cold target only if its start is granted", "[target_board]")
 {
     auto cold = engine("t1");
