Keep an attempt on a silent target if nothing can replace it

Cause: the watchdog closed an idempotent request's connection to a target that control VMs call silent, before it was known whether another target could take the request and whether the retry budget allowed it. Without either, the request ended as 502 or its stream was broken off, though the target would have answered.

Ruled out: the connection timeouts (the connections were open) and the refusals as 503 in the same test, which come from target selection.

Change: the watchdog first finds another warm target and counts the retry; otherwise it keeps the attempt and looks again after its interval.

--- a/packages/core/include/plumfold/core/plumfold_target_selector.hpp
+++ b/packages/core/include/plumfold/core/plumfold_target_selector.hpp
@@ -170,6 +170,9 @@
     /// @return whether a target neither announces itself nor has recently answered this entry.
     bool isSilent(const std::string& target, instant now) const;
 
+    /// @return whether choose() would find a warm target; nothing is recorded.
+    bool hasWarmTarget(const placement_request& request, instant now) const;
+
     /// @return whether a target has announced that it stops, or is no longer known.
     bool isLeaving(const std::string& target) const;
 
--- a/packages/core/src/plumfold_target_selector.cpp
+++ b/packages/core/src/plumfold_target_selector.cpp
@@ -221,6 +221,14 @@
     return answer;
 }
 
+bool target_selector::hasWarmTarget(const placement_request& request, instant now) const
+{
+    return std::any_of(m_targets.begin(), m_targets.end(), [&](const auto& each) {
+        const auto& target = each.second;
+        return isUsable(target, request, now) && !isCold(target, now) && mayStart(target, request.model, now);
+    });
+}
+
 placement target_selector::recordStart(tracked_target& target, const placement_request& request, instant now)
 {
     ++target.inFlight;
--- a/packages/forwarding/src/plumfold_request_attempt.cpp
+++ b/packages/forwarding/src/plumfold_request_attempt.cpp
@@ -405,19 +405,43 @@
     });
 }
 
+bool request_forwarder::isTargetQuiet(core::instant now) const
+{
+    return now - m_lastByteAt >= unresponsiveTargetTimeout
+        && m_state.targetSelector.isSilent(m_lastTarget, now);
+}
+
 void request_forwarder::onWatchdog()
 {
     if (!m_connection)
         return;
     auto now = runtime::now();
-    bool quiet = now - m_lastByteAt >= unresponsiveTargetTimeout;
-    if (quiet && m_attemptedTargets.size() < m_route->maxAttempts
-        && m_state.targetSelector.isSilent(m_lastTarget, now)) {
-        m_targetUnresponsive = true;
-        m_connection->stream.close();
-        return;
+    // A target may be silent for a second and go on, so an attempt is kept if nothing can replace it.
+    bool isReplaceable = isTargetQuiet(now) && m_attemptedTargets.size() < m_route->maxAttempts
+        && m_state.targetSelector.hasWarmTarget(placementRequest(), now);
+    if (isReplaceable)
+        asio::co_spawn(m_state.io, replaceUnresponsiveTarget(m_alive), asio::detached);
+    else
+        armWatchdog();
+}
+
+/// Abandons the current attempt if the retry budget allows another one.
+/// @param alive expires with this object.
+task<void> request_forwarder::replaceUnresponsiveTarget(std::weak_ptr<bool> alive)
+{
+    auto attempt = m_attemptCount;
+    bool isGranted = co_await takeRetryBudget();
+    if (alive.expired())
+        co_return;
+    m_hasRetryGrant = isGranted;
+    if (!m_connection || m_attemptCount != attempt)
+        co_return;
+    if (!isGranted || !isTargetQuiet(runtime::now())) {
+        armWatchdog();
+        co_return;
     }
-    armWatchdog();
+    m_targetUnresponsive = true;
+    m_connection->stream.close();
 }
 
 } // namespace plumfold::forwarding
--- a/packages/forwarding/src/plumfold_request_forwarder.cpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.cpp
@@ -231,6 +231,8 @@
 /// @return whether the budget allows another attempt: that of this entry, or else the shared reserve.
 task<bool> request_forwarder::takeRetryBudget()
 {
+    if (std::exchange(m_hasRetryGrant, false))
+        co_return true;
     if (m_attemptCount == 0 || m_state.retryBudget.tryTake(m_service, runtime::now()))
         co_return true;
     co_return co_await m_state.sharedLimits.retry(m_service);
--- a/packages/forwarding/src/plumfold_request_forwarder.hpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.hpp
@@ -84,6 +84,8 @@
     void onCallerDisconnected();
     void armWatchdog();
     void onWatchdog();
+    bool isTargetQuiet(core::instant now) const;
+    task<void> replaceUnresponsiveTarget(std::weak_ptr<bool> alive);
     void armDeadline();
     void log(bool delivered);
 
@@ -115,6 +117,7 @@
     core::unix_milliseconds m_lastStart = 0; // incarnation of the last target
     std::optional<core::stream_origin> m_origin; // of a stream that has begun or is taken up
     unsigned m_attemptCount = 0;
+    bool m_hasRetryGrant = false; // the retry after an unresponsive target is counted already
     unsigned m_coldStartRequests = 0;
     core::instant m_coldStartUntil {}; // until when a granted start may be used, with suspensions
     bool m_mayHaveExecuted = false;
