Use a target that may only have paused, and notice that it responds again

Cause: three failed polls marked a model engine as silent until its next announcement, since silent engines were not polled. As the only target of its service it got no request meanwhile, unless it had answered in the last two seconds.

Ruled out: a longer time until an engine counts as silent. It would delay the replacement of attempts on engines that are really gone.

Change: control VMs go on polling a silent engine for 5 s. To an entry, a load report that is newer than the silence ends it. For 1.5 s after a target became silent, it gets requests if there is no other.

--- a/packages/control/src/plumfold_deployment_feed.cpp
+++ b/packages/control/src/plumfold_deployment_feed.cpp
@@ -194,13 +194,20 @@
 
 std::vector<core::target_announcement> deployment_feed::assignedEngines() const
 {
-    std::vector<core::target_announcement> assigned;
+    auto assigned = polledEngines();
+    std::erase_if(assigned, [](const auto& each) { return each.state != core::target_state::ready; });
+    return assigned;
+}
+
+std::vector<core::target_announcement> deployment_feed::polledEngines() const
+{
+    std::vector<core::target_announcement> engines;
     for (const auto& [name, entry] : m_directory.entries()) {
-        bool isEngine = !entry.last.models.empty() && entry.last.state == core::target_state::ready;
+        bool isEngine = !entry.last.models.empty() && entry.last.state != core::target_state::leaving;
         if (isEngine && isAssignedTo(entry.last.failureDomain))
-            assigned.push_back(entry.last);
+            engines.push_back(entry.last);
     }
-    return assigned;
+    return engines;
 }
 
 void deployment_feed::updateLoads(const std::vector<core::target_load>& loads, bool isDirect)
--- a/packages/control/src/plumfold_deployment_feed.hpp
+++ b/packages/control/src/plumfold_deployment_feed.hpp
@@ -96,6 +96,8 @@
     std::vector<core::target_load> loads(bool directOnly) const;
     /// @return the ready model engines that this control VM polls.
     std::vector<core::target_announcement> assignedEngines() const;
+    /// @return those and the silent ones.
+    std::vector<core::target_announcement> polledEngines() const;
     /// @return the addresses of the stores that this control VM polls.
     std::vector<std::string> assignedStores() const;
     /// @return the addresses of the stores and engines whose part events this control VM polls.
--- a/packages/control/src/plumfold_load_poller.cpp
+++ b/packages/control/src/plumfold_load_poller.cpp
@@ -10,6 +10,8 @@
 constexpr core::milliseconds reportTimeout { 150 };
 /// Number of consecutive failed polls after which a target counts as silent until its next announcement.
 constexpr unsigned failuresUntilSilent = 3;
+/// A silent target is polled for this time, since its reports show that it responds again.
+constexpr core::milliseconds silentPollTime { 5'000 };
 
 } // namespace
 
@@ -36,13 +38,19 @@
 
 void load_poller::pollEngines()
 {
-    auto engines = m_rpc.run([this] { return m_feed.assignedEngines(); });
+    auto engines = m_rpc.run([this] { return m_feed.polledEngines(); });
     std::map<std::string, polled_target> polledTargets;
     std::vector<core::target_load> loads;
     for (const auto& engine : engines) {
         polled_target target;
         if (auto known = m_targets.find(engine.name); known != m_targets.end())
             target = std::move(known->second);
+        else if (engine.state == core::target_state::silent)
+            continue;
+        bool isGone = engine.state == core::target_state::silent && target.failures > 0
+            && runtime::now() - target.firstFailureAt > silentPollTime;
+        if (isGone)
+            continue;
         if (!target.reader || target.address != engine.address) {
             target.address = engine.address;
             target.reader = std::make_unique<platform::target_report_reader>(engine.address, engine.name);
@@ -54,8 +62,11 @@
             loads.push_back(
                 { engine.name, report->running, report->waiting, report->usedTokens, {}, report->isBusy });
             target.failures = 0;
-        } else if (++target.failures >= failuresUntilSilent) {
-            m_rpc.run([&] { m_feed.onTargetUnresponsive(engine.name); });
+        } else {
+            if (target.failures++ == 0)
+                target.firstFailureAt = runtime::now();
+            if (target.failures >= failuresUntilSilent)
+                m_rpc.run([&] { m_feed.onTargetUnresponsive(engine.name); });
         }
         polledTargets.emplace(engine.name, std::move(target));
     }
--- a/packages/control/src/plumfold_load_poller.hpp
+++ b/packages/control/src/plumfold_load_poller.hpp
@@ -23,6 +23,7 @@
         std::string address;
         std::unique_ptr<platform::target_report_reader> reader;
         unsigned failures = 0; // consecutive
+        core::instant firstFailureAt {}; // of these
     };
 
     void run();
--- a/packages/core/include/plumfold/core/plumfold_target_selector.hpp
+++ b/packages/core/include/plumfold/core/plumfold_target_selector.hpp
@@ -103,6 +103,8 @@
     engine_latency_model latencyModel {};
     /// A silent target stays usable for this long after its latest answer.
     milliseconds maxAnswerAge { 2'000 };
+    /// A target may pause and go on, so it is used for this long after it became silent if there is no other.
+    milliseconds maxPause { 1'500 };
     milliseconds maxLoadAge { 1'500 }; ///< Older load reports are ignored.
     /// How long requests may start on stale weights after a newer version became current.
     milliseconds staleWeightsGracePeriod { 6'000 };
@@ -192,6 +194,7 @@
         instant coldStartRefusedUntil {};
         instant backoffUntil {};
         std::optional<instant> lastAnswerAt; ///< Latest answer to this entry.
+        instant silentSince {}; ///< When this entry learned that the target is silent.
         milliseconds currentBackoff { 0 };
         std::uint32_t inFlight = 0;
         std::uint64_t inFlightTokens = 0;
@@ -203,7 +206,9 @@
         instant unconfirmedSince {};
     };
     bool isResponsive(const tracked_target& target, instant now) const;
+    bool mayBePaused(const tracked_target& target, instant now) const;
     bool isUsable(const tracked_target& target, const placement_request& request, instant now) const;
+    bool isAvailable(const tracked_target& target, const placement_request& request, instant now) const;
     bool hasCurrentWeights(const tracked_target& target, const std::string& model) const;
     bool mayStart(const tracked_target& target, const std::string& model, instant now) const;
     static std::uint64_t weightVersionOf(const tracked_target& target, const std::string& model);
--- a/packages/core/src/plumfold_target_selector.cpp
+++ b/packages/core/src/plumfold_target_selector.cpp
@@ -35,6 +35,8 @@
             known.backoffUntil = now;
             known.currentBackoff = milliseconds(0);
         }
+        if (each.state == target_state::silent && known.last.state != target_state::silent)
+            known.silentSince = now;
         bool sameWeights = each.models == known.last.models;
         known.last = each;
         known.coldUntil = now + each.coldFor;
@@ -130,12 +132,21 @@
     return !supersededAt || now - *supersededAt < m_options.staleWeightsGracePeriod;
 }
 
-/// A target that is silent only towards the control VMs still serves, as its answers to this entry show.
+/// A target that is silent only towards the control VMs still serves, as its answers to this entry show. One
+/// that has sent a load report since it became silent serves again.
 bool target_selector::isResponsive(const tracked_target& target, instant now) const
 {
-    if (target.last.state == target_state::silent)
-        return target.lastAnswerAt && now - *target.lastAnswerAt < m_options.maxAnswerAge;
-    return target.last.state == target_state::ready;
+    if (target.last.state != target_state::silent)
+        return target.last.state == target_state::ready;
+    bool hasReported
+        = target.load && target.loadAt >= target.silentSince && now - target.loadAt < m_options.maxLoadAge;
+    bool hasAnswered = target.lastAnswerAt && now - *target.lastAnswerAt < m_options.maxAnswerAge;
+    return hasReported || hasAnswered;
+}
+
+bool target_selector::mayBePaused(const tracked_target& target, instant now) const
+{
+    return target.last.state == target_state::silent && now - target.silentSince < m_options.maxPause;
 }
 
 bool target_selector::isSilent(const std::string& target, instant now) const
@@ -154,7 +165,14 @@
 bool target_selector::isUsable(
     const tracked_target& target, const placement_request& request, instant now) const
 {
-    if (target.last.service != request.service || !isResponsive(target, now))
+    return isResponsive(target, now) && isAvailable(target, request, now);
+}
+
+/// @return whether a target may get a request as long as it is responsive.
+bool target_selector::isAvailable(
+    const tracked_target& target, const placement_request& request, instant now) const
+{
+    if (target.last.service != request.service)
         return false;
     if (m_outOfService.contains(target.last.failureDomain) || request.excluded.contains(target.last.name))
         return false;
@@ -190,9 +208,15 @@
 {
     placement_result answer;
     std::vector<tracked_target*> candidates;
+    std::vector<tracked_target*> paused;
     std::optional<instant> nextColdStart;
     for (auto& [name, target] : m_targets) {
-        if (!isUsable(target, request, now))
+        bool isUsableNow = isUsable(target, request, now);
+        bool isPaused
+            = mayBePaused(target, now) && !isCold(target, now) && mayStart(target, request.model, now);
+        if (!isUsableNow && isPaused && isAvailable(target, request, now))
+            paused.push_back(&target);
+        if (!isUsableNow)
             continue;
         if (isCold(target, now) && (request.isWarmOnly || now < target.coldStartRefusedUntil)) {
             nextColdStart = std::min(nextColdStart.value_or(instant::max()), target.coldStartRefusedUntil);
@@ -201,6 +225,8 @@
         if (mayStart(target, request.model, now))
             candidates.push_back(&target);
     }
+    if (candidates.empty() && !nextColdStart)
+        candidates = std::move(paused);
     auto* chosen = selectTarget(candidates, request, now);
     if (chosen) {
         double predicted = request.session == 0
--- a/tests/core/plumfold_target_selector_tests.cpp
+++ b/tests/core/plumfold_target_selector_tests.cpp
@@ -190,6 +190,33 @@
     CHECK(selector.choose(requestOf(), start + 3 * initial).chosen);
 }
 
+TEST_CASE("A target that is silent for a short time is used only if there is no other", "[target_board]")
+{
+    auto selector = selectorOf({ engine("t1"), engine("t2") });
+    auto silent = engine("t1");
+    silent.state = target_state::silent;
+    selector.applyAnnouncements({ silent }, false, start);
+    placement_request request = requestOf();
+    CHECK(selector.choose(request, start).chosen->target == "t2");
+    CHECK(selector.hasWarmTarget(request, start));
+    request.excluded = { "t2" };
+    CHECK_FALSE(selector.hasWarmTarget(request, start));
+    REQUIRE(selector.choose(request, start).chosen);
+    CHECK(selector.choose(request, start).chosen->target == "t1");
+    auto later = start + target_selector_options().maxPause;
+    CHECK_FALSE(selector.choose(request, later).chosen);
+    CHECK(selector.isSilent("t1", later));
+
+    target_load report { "t1", 0, 0, 0, milliseconds(0), false };
+    report.age = std::chrono::duration_cast<milliseconds>(later - start) + milliseconds(1);
+    selector.applyLoads({ report }, later);
+    CHECK(selector.isSilent("t1", later)); // sent before the target became silent
+    report.age = milliseconds(0);
+    selector.applyLoads({ report }, later);
+    CHECK_FALSE(selector.isSilent("t1", later));
+    CHECK(selector.choose(request, later).chosen);
+}
+
 TEST_CASE("A request starts on a cold target only if its start is granted", "[target_board]")
 {
     auto cold = engine("t1");
