Let the user timeout of connections leave time for all keep-alive probes

Cause: connections to targets had a user timeout of 3 s, with the first probe after 2 s and one each second. On Linux the user timeout ends the probing whatever the count, so a single lost probe closed a connection: a VM that was unreachable for about a second lost the requests on it.

Ruled out: a suspended process, whose kernel goes on answering probes, and connections of callers (5 s, equal to idle + interval x count).

Change: the user timeout is derived from the keep-alive times.

--- a/packages/forwarding/src/plumfold_asio.cpp
+++ b/packages/forwarding/src/plumfold_asio.cpp
@@ -4,26 +4,18 @@
 
 namespace plumfold::forwarding {
 
-namespace {
-
-constexpr int keepAliveIdleSeconds = 2;
-constexpr int keepAliveIntervalSeconds = 1;
-constexpr int keepAliveProbes = 3;
-
-} // namespace
-
-void configureTcpSocket(asio::ip::tcp::socket& socket, std::chrono::milliseconds userTimeout)
+void configureTcpSocket(asio::ip::tcp::socket& socket, const keep_alive_times& times)
 {
     auto set = [&](int level, int name, int value) {
         // Best effort: without an option, the timeouts of this process still apply.
         (void)::setsockopt(socket.native_handle(), level, name, &value, sizeof(value));
     };
     set(IPPROTO_TCP, TCP_NODELAY, 1);
-    set(IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(userTimeout.count()));
+    set(IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(times.timeout().count()));
     set(SOL_SOCKET, SO_KEEPALIVE, 1);
-    set(IPPROTO_TCP, TCP_KEEPIDLE, keepAliveIdleSeconds);
-    set(IPPROTO_TCP, TCP_KEEPINTVL, keepAliveIntervalSeconds);
-    set(IPPROTO_TCP, TCP_KEEPCNT, keepAliveProbes);
+    set(IPPROTO_TCP, TCP_KEEPIDLE, static_cast<int>(times.idle.count()));
+    set(IPPROTO_TCP, TCP_KEEPINTVL, static_cast<int>(times.interval.count()));
+    set(IPPROTO_TCP, TCP_KEEPCNT, times.probes);
 }
 
 asio::ip::tcp::endpoint endpointOf(const std::string& address)
--- a/packages/forwarding/src/plumfold_caller_connection.cpp
+++ b/packages/forwarding/src/plumfold_caller_connection.cpp
@@ -11,7 +11,6 @@
 
 namespace {
 
-constexpr core::milliseconds tcpUserTimeout { 5'000 };
 constexpr core::milliseconds errorWriteTimeout { 1'000 };
 constexpr core::milliseconds lingerTimeout { 500 };
 constexpr std::size_t readBufferBytes = 8192;
@@ -48,7 +47,7 @@
     , m_stream(std::move(socket))
     , m_readTimer(state.io)
 {
-    configureTcpSocket(m_stream.socket(), tcpUserTimeout);
+    configureTcpSocket(m_stream.socket(), callerKeepAlive);
     m_state.callerConnections.insert(this);
 }
 
--- a/packages/forwarding/src/plumfold_target_connection_pool.cpp
+++ b/packages/forwarding/src/plumfold_target_connection_pool.cpp
@@ -9,7 +9,6 @@
 
 namespace {
 
-constexpr core::milliseconds tcpUserTimeout { 3'000 };
 /// Applies to targets that do not advertise a keep-alive timeout.
 constexpr core::milliseconds defaultIdleTimeout { 2'000 };
 /// Share of the advertised timeout that is used: the target measures from the last byte that it sent.
@@ -68,7 +67,7 @@
     co_await connection->stream.async_connect(endpointOf(address), into(error));
     if (error)
         co_return nullptr;
-    configureTcpSocket(connection->stream.socket(), tcpUserTimeout);
+    configureTcpSocket(connection->stream.socket(), targetKeepAlive);
     co_return connection;
 }
 
