--- a/packages/core/include/plumfold/core/plumfold_target_selector.hpp
+++ b/packages/core/include/plumfold/core/plumfold_target_selector.hpp
@@ -100,11 +100,14 @@
 struct target_selector_options {
     std::string failureDomain; ///< Of this entry; local targets are preferred.
     std::string entryName {}; ///< Of this entry; different from those of all others.
-    milliseconds initialBackoff { 400 }; ///< Back-off after a first failure; doubles with each further one.
+    /// Back-off after a first failure; doubles with each further one that ends after the back-off.
+    milliseconds initialBackoff { 400 };
     milliseconds maxBackoff { 5'000 };
     engine_latency_model latencyModel {};
     /// A silent target stays usable for this long after its latest answer.
     milliseconds maxAnswerAge { 2'000 };
+    /// A target may pause and go on, so it is used for this long after it became silent if there is no other.
+    milliseconds maxPause { 1'500 };
     milliseconds maxLoadAge { 1'500 }; ///< Older load reports are ignored.
     /// How long requests may start on stale weights after a newer version became current.
     milliseconds staleWeightsGracePeriod { 6'000 };
@@ -201,6 +204,9 @@
     /// @return whether a target neither announces itself nor has recently answered this entry.
     bool isSilent(const std::string& target, instant now) const;
 
+    /// @return whether choose() would find a warm target; nothing is recorded.
+    bool hasWarmTarget(const placement_request& request, instant now) const;
+
     /// @return whether a target has announced that it stops, or is no longer known.
     bool isLeaving(const std::string& target) const;
 
@@ -219,6 +225,7 @@
         instant coldStartRefusedUntil {};
         instant backoffUntil {};
         std::optional<instant> lastAnswerAt; ///< Latest answer to this entry.
+        instant silentSince {}; ///< When this entry learned that the target is silent.
         milliseconds currentBackoff { 0 };
         std::uint32_t inFlight = 0;
         std::uint64_t inFlightTokens = 0;
@@ -230,7 +237,9 @@
         instant unconfirmedSince {};
     };
     bool isResponsive(const tracked_target& target, instant now) const;
+    bool mayBePaused(const tracked_target& target, instant now) const;
     bool isUsable(const tracked_target& target, const placement_request& request, instant now) const;
+    bool isAvailable(const tracked_target& target, const placement_request& request, instant now) const;
     bool hasCurrentWeights(const tracked_target& target, const std::string& model) const;
     bool mayStart(const tracked_target& target, const std::string& model, instant now) const;
     static std::uint64_t weightVersionOf(const tracked_target& target, const std::string& model);
--- a/packages/core/src/plumfold_target_selector.cpp
+++ b/packages/core/src/plumfold_target_selector.cpp
@@ -36,6 +36,8 @@
             known.currentBackoff = milliseconds(0);
             m_brittleLimiter.onTargetStarted(each.service, each.name, now);
         }
+        if (each.state == target_state::silent && known.last.state != target_state::silent)
+            known.silentSince = now;
         bool sameWeights = each.models == known.last.models;
         known.last = each;
         known.coldUntil = now + each.coldFor;
@@ -75,8 +77,7 @@
     m_weights.observeLatest(weights, now);
 }
 
-std::vector<event_age> target_selector::applyWeightNamings(
-    const std::vector<event_age>& namings, instant now)
+std::vector<event_age> target_selector::applyWeightNamings(const std::vector<event_age>& namings, instant now)
 {
     return m_weights.observe(namings, now);
 }
@@ -139,12 +140,21 @@
     return !supersededAt || now - *supersededAt < m_options.staleWeightsGracePeriod;
 }
 
-/// A target that is silent only towards the control VMs still serves, as its answers to this entry show.
+/// A target that is silent only towards the control VMs still serves, as its answers to this entry show. One
+/// that has sent a load report since it became silent serves again.
 bool target_selector::isResponsive(const tracked_target& target, instant now) const
 {
-    if (target.last.state == target_state::silent)
-        return target.lastAnswerAt && now - *target.lastAnswerAt < m_options.maxAnswerAge;
-    return target.last.state == target_state::ready;
+    if (target.last.state != target_state::silent)
+        return target.last.state == target_state::ready;
+    bool hasReported
+        = target.load && target.loadAt >= target.silentSince && now - target.loadAt < m_options.maxLoadAge;
+    bool hasAnswered = target.lastAnswerAt && now - *target.lastAnswerAt < m_options.maxAnswerAge;
+    return hasReported || hasAnswered;
+}
+
+bool target_selector::mayBePaused(const tracked_target& target, instant now) const
+{
+    return target.last.state == target_state::silent && now - target.silentSince < m_options.maxPause;
 }
 
 bool target_selector::isSilent(const std::string& target, instant now) const
@@ -163,7 +173,14 @@
 bool target_selector::isUsable(
     const tracked_target& target, const placement_request& request, instant now) const
 {
-    if (target.last.service != request.service || !isResponsive(target, now))
+    return isResponsive(target, now) && isAvailable(target, request, now);
+}
+
+/// @return whether a target may get a request as long as it is responsive.
+bool target_selector::isAvailable(
+    const tracked_target& target, const placement_request& request, instant now) const
+{
+    if (target.last.service != request.service)
         return false;
     if (m_outOfService.contains(target.last.failureDomain) || request.excluded.contains(target.last.name))
         return false;
@@ -219,10 +236,16 @@
 {
     placement_result answer;
     std::vector<tracked_target*> candidates;
+    std::vector<tracked_target*> paused;
     std::optional<instant> nextColdStart;
     bool isFull = false;
     for (auto& [name, target] : m_targets) {
-        if (!isUsable(target, request, now))
+        bool isUsableNow = isUsable(target, request, now);
+        bool isPaused
+            = mayBePaused(target, now) && !isCold(target, now) && mayStart(target, request.model, now);
+        if (!isUsableNow && isPaused && isAvailable(target, request, now))
+            paused.push_back(&target);
+        if (!isUsableNow)
             continue;
         if (isCold(target, now) && (request.isWarmOnly || now < target.coldStartRefusedUntil)) {
             nextColdStart = std::min(nextColdStart.value_or(instant::max()), target.coldStartRefusedUntil);
@@ -235,6 +258,8 @@
         if (!isTargetFull)
             candidates.push_back(&target);
     }
+    if (candidates.empty() && !nextColdStart)
+        candidates = std::move(paused);
     auto* chosen = selectTarget(candidates, request, now);
     if (chosen) {
         double predicted = request.session == 0
@@ -261,6 +286,14 @@
     return answer;
 }
 
+bool target_selector::hasWarmTarget(const placement_request& request, instant now) const
+{
+    return std::any_of(m_targets.begin(), m_targets.end(), [&](const auto& each) {
+        const auto& target = each.second;
+        return isUsable(target, request, now) && !isCold(target, now) && mayStart(target, request.model, now);
+    });
+}
+
 placement target_selector::recordStart(tracked_target& target, const placement_request& request, instant now)
 {
     ++target.inFlight;
@@ -431,7 +464,8 @@
         each.currentBackoff = milliseconds(0);
         each.lastAnswerAt = now;
     }
-    if (!targetFailed)
+    // During a back-off only attempts end that began before it: their failures have the same cause.
+    if (!targetFailed || now < each.backoffUntil)
         return;
     each.currentBackoff = std::clamp(each.currentBackoff * 2, m_options.initialBackoff, m_options.maxBackoff);
     each.backoffUntil = now + each.currentBackoff;
--- a/packages/forwarding/src/plumfold_request_attempt.cpp
+++ b/packages/forwarding/src/plumfold_request_attempt.cpp
@@ -460,20 +460,52 @@
     });
 }
 
+bool request_forwarder::isTargetQuiet(core::instant now) const
+{
+    return now - m_lastByteAt >= unresponsiveTargetTimeout
+        && m_state.targetSelector.isSilent(m_lastTarget, now);
+}
+
 void request_forwarder::onWatchdog()
 {
     if (!m_connection)
         return;
     auto now = runtime::now();
-    bool quiet = now - m_lastByteAt >= unresponsiveTargetTimeout;
+    bool isBelowLimit = m_attemptedTargets.size() - m_excludedBefore < maxAttempts();
+    // While the link of this entry may be lost, a helper replaces any target.
     bool isLinkSuspect = m_isTrial || (m_state.link.isLost() && !m_state.helpers.empty());
-    if (quiet && m_attemptedTargets.size() - m_excludedBefore < maxAttempts()
-        && (isLinkSuspect || m_state.targetSelector.isSilent(m_lastTarget, now))) {
+    bool isQuiet = now - m_lastByteAt >= unresponsiveTargetTimeout;
+    if (isQuiet && isBelowLimit && isLinkSuspect) {
         m_targetUnresponsive = true;
         m_connection->stream.close();
         return;
     }
-    armWatchdog();
+    // A target may be silent for a second and go on, so an attempt is kept if nothing can replace it.
+    bool isReplaceable
+        = isTargetQuiet(now) && isBelowLimit && m_state.targetSelector.hasWarmTarget(placementRequest(), now);
+    if (isReplaceable)
+        asio::co_spawn(m_state.io, replaceUnresponsiveTarget(m_alive), asio::detached);
+    else
+        armWatchdog();
+}
+
+/// Abandons the current attempt if the retry budget allows another one.
+/// @param alive expires with this object.
+task<void> request_forwarder::replaceUnresponsiveTarget(std::weak_ptr<bool> alive)
+{
+    auto attempt = m_attemptCount;
+    bool isGranted = co_await takeRetryBudget();
+    if (alive.expired())
+        co_return;
+    m_hasRetryGrant = isGranted;
+    if (!m_connection || m_attemptCount != attempt)
+        co_return;
+    if (!isGranted || !isTargetQuiet(runtime::now())) {
+        armWatchdog();
+        co_return;
+    }
+    m_targetUnresponsive = true;
+    m_connection->stream.close();
 }
 
 } // namespace plumfold::forwarding
--- a/tests/forwarding/support/plumfold_scripted_exchange.hpp
+++ b/tests/forwarding/support/plumfold_scripted_exchange.hpp
@@ -11,6 +11,7 @@
 
 /// One request on one connection.
 struct scripted_target::exchange {
+    const scripted_target& target;
     Poco::Net::StreamSocket socket;
     std::string buffer; // received but not yet parsed
     recorded_request request;
@@ -18,7 +19,11 @@
     int owner = 0; // process at the other end, see link_cuts; 0: any
     bool isNew = true; // no request was received yet
 
-    void send(const std::string& bytes) { socket.sendBytes(bytes.data(), static_cast<int>(bytes.size())); }
+    void send(const std::string& bytes)
+    {
+        target.waitWhileSilent();
+        socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+    }
     /// Closes the connection with a reset.
     void reset()
     {
