--- a/packages/control/src/plumfold_deployment_feed.cpp
+++ b/packages/control/src/plumfold_deployment_feed.cpp
@@ -56,7 +56,9 @@
             .with("leader", view.leaderAddress);
     bool newDocument = view.deployment->document.version != m_view.deployment->document.version;
     m_view = std::move(view);
-    m_weights.observeCurrent(m_view.deployment->weights, runtime::nowWithSuspension());
+    auto now = runtime::nowWithSuspension();
+    m_weights.observeLatest(m_view.deployment->weights, now);
+    m_returns.observeLatest(m_view.deployment->returns, now);
     if (newDocument)
         updateServices();
     wake();
@@ -115,6 +117,7 @@
     const std::string& from, control_peer_state state, const std::vector<core::target_announcement>& targets)
 {
     state.lastSeenAt = runtime::now();
+    state.followers = std::move(m_peers[from].followers);
     m_peers[from] = std::move(state);
     auto before = m_directory.latestChange();
     for (const auto& target : targets)
@@ -194,13 +197,20 @@
 
 std::vector<core::target_announcement> deployment_feed::assignedEngines() const
 {
-    std::vector<core::target_announcement> assigned;
+    auto assigned = polledEngines();
+    std::erase_if(assigned, [](const auto& each) { return each.state != core::target_state::ready; });
+    return assigned;
+}
+
+std::vector<core::target_announcement> deployment_feed::polledEngines() const
+{
+    std::vector<core::target_announcement> engines;
     for (const auto& [name, entry] : m_directory.entries()) {
-        bool isEngine = !entry.last.models.empty() && entry.last.state == core::target_state::ready;
+        bool isEngine = !entry.last.models.empty() && entry.last.state != core::target_state::leaving;
         if (isEngine && isAssignedTo(entry.last.failureDomain))
-            assigned.push_back(entry.last);
+            engines.push_back(entry.last);
     }
-    return assigned;
+    return engines;
 }
 
 void deployment_feed::updateLoads(const std::vector<core::target_load>& loads, bool isDirect)
@@ -245,9 +255,12 @@
     updateTargetClock(clock);
 }
 
-void deployment_feed::applyPeerNamings(const std::vector<core::weight_naming>& namings)
+void deployment_feed::applyPeerEvents(
+    const std::vector<core::event_age>& namings, const std::vector<core::event_age>& returns)
 {
-    m_weights.observe(namings, runtime::nowWithSuspension());
+    auto now = runtime::nowWithSuspension();
+    m_weights.observe(namings, now);
+    m_returns.observe(returns, now);
 }
 
 void deployment_feed::resetParts(const std::string& holder, std::uint64_t generation)
@@ -276,9 +289,41 @@
         m_parts.apply({ holder, 0, 0, 0, false, {} }, runtime::now());
 }
 
-void deployment_feed::recordFollower(const std::string& entry)
+void deployment_feed::recordFollower(const core::entry_address& entry)
 {
-    m_followers[entry] = runtime::now();
+    m_followers[entry.name] = { entry, runtime::now() };
+}
+
+void deployment_feed::applyPeerFollowers(const std::string& from, std::vector<core::entry_address> followers)
+{
+    m_peers[from].followers = std::move(followers);
+}
+
+std::vector<core::entry_address> deployment_feed::followers() const
+{
+    std::vector<core::entry_address> out;
+    for (const auto& [name, each] : m_followers) {
+        if (!each.address.address.empty())
+            out.push_back(each.address);
+    }
+    return out;
+}
+
+std::vector<core::entry_address> deployment_feed::helpersOf(
+    const std::string& entry, const std::string& failureDomain) const
+{
+    auto now = runtime::now();
+    auto known = followers();
+    for (const auto& [address, state] : m_peers) {
+        if (now - state.lastSeenAt < peerTimeout)
+            known.insert(known.end(), state.followers.begin(), state.followers.end());
+    }
+    // An entry that changes its control VM is listed by both for a time.
+    std::sort(known.begin(), known.end());
+    known.erase(std::unique(known.begin(), known.end(),
+                    [](const auto& left, const auto& right) { return left.name == right.name; }),
+        known.end());
+    return core::selectHelpers(entry, failureDomain, std::move(known));
 }
 
 void deployment_feed::setCrashVerdicts(
@@ -329,7 +374,8 @@
     m_parts.expire(now, maxPartsAge);
     std::erase_if(
         m_loadReports, [&](const auto& each) { return now - each.second.sentAt > maxLoadReportAge; });
-    std::erase_if(m_followers, [&](const auto& each) { return now - each.second > followerTimeout; });
+    std::erase_if(
+        m_followers, [&](const auto& each) { return now - each.second.lastSeenAt > followerTimeout; });
     if (!silent.empty())
         wake();
 }
--- a/packages/control/src/plumfold_deployment_feed.hpp
+++ b/packages/control/src/plumfold_deployment_feed.hpp
@@ -3,10 +3,11 @@
 #include "plumfold/control/plumfold_control_node.hpp"
 #include "plumfold/core/plumfold_crash_registry.hpp"
 #include "plumfold/core/plumfold_crash_screen.hpp"
+#include "plumfold/core/plumfold_event_history.hpp"
 #include "plumfold/core/plumfold_part_directory.hpp"
+#include "plumfold/core/plumfold_relay_helpers.hpp"
 #include "plumfold/core/plumfold_target_directory.hpp"
 #include "plumfold/core/plumfold_target_selector.hpp"
-#include "plumfold/core/plumfold_weight_history.hpp"
 #include "plumfold/runtime/plumfold_settings.hpp"
 #include "plumfold/wire/plumfold_rpc_connection.hpp"
 #include "plumfold/wire/plumfold_rpc_thread.hpp"
@@ -28,6 +29,7 @@
 struct control_peer_state {
     std::string failureDomain;
     std::uint32_t entries = 0; ///< Number of entries that follow it.
+    std::vector<core::entry_address> followers; ///< Those of them that accept relayed requests.
     core::instant lastSeenAt {}; ///< When its latest share call was received.
 };
 
@@ -56,8 +58,10 @@
     /// Applies updates about the parts of stores and engines from another control VM.
     /// @param clock the targets' clock in milliseconds; 0: unknown.
     void applyPeerParts(const std::vector<core::part_update>& parts, std::uint64_t clock);
-    /// Applies when weight versions were named, as far as another control VM knows.
-    void applyPeerNamings(const std::vector<core::weight_naming>& namings);
+    /// Applies when weight versions were named and failure domains returned to service, as far as another
+    /// control VM knows.
+    void applyPeerEvents(
+        const std::vector<core::event_age>& namings, const std::vector<core::event_age>& returns);
     /// Starts a generation of a holder that this control VM polls, without any parts.
     void resetParts(const std::string& holder, std::uint64_t generation);
     /// Applies changes that this control VM polled from a holder.
@@ -71,7 +75,11 @@
     /// @param isDirect whether this control VM polled them itself; otherwise another one shared them.
     void updateLoads(const std::vector<core::target_load>& loads, bool isDirect);
     /// Records that an entry follows this control VM.
-    void recordFollower(const std::string& entry);
+    /// @param entry its address is empty if it accepts no relayed requests.
+    void recordFollower(const core::entry_address& entry);
+    /// Replaces the entries that follow another control VM and accept relayed requests.
+    /// @param from the address of that control VM, ip:port.
+    void applyPeerFollowers(const std::string& from, std::vector<core::entry_address> followers);
 
     /// Replaces the verdicts on requests that crash targets, and the suspects.
     void setCrashVerdicts(std::vector<core::verdict> verdicts, std::vector<core::crash_suspect> suspects);
@@ -90,12 +98,17 @@
     const core::part_directory& parts() const { return m_parts; }
     /// @param at a time of runtime::nowWithSuspension().
     /// @return the weight versions that were named, with their ages at that time.
-    std::vector<core::weight_naming> weightNamings(core::instant at) const { return m_weights.namings(at); }
+    std::vector<core::event_age> weightNamings(core::instant at) const { return m_weights.ages(at); }
+    /// @param at a time of runtime::nowWithSuspension().
+    /// @return the returns of failure domains to service, with their ages at that time.
+    std::vector<core::event_age> returns(core::instant at) const { return m_returns.ages(at); }
     /// @param directOnly only those that this control VM polled itself.
     /// @return the loads that are not stale.
     std::vector<core::target_load> loads(bool directOnly) const;
     /// @return the ready model engines that this control VM polls.
     std::vector<core::target_announcement> assignedEngines() const;
+    /// @return those and the silent ones.
+    std::vector<core::target_announcement> polledEngines() const;
     /// @return the addresses of the stores that this control VM polls.
     std::vector<std::string> assignedStores() const;
     /// @return the addresses of the stores and engines whose part events this control VM polls.
@@ -108,6 +121,11 @@
     std::map<std::string, std::string> controlDomains() const;
     /// @return the number of entries that follow any control VM, as far as known here; at least 1.
     std::uint32_t entryCount() const;
+    /// @return the entries that follow this control VM and accept relayed requests.
+    std::vector<core::entry_address> followers() const;
+    /// @return the entries to which an entry may relay requests.
+    std::vector<core::entry_address> helpersOf(
+        const std::string& entry, const std::string& failureDomain) const;
     /// @return the number of entries that follow this control VM.
     std::uint32_t followerCount() const { return static_cast<std::uint32_t>(m_followers.size()); }
     /// @return the address of the control VM that a failure domain is assigned to: its first one by address,
@@ -151,7 +169,8 @@
     core::instant m_lastTick {};
     core::target_directory m_directory;
     core::part_directory m_parts;
-    core::weight_history m_weights; // in times of runtime::nowWithSuspension()
+    core::event_history m_weights; // in times of runtime::nowWithSuspension()
+    core::event_history m_returns; // of failure domains to service; in the same times
     std::vector<core::part_store> m_stores; // from the current deployment
     std::map<std::string, double> m_coldRates; // requests per second by service, from the current deployment
     /// The latest load report of a target.
@@ -164,7 +183,11 @@
     std::uint64_t m_targetClock = 0; // milliseconds, as last read; 0: unknown
     core::instant m_targetClockReadAt {};
     std::map<std::string, control_peer_state> m_peers; // by address
-    std::map<std::string, core::instant> m_followers; // last seen, by entry name
+    struct follower {
+        core::entry_address address;
+        core::instant lastSeenAt {};
+    };
+    std::map<std::string, follower> m_followers; // by entry name
     std::vector<core::verdict> m_verdicts;
     std::uint64_t m_verdictsDigest = 0;
     std::vector<core::crash_suspect> m_suspects;
--- a/packages/core/include/plumfold/core/plumfold_target_selector.hpp
+++ b/packages/core/include/plumfold/core/plumfold_target_selector.hpp
@@ -1,9 +1,10 @@
 #pragma once
 
+#include "plumfold/core/plumfold_brittle_limiter.hpp"
 #include "plumfold/core/plumfold_deployment.hpp"
+#include "plumfold/core/plumfold_event_history.hpp"
 #include "plumfold/core/plumfold_prompt_parts.hpp"
 #include "plumfold/core/plumfold_target_directory.hpp"
-#include "plumfold/core/plumfold_weight_history.hpp"
 
 #include <deque>
 #include <map>
@@ -69,6 +70,7 @@
     std::optional<placement> chosen;
     placement_failure reason = placement_failure::no_target; ///< Valid if nothing was chosen.
     milliseconds retryAfter { 0 }; ///< Time after which a retry may succeed.
+    bool isBackedOff = false; ///< Nothing was chosen while targets are in back-off after failures.
 };
 
 /// Result of an attempt, as evidence of the target's health.
@@ -97,11 +99,15 @@
 /// Settings of a target_selector.
 struct target_selector_options {
     std::string failureDomain; ///< Of this entry; local targets are preferred.
-    milliseconds initialBackoff { 400 }; ///< Back-off after a first failure; doubles with each further one.
+    std::string entryName {}; ///< Of this entry; different from those of all others.
+    /// Back-off after a first failure; doubles with each further one that ends after the back-off.
+    milliseconds initialBackoff { 400 };
     milliseconds maxBackoff { 5'000 };
     engine_latency_model latencyModel {};
     /// A silent target stays usable for this long after its latest answer.
     milliseconds maxAnswerAge { 2'000 };
+    /// A target may pause and go on, so it is used for this long after it became silent if there is no other.
+    milliseconds maxPause { 1'500 };
     milliseconds maxLoadAge { 1'500 }; ///< Older load reports are ignored.
     /// How long requests may start on stale weights after a newer version became current.
     milliseconds staleWeightsGracePeriod { 6'000 };
@@ -115,6 +121,7 @@
 public:
     explicit target_selector(target_selector_options options)
         : m_options(std::move(options))
+        , m_brittleLimiter(m_options.entryName)
     {
     }
 
@@ -122,20 +129,29 @@
     /// @param isComplete whether they cover all targets; those that are missing count as leaving.
     void applyAnnouncements(const std::vector<target_announcement>& targets, bool isComplete, instant now);
 
-    /// Excludes the targets of these failure domains; replaces the former set. Targets of a failure domain
-    /// that is no longer excluded count as cold for the cold time of their service, since they may have
-    /// become cold without an announcement that has arrived yet.
-    void setOutOfService(std::set<std::string> failureDomains, instant now);
+    /// Excludes the targets of these failure domains; replaces the former set.
+    void setOutOfService(std::set<std::string> failureDomains);
+    /// Sets the number of the latest return to service by failure domain. From the return on, targets count
+    /// as cold for the cold time of their service, since they may have become cold without an announcement
+    /// that has arrived yet. A return whose time is not known counts as taking place now.
+    void setReturns(const std::map<std::string, std::uint64_t>& returns, instant now);
+    /// Applies when failure domains returned to service. Call it before setReturns().
+    /// @param returns their ages must not be overestimated.
+    void applyReturnAges(const std::vector<event_age>& returns, instant now);
     /// Sets the current weight version by model. A version whose naming is not known counts as named now.
     void setWeights(const std::map<std::string, std::uint64_t>& weights, instant now);
     /// Applies when weight versions were named. Call it before setWeights().
     /// @return those of a later version than was known.
-    std::vector<weight_naming> applyWeightNamings(const std::vector<weight_naming>& namings, instant now);
+    std::vector<event_age> applyWeightNamings(const std::vector<event_age>& namings, instant now);
     void setServices(const std::vector<service_limits>& services);
     /// Applies load reports; those of unknown targets are ignored.
     void applyLoads(const std::vector<target_load>& loads, instant now);
     /// @param count entries that send requests to the same targets.
-    void setEntryCount(std::uint32_t count) { m_entries = count; }
+    void setEntryCount(std::uint32_t count, instant now)
+    {
+        m_entries = count;
+        m_brittleLimiter.setEntryCount(count, now);
+    }
 
     /// Selects a target and records the start of an attempt on it. Each must be ended by onAttemptEnded().
     placement_result choose(const placement_request& request, instant now);
@@ -144,9 +160,27 @@
     /// @param tokens memory that was expected for the attempt, see expectedTokens().
     void onAttemptEnded(const std::string& target, attempt_result result, std::uint64_t tokens, instant now);
 
+    /// Records what a target's response tells about its room for requests.
+    /// @param maxRejections rejections per second that the target bears; nothing: it is not brittle.
+    /// @param isRejection the target did not run the request for want of room.
+    void onResponse(
+        const std::string& target, std::optional<std::uint32_t> maxRejections, bool isRejection, instant now);
+
+    /// Records that a target may still run a request whose attempt was ended by this entry.
+    void onAttemptCancelled(const std::string& target, instant now);
+
+    /// @return whether the targets of a service declare themselves brittle.
+    bool isBrittle(const std::string& service) const { return m_brittleLimiter.isBrittle(service); }
+
     /// Excludes a cold target for a time because no request may start on it.
     void onColdStartRefused(const std::string& target, instant until);
 
+    /// Ends all back-offs: the failures were not those of the targets.
+    void clearBackoffs(instant now);
+
+    /// @return the number of targets that announce themselves as ready.
+    std::size_t readyTargets() const;
+
     /// @return the KV cache tokens that a request is expected to occupy when it ends.
     static std::uint64_t expectedTokens(const placement_request& request)
     {
@@ -170,6 +204,9 @@
     /// @return whether a target neither announces itself nor has recently answered this entry.
     bool isSilent(const std::string& target, instant now) const;
 
+    /// @return whether choose() would find a warm target; nothing is recorded.
+    bool hasWarmTarget(const placement_request& request, instant now) const;
+
     /// @return whether a target has announced that it stops, or is no longer known.
     bool isLeaving(const std::string& target) const;
 
@@ -185,10 +222,10 @@
     struct tracked_target {
         target_announcement last;
         instant coldUntil {}; ///< As announced.
-        instant assumedColdUntil {};
         instant coldStartRefusedUntil {};
         instant backoffUntil {};
         std::optional<instant> lastAnswerAt; ///< Latest answer to this entry.
+        instant silentSince {}; ///< When this entry learned that the target is silent.
         milliseconds currentBackoff { 0 };
         std::uint32_t inFlight = 0;
         std::uint64_t inFlightTokens = 0;
@@ -200,11 +237,14 @@
         instant unconfirmedSince {};
     };
     bool isResponsive(const tracked_target& target, instant now) const;
+    bool mayBePaused(const tracked_target& target, instant now) const;
     bool isUsable(const tracked_target& target, const placement_request& request, instant now) const;
+    bool isAvailable(const tracked_target& target, const placement_request& request, instant now) const;
     bool hasCurrentWeights(const tracked_target& target, const std::string& model) const;
     bool mayStart(const tracked_target& target, const std::string& model, instant now) const;
     static std::uint64_t weightVersionOf(const tracked_target& target, const std::string& model);
     bool isCold(const tracked_target& target, instant now) const;
+    bool isAtLimit(const tracked_target& target, const placement_request& request, instant now) const;
     tracked_target* selectTarget(
         std::vector<tracked_target*>& candidates, const placement_request& request, instant now) const;
     tracked_target* selectForSession(
@@ -224,9 +264,11 @@
     target_selector_options m_options;
     std::map<std::string, tracked_target> m_targets;
     std::set<std::string> m_outOfService;
-    weight_history m_weights;
+    event_history m_returns; // of failure domains to service
+    event_history m_weights;
     std::map<std::string, service_limits> m_services;
     std::uint32_t m_entries = 1;
+    brittle_limiter m_brittleLimiter;
 };
 
 /// Limits the retries of an entry to each service within a sliding window to a share of its requests.
--- a/packages/core/src/plumfold_target_selector.cpp
+++ b/packages/core/src/plumfold_target_selector.cpp
@@ -34,7 +34,10 @@
         if (each.startedAt != known.last.startedAt) {
             known.backoffUntil = now;
             known.currentBackoff = milliseconds(0);
+            m_brittleLimiter.onTargetStarted(each.service, each.name, now);
         }
+        if (each.state == target_state::silent && known.last.state != target_state::silent)
+            known.silentSince = now;
         bool sameWeights = each.models == known.last.models;
         known.last = each;
         known.coldUntil = now + each.coldFor;
@@ -43,7 +46,10 @@
     std::erase_if(m_targets, [&](const auto& each) {
         bool gone = isComplete && !announced.contains(each.first);
         bool left = each.second.last.state == target_state::leaving;
-        return (gone || left) && each.second.inFlight == 0;
+        bool isRemoved = (gone || left) && each.second.inFlight == 0;
+        if (isRemoved)
+            m_brittleLimiter.removeTarget(each.first);
+        return isRemoved;
     });
     for (auto& [name, each] : m_targets) {
         if (isComplete && !announced.contains(name))
@@ -51,24 +57,27 @@
     }
 }
 
-void target_selector::setOutOfService(std::set<std::string> failureDomains, instant now)
+void target_selector::setOutOfService(std::set<std::string> failureDomains)
 {
-    for (auto& [name, target] : m_targets) {
-        const auto& domain = target.last.failureDomain;
-        auto limits = m_services.find(target.last.service);
-        if (m_outOfService.contains(domain) && !failureDomains.contains(domain) && limits != m_services.end())
-            target.assumedColdUntil = now + limits->second.coldTime;
-    }
     m_outOfService = std::move(failureDomains);
 }
 
+void target_selector::setReturns(const std::map<std::string, std::uint64_t>& returns, instant now)
+{
+    m_returns.observeLatest(returns, now);
+}
+
+void target_selector::applyReturnAges(const std::vector<event_age>& returns, instant now)
+{
+    m_returns.observe(returns, now);
+}
+
 void target_selector::setWeights(const std::map<std::string, std::uint64_t>& weights, instant now)
 {
-    m_weights.observeCurrent(weights, now);
+    m_weights.observeLatest(weights, now);
 }
 
-std::vector<weight_naming> target_selector::applyWeightNamings(
-    const std::vector<weight_naming>& namings, instant now)
+std::vector<event_age> target_selector::applyWeightNamings(const std::vector<event_age>& namings, instant now)
 {
     return m_weights.observe(namings, now);
 }
@@ -104,13 +113,13 @@
 
 bool target_selector::hasCurrentWeights(const tracked_target& target, const std::string& model) const
 {
-    auto current = m_weights.currentVersion(model);
+    auto current = m_weights.latest(model);
     return model.empty() || !current || weightVersionOf(target, model) == *current;
 }
 
 std::string target_selector::currentWeightVersion(const std::string& model) const
 {
-    if (auto current = m_weights.currentVersion(model))
+    if (auto current = m_weights.latest(model))
         return std::to_string(*current);
     for (const auto& [name, target] : m_targets) {
         for (const auto& loaded : target.last.models) {
@@ -127,16 +136,25 @@
 {
     if (model.empty())
         return true;
-    auto supersededAt = m_weights.supersededAt(model, weightVersionOf(target, model));
+    auto supersededAt = m_weights.firstAfter(model, weightVersionOf(target, model));
     return !supersededAt || now - *supersededAt < m_options.staleWeightsGracePeriod;
 }
 
-/// A target that is silent only towards the control VMs still serves, as its answers to this entry show.
+/// A target that is silent only towards the control VMs still serves, as its answers to this entry show. One
+/// that has sent a load report since it became silent serves again.
 bool target_selector::isResponsive(const tracked_target& target, instant now) const
 {
-    if (target.last.state == target_state::silent)
-        return target.lastAnswerAt && now - *target.lastAnswerAt < m_options.maxAnswerAge;
-    return target.last.state == target_state::ready;
+    if (target.last.state != target_state::silent)
+        return target.last.state == target_state::ready;
+    bool hasReported
+        = target.load && target.loadAt >= target.silentSince && now - target.loadAt < m_options.maxLoadAge;
+    bool hasAnswered = target.lastAnswerAt && now - *target.lastAnswerAt < m_options.maxAnswerAge;
+    return hasReported || hasAnswered;
+}
+
+bool target_selector::mayBePaused(const tracked_target& target, instant now) const
+{
+    return target.last.state == target_state::silent && now - target.silentSince < m_options.maxPause;
 }
 
 bool target_selector::isSilent(const std::string& target, instant now) const
@@ -155,7 +173,14 @@
 bool target_selector::isUsable(
     const tracked_target& target, const placement_request& request, instant now) const
 {
-    if (target.last.service != request.service || !isResponsive(target, now))
+    return isResponsive(target, now) && isAvailable(target, request, now);
+}
+
+/// @return whether a target may get a request as long as it is responsive.
+bool target_selector::isAvailable(
+    const tracked_target& target, const placement_request& request, instant now) const
+{
+    if (target.last.service != request.service)
         return false;
     if (m_outOfService.contains(target.last.failureDomain) || request.excluded.contains(target.last.name))
         return false;
@@ -183,25 +208,58 @@
 bool target_selector::isCold(const tracked_target& target, instant now) const
 {
     auto limits = m_services.find(target.last.service);
-    bool isCold = now < std::max(target.coldUntil, target.assumedColdUntil);
-    return isCold && limits != m_services.end() && limits->second.coldRequestsPerSecond > 0;
+    if (limits == m_services.end() || limits->second.coldRequestsPerSecond <= 0)
+        return false;
+    auto returnedAt = m_returns.latestAt(target.last.failureDomain);
+    return now < target.coldUntil || (returnedAt && now < *returnedAt + limits->second.coldTime);
+}
+
+/// @return whether this entry has as many requests on a brittle target as it may have.
+bool target_selector::isAtLimit(
+    const tracked_target& target, const placement_request& request, instant now) const
+{
+    auto limit = m_brittleLimiter.limit(target.last.service, target.last.name, target.last.slots, now);
+    if (!limit)
+        return false;
+    if (target.inFlight >= *limit)
+        return true;
+    // An engine whose memory is full lets requests wait although it has free slots.
+    auto limits = m_services.find(target.last.service);
+    auto memory
+        = limits != m_services.end() && limits->second.engine ? limits->second.engine->memoryTokens : 0;
+    return memory > 0
+        && !m_brittleLimiter.fitsMemory(
+            target.last.name, memory, target.inFlightTokens, expectedTokens(request), now);
 }
 
 placement_result target_selector::choose(const placement_request& request, instant now)
 {
     placement_result answer;
     std::vector<tracked_target*> candidates;
+    std::vector<tracked_target*> paused;
     std::optional<instant> nextColdStart;
+    bool isFull = false;
     for (auto& [name, target] : m_targets) {
-        if (!isUsable(target, request, now))
+        bool isUsableNow = isUsable(target, request, now);
+        bool isPaused
+            = mayBePaused(target, now) && !isCold(target, now) && mayStart(target, request.model, now);
+        if (!isUsableNow && isPaused && isAvailable(target, request, now))
+            paused.push_back(&target);
+        if (!isUsableNow)
             continue;
         if (isCold(target, now) && (request.isWarmOnly || now < target.coldStartRefusedUntil)) {
             nextColdStart = std::min(nextColdStart.value_or(instant::max()), target.coldStartRefusedUntil);
             continue;
         }
-        if (mayStart(target, request.model, now))
+        if (!mayStart(target, request.model, now))
+            continue;
+        bool isTargetFull = isAtLimit(target, request, now);
+        isFull = isFull || isTargetFull;
+        if (!isTargetFull)
             candidates.push_back(&target);
     }
+    if (candidates.empty() && !nextColdStart)
+        candidates = std::move(paused);
     auto* chosen = selectTarget(candidates, request, now);
     if (chosen) {
         double predicted = request.session == 0
@@ -214,14 +272,28 @@
         answer.chosen->isTargetUnderLoad = isUnderLoad(*chosen, now);
         return answer;
     }
-    answer.reason = nextColdStart ? placement_failure::cold : placement_failure::no_target;
+    answer.reason = isFull ? placement_failure::full
+        : nextColdStart    ? placement_failure::cold
+                           : placement_failure::no_target;
     answer.retryAfter = retryWithoutTarget;
-    if (nextColdStart)
+    answer.isBackedOff = std::any_of(m_targets.begin(), m_targets.end(), [&](const auto& each) {
+        return each.second.last.service == request.service && isResponsive(each.second, now)
+            && now < each.second.backoffUntil;
+    });
+    if (answer.reason == placement_failure::cold)
         answer.retryAfter
             = std::max(minRetryAfterCold, std::chrono::ceil<milliseconds>(*nextColdStart - now));
     return answer;
 }
 
+bool target_selector::hasWarmTarget(const placement_request& request, instant now) const
+{
+    return std::any_of(m_targets.begin(), m_targets.end(), [&](const auto& each) {
+        const auto& target = each.second;
+        return isUsable(target, request, now) && !isCold(target, now) && mayStart(target, request.model, now);
+    });
+}
+
 placement target_selector::recordStart(tracked_target& target, const placement_request& request, instant now)
 {
     ++target.inFlight;
@@ -392,12 +464,45 @@
         each.currentBackoff = milliseconds(0);
         each.lastAnswerAt = now;
     }
-    if (!targetFailed)
+    // During a back-off only attempts end that began before it: their failures have the same cause.
+    if (!targetFailed || now < each.backoffUntil)
         return;
     each.currentBackoff = std::clamp(each.currentBackoff * 2, m_options.initialBackoff, m_options.maxBackoff);
     each.backoffUntil = now + each.currentBackoff;
 }
 
+void target_selector::onResponse(
+    const std::string& target, std::optional<std::uint32_t> maxRejections, bool isRejection, instant now)
+{
+    auto found = m_targets.find(target);
+    if (found == m_targets.end())
+        return;
+    const auto& service = found->second.last.service;
+    m_brittleLimiter.onResponse(service, maxRejections, now);
+    if (isRejection)
+        m_brittleLimiter.onRejection(service, target, now);
+}
+
+void target_selector::onAttemptCancelled(const std::string& target, instant now)
+{
+    if (auto found = m_targets.find(target); found != m_targets.end())
+        m_brittleLimiter.onAttemptCancelled(found->second.last.service, target, now);
+}
+
+void target_selector::clearBackoffs(instant now)
+{
+    for (auto& [name, each] : m_targets) {
+        each.backoffUntil = now;
+        each.currentBackoff = milliseconds(0);
+    }
+}
+
+std::size_t target_selector::readyTargets() const
+{
+    return static_cast<std::size_t>(std::count_if(m_targets.begin(), m_targets.end(),
+        [](const auto& each) { return each.second.last.state == target_state::ready; }));
+}
+
 void target_selector::onColdStartRefused(const std::string& target, instant until)
 {
     if (auto found = m_targets.find(target); found != m_targets.end())
--- a/packages/forwarding/src/plumfold_deployment_follower.cpp
+++ b/packages/forwarding/src/plumfold_deployment_follower.cpp
@@ -116,6 +116,8 @@
     request.setKnownChange(m_knownChange);
     request.setKnownVerdicts(m_knownVerdicts);
     request.setKnownSuspects(m_knownSuspects);
+    request.setRelayAddress(m_settings.forwarding->relayAddress);
+    request.setKnownHelpers(m_knownHelpers);
     request.setWaitMs(m_justConnected ? 0 : longPollWaitMs);
     auto timeout = !m_confirmed ? quorumConfirmTimeout : m_justConnected ? firstPollTimeout : pollTimeout;
     request.setConfirmed(!m_confirmed);
@@ -143,10 +145,10 @@
         update.loads.push_back(wire::read(each));
     // The ages are those at the arrival of the call, which was not earlier than the call was made.
     auto sinceCall = std::chrono::ceil<core::milliseconds>(runtime::nowWithSuspension() - m_calledAt);
-    for (auto each : response.getNamings()) {
-        update.weightNamings.push_back(wire::read(each));
-        update.weightNamings.back().age += sinceCall;
-    }
+    update.weightNamings = wire::readEventAges(response.getNamings());
+    for (auto& each : update.weightNamings)
+        each.age += sinceCall;
+    update.returns = wire::readEventAges(response.getReturns());
     for (auto each : response.getVerdicts())
         update.verdicts.push_back(wire::read(each));
     m_knownVerdicts = response.getVerdictsDigest();
@@ -156,6 +158,12 @@
         for (auto each : response.getSuspects())
             update.suspects->push_back(wire::read(each));
     }
+    if (response.getHelpersDigest() != m_knownHelpers) {
+        m_knownHelpers = response.getHelpersDigest();
+        update.helpers.emplace();
+        for (auto each : response.getHelpers())
+            update.helpers->push_back(wire::read(each));
+    }
     for (auto each : response.getParts()) {
         update.parts.push_back(wire::read(each));
         const auto& received = update.parts.back();
--- a/packages/forwarding/src/plumfold_request_attempt.cpp
+++ b/packages/forwarding/src/plumfold_request_attempt.cpp
@@ -3,6 +3,7 @@
 #include "plumfold_request_forwarder.hpp"
 
 #include "plumfold/runtime/plumfold_clock.hpp"
+#include "plumfold/runtime/plumfold_log.hpp"
 
 #include <algorithm>
 
@@ -127,6 +128,9 @@
         co_return core::attempt_result::not_started;
     }
     m_attemptedTargets.insert(placement.target);
+    m_hasReceived = false;
+    m_linkAttempt = m_state.link.onSent(placement.target, runtime::now(),
+        core::milliseconds(static_cast<std::int64_t>(placement.predictedMs)));
     m_fetchedFrom.clear();
     m_fetches = m_saves = m_fetchTokens = 0;
     m_sentAt = runtime::now();
@@ -137,6 +141,7 @@
     m_lastByteAt = m_sentAt;
     m_targetUnresponsive = false;
     m_mayTargetHaveEnded = false;
+    m_wasRejectedForRoom = false;
     armWatchdog();
     ++m_attemptCount;
     bool mayHaveExecutedBefore = m_mayHaveExecuted;
@@ -144,6 +149,8 @@
     if (!co_await send(*m_connection, placement))
         co_return classifyFailure(asio::error::broken_pipe);
     auto end = co_await receive(*m_connection);
+    if (end == core::attempt_result::abandoned || end == core::attempt_result::lost)
+        m_state.targetSelector.onAttemptCancelled(placement.target, runtime::now());
     if (end == core::attempt_result::refused)
         m_mayHaveExecuted = mayHaveExecutedBefore;
     co_return end;
@@ -157,9 +164,7 @@
     out.version(httpVersion);
     platform::encodeTargetRequest(m_request.base(), makeTargetHead(placement), out);
     out.body() = { m_request.body().data(), m_request.body().size() };
-    bool hasBody = !m_request.body().empty() || m_request.find(http::field::content_length) != m_request.end()
-        || m_request.chunked();
-    if (hasBody)
+    if (hasBody())
         out.content_length(m_request.body().size());
     error_code error;
     connection.stream.expires_at(m_deadline);
@@ -195,6 +200,7 @@
         co_await http::async_read_header(connection.stream, connection.buffer, parser, into(error));
         if (error)
             co_return classifyFailure(error);
+        onBytes();
         bool isInterim = parser.get().result_int() / 100 == 1;
         if (isInterim)
             continue;
@@ -202,6 +208,14 @@
         auto head = platform::decodeTargetResponse(parser.get().result_int(), parser.get().base());
         if (head.idleTimeout)
             connection.idleTimeout = *head.idleTimeout;
+        std::optional<relay_result> relayed;
+        if (!m_helper.empty()) {
+            relayed = takeRelayResult(parser.get().base());
+            if (!relayed)
+                co_return classifyFailure(http::error::partial_message);
+            m_lastTarget = relayed->target;
+            m_lastVersion = relayed->softwareVersion;
+        }
         bool isMismatched = !head.requestId.empty() && head.requestId != m_head.id;
         bool isStream = !isMismatched && !head.isNotExecuted && m_route->kind == core::request_kind::stream
             && parser.get().result_int() == statusOk && !head.isEncoded && head.isSigned;
@@ -213,7 +227,13 @@
                 co_return classifyFailure(http::error::partial_message);
             continue;
         }
-        auto end = isStream ? co_await relayStream(parser) : co_await receiveBuffered(parser, head);
+        m_wasRejectedForRoom = m_helper.empty() && head.isNotExecuted && !head.isMisdirected;
+        if (m_helper.empty() && !head.isMisdirected)
+            recordRoom(head);
+        bool isRelayFailure = relayed && relayed->outcome != relay_outcome::by_target;
+        auto end = isRelayFailure ? co_await receiveRelayFailure(parser, *relayed)
+            : isStream            ? co_await relayStream(parser)
+                                  : co_await receiveBuffered(parser, head);
         bool isComplete = parser.is_done() && !parser.need_eof();
         bool isReusable = isComplete && end != core::attempt_result::lost && parser.keep_alive();
         if (isReusable && connection.buffer.size() == 0 && !m_callerDisconnected)
@@ -224,6 +244,38 @@
     co_return core::attempt_result::lost;
 }
 
+/// Records what a response tells about the room of its target.
+void request_forwarder::recordRoom(const platform::target_response_head& head)
+{
+    bool wasBrittle = m_state.targetSelector.isBrittle(m_service);
+    m_state.targetSelector.onResponse(
+        m_lastTarget, head.maxRejectionsPerSecond, m_wasRejectedForRoom, runtime::now());
+    bool isBrittle = m_state.targetSelector.isBrittle(m_service);
+    if (isBrittle != wasBrittle)
+        runtime::log_event(isBrittle ? "targets_brittle" : "targets_not_brittle")
+            .with("service", m_service)
+            .with("target", m_lastTarget)
+            .with("max_rejections_per_second", head.maxRejectionsPerSecond.value_or(0));
+    if (isBrittle && m_wasRejectedForRoom) {
+        m_state.metrics.count("plumfold_brittle_rejections_total");
+        runtime::log_event("brittle_target_rejected", runtime::log_level::warning)
+            .with("request", m_head.id)
+            .with("service", m_service)
+            .with("target", m_lastTarget);
+    }
+}
+
+/// Bytes of a helper say nothing about the link to targets.
+void request_forwarder::onBytes()
+{
+    m_lastByteAt = runtime::now();
+    m_hasReceived = true;
+    if (!m_helper.empty())
+        return;
+    m_state.link.onBytes(m_lastByteAt);
+    m_state.checkLink(m_lastByteAt);
+}
+
 task<bool> request_forwarder::discardBody(target_response_parser& parser)
 {
     std::string chunk;
@@ -243,7 +295,8 @@
     co_await http::async_read_some(m_connection->stream, m_connection->buffer, parser, into(error));
     if (error == http::error::need_buffer)
         error = {};
-    m_lastByteAt = runtime::now();
+    if (body.size < buffer.size())
+        onBytes();
     chunk.assign(buffer.data(), buffer.size() - body.size);
     if (error)
         m_reason = error.message();
@@ -305,8 +358,8 @@
         if (!co_await readChunk(parser, chunk))
             co_return classifyFailure(asio::error::connection_reset);
         // A target that was restarted under its name may have another software version.
-        bool isSameTarget
-            = m_events.hasEvents() || m_state.targetSelector.isIncarnation(m_lastTarget, m_lastStart);
+        bool isSameTarget = !m_helper.empty() || m_events.hasEvents()
+            || m_state.targetSelector.isIncarnation(m_lastTarget, m_lastStart);
         if (m_origin && !isSameTarget) {
             m_reason = "target_restarted";
             co_return core::attempt_result::lost;
@@ -343,7 +396,8 @@
 void request_forwarder::beginStream(std::string softwareVersion)
 {
     m_origin = core::stream_origin { m_service, std::move(softwareVersion) };
-    if (!m_route->isResumable || m_origin->softwareVersion.empty())
+    // A helper has recorded it.
+    if (!m_route->isResumable || m_origin->softwareVersion.empty() || !m_helper.empty())
         return;
     auto deadline = m_head.deadline.value_or(defaultDeadline);
     auto keepFor = std::min(deadline, core::maxStreamKeepTime) + streamRecordMargin;
@@ -364,6 +418,8 @@
     m_streamHead.version(httpVersion);
     m_streamHead.chunked(true);
     m_streamHead.keep_alive(m_request.keep_alive() && !m_state.stopping);
+    if (m_relayed)
+        encodeRelayResult(relayResult(true), m_streamHead);
     http::response_serializer<http::empty_body> serializer(m_streamHead);
     error_code error;
     m_caller.stream().expires_after(callerWriteTimeout);
@@ -385,8 +441,7 @@
 /// Abandons an attempt on an unresponsive target early when the request may be retried on another one.
 void request_forwarder::armWatchdog()
 {
-    bool replaceable = m_route->kind == core::request_kind::idempotent || m_route->isResumable;
-    if (!replaceable)
+    if (!isIdempotent())
         return;
     m_watchdog.expires_after(watchdogInterval);
     m_watchdog.async_wait([this, alive = std::weak_ptr<bool>(m_alive)](const error_code& error) {
@@ -405,19 +460,52 @@
     });
 }
 
+bool request_forwarder::isTargetQuiet(core::instant now) const
+{
+    return now - m_lastByteAt >= unresponsiveTargetTimeout
+        && m_state.targetSelector.isSilent(m_lastTarget, now);
+}
+
 void request_forwarder::onWatchdog()
 {
     if (!m_connection)
         return;
     auto now = runtime::now();
-    bool quiet = now - m_lastByteAt >= unresponsiveTargetTimeout;
-    if (quiet && m_attemptedTargets.size() < m_route->maxAttempts
-        && m_state.targetSelector.isSilent(m_lastTarget, now)) {
+    bool isBelowLimit = m_attemptedTargets.size() - m_excludedBefore < maxAttempts();
+    // While the link of this entry may be lost, a helper replaces any target.
+    bool isLinkSuspect = m_isTrial || (m_state.link.isLost() && !m_state.helpers.empty());
+    bool isQuiet = now - m_lastByteAt >= unresponsiveTargetTimeout;
+    if (isQuiet && isBelowLimit && isLinkSuspect) {
         m_targetUnresponsive = true;
         m_connection->stream.close();
         return;
     }
-    armWatchdog();
+    // A target may be silent for a second and go on, so an attempt is kept if nothing can replace it.
+    bool isReplaceable
+        = isTargetQuiet(now) && isBelowLimit && m_state.targetSelector.hasWarmTarget(placementRequest(), now);
+    if (isReplaceable)
+        asio::co_spawn(m_state.io, replaceUnresponsiveTarget(m_alive), asio::detached);
+    else
+        armWatchdog();
+}
+
+/// Abandons the current attempt if the retry budget allows another one.
+/// @param alive expires with this object.
+task<void> request_forwarder::replaceUnresponsiveTarget(std::weak_ptr<bool> alive)
+{
+    auto attempt = m_attemptCount;
+    bool isGranted = co_await takeRetryBudget();
+    if (alive.expired())
+        co_return;
+    m_hasRetryGrant = isGranted;
+    if (!m_connection || m_attemptCount != attempt)
+        co_return;
+    if (!isGranted || !isTargetQuiet(runtime::now())) {
+        armWatchdog();
+        co_return;
+    }
+    m_targetUnresponsive = true;
+    m_connection->stream.close();
 }
 
 } // namespace plumfold::forwarding
--- a/packages/forwarding/src/plumfold_request_forwarder.cpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.cpp
@@ -20,6 +20,8 @@
 constexpr int placementWaitDivisor = 8;
 /// A request that asked for starts on this many cold targets goes to warm ones only.
 constexpr unsigned maxColdStartRequests = 3;
+/// With more targets unreachable, a request is not sent to further ones.
+constexpr std::size_t maxUnreachableTargets = 3;
 
 std::string_view view(beast::string_view in)
 {
@@ -34,13 +36,25 @@
     return host;
 }
 
+/// Counts a failure against the link of this entry, unless the target has ended.
+task<void> countLinkFailure(
+    forwarding_state& state, std::string target, core::unix_milliseconds startedAt, std::string address)
+{
+    bool hasEnded = co_await state.crashes.hasEnded(target, startedAt, address);
+    if (hasEnded)
+        co_return;
+    state.link.onFailure(target);
+    state.checkLink(runtime::now());
+}
+
 } // namespace
 
-request_forwarder::request_forwarder(
-    forwarding_state& state, caller_connection& caller, http::request<http::string_body> request)
+request_forwarder::request_forwarder(forwarding_state& state, caller_connection& caller,
+    http::request<http::string_body> request, std::optional<relayed_request> relayed)
     : m_state(state)
     , m_caller(caller)
     , m_request(std::move(request))
+    , m_relayed(std::move(relayed))
     , m_head(platform::decodeCallerRequest(m_request.base()))
     , m_deployment(state.deployment)
     , m_receivedAt(runtime::now())
@@ -57,12 +71,12 @@
 
 task<bool> request_forwarder::run()
 {
-    if (!m_deployment)
+    if (!m_deployment && !m_relayed)
         co_await waitForDeployment();
-    if (admit()) {
+    if (m_relayed ? admitRelayed() : admit()) {
         m_caller.watchForDisconnect([this] { onCallerDisconnected(); });
         armDeadline();
-        if (!isTakeUp() || co_await findOrigin())
+        if (m_relayed || !isTakeUp() || co_await findOrigin())
             co_await runAttempts();
         m_deadlineTimer.cancel();
         m_caller.stopWatchingForDisconnect();
@@ -120,6 +134,11 @@
     return !rejectCondemned();
 }
 
+std::string request_forwarder::hostOfRequest() const
+{
+    return hostOf(m_request);
+}
+
 bool request_forwarder::isTakeUp() const
 {
     return m_route->kind == core::request_kind::stream
@@ -221,16 +240,16 @@
 
 bool request_forwarder::mayRetry() const
 {
-    bool idempotent = m_route->kind == core::request_kind::idempotent
-        || (m_route->kind == core::request_kind::stream && m_route->isResumable);
-    return !m_callerDisconnected && !m_timedOut && !m_isCrashSuspect && (idempotent || !m_mayHaveExecuted)
-        && m_attemptedTargets.size() < m_route->maxAttempts;
+    return !m_callerDisconnected && !m_timedOut && !m_isCrashSuspect && (isIdempotent() || !m_mayHaveExecuted)
+        && m_attemptedTargets.size() - m_excludedBefore < maxAttempts();
 }
 
 /// Nothing is counted before the first request was sent.
 /// @return whether the budget allows another attempt: that of this entry, or else the shared reserve.
 task<bool> request_forwarder::takeRetryBudget()
 {
+    if (std::exchange(m_hasRetryGrant, false))
+        co_return true;
     if (m_attemptCount == 0 || m_state.retryBudget.tryTake(m_service, runtime::now()))
         co_return true;
     co_return co_await m_state.sharedLimits.retry(m_service);
@@ -243,10 +262,17 @@
     while (true) {
         if (rejectCondemned())
             co_return;
+        if (mustRelay()) {
+            if (!co_await relay())
+                m_reason = "link_lost";
+            break;
+        }
         auto request = placementRequest();
         auto selection = m_state.targetSelector.choose(request, runtime::now());
         if (!selection.chosen) {
-            if (runtime::now() < waitUntil && m_attemptCount == 0 && !m_callerDisconnected) {
+            if (mayRelayAfter(selection) && co_await relay())
+                break;
+            if (!m_relayed && runtime::now() < waitUntil && m_attemptCount == 0 && !m_callerDisconnected) {
                 error_code ignored;
                 timer.expires_after(placementPollInterval);
                 co_await timer.async_wait(into(ignored));
@@ -275,7 +301,18 @@
         auto attemptResult = co_await attempt(*selection.chosen);
         m_connection.reset();
         m_watchdog.cancel();
-        m_state.targetSelector.onAttemptEnded(selection.chosen->target, attemptResult,
+        m_state.link.onEnded(m_linkAttempt);
+        bool isUnanswered = attemptResult == core::attempt_result::not_reached
+            || (attemptResult == core::attempt_result::lost && !m_hasReceived);
+        if (isUnanswered)
+            asio::co_spawn(m_state.io,
+                countLinkFailure(m_state, selection.chosen->target, selection.chosen->startedAt,
+                    selection.chosen->address),
+                asio::detached);
+        // While the link is lost, a failure says nothing about the target.
+        bool isLinkFault = isUnanswered && m_state.link.isLost();
+        m_state.targetSelector.onAttemptEnded(selection.chosen->target,
+            isLinkFault ? core::attempt_result::abandoned : attemptResult,
             core::target_selector::expectedTokens(request), runtime::now());
         if (attemptResult == core::attempt_result::not_started)
             continue;
@@ -293,11 +330,19 @@
             break;
         if (attemptResult == core::attempt_result::not_reached)
             m_unreachableTargets.insert(selection.chosen->target);
-        if (!mayRetry() || m_unreachableTargets.size() > 3)
+        // Another brittle target might have to reject it, too.
+        if (m_wasRejectedForRoom && m_state.targetSelector.isBrittle(m_service))
+            break;
+        if (!mayRetry())
             break;
         bool isWithinBudget = co_await takeRetryBudget();
         if (!isWithinBudget)
             break;
+        if (m_unreachableTargets.size() > maxUnreachableTargets) {
+            if (!m_relayed)
+                co_await relay();
+            break;
+        }
         m_response.reset();
     }
     if (!m_response && !m_streamStarted)
@@ -387,6 +432,8 @@
     out.version(httpVersion);
     for (const auto& field : m_response->fields)
         out.insert(field.name_string(), field.value());
+    if (m_relayed)
+        encodeRelayResult(relayResult(m_outcome == "answered" || m_outcome == "target_failed"), out);
     out.body() = std::move(m_response->body);
     out.keep_alive(m_request.keep_alive() && !m_state.stopping);
     out.prepare_payload();
@@ -425,6 +472,7 @@
         .with("status", m_response ? m_response->status : (m_streamStarted ? statusOk : 0))
         .with("framing", m_answerFraming)
         .with("partial_event_bytes", m_partialEventBytes)
+        .with("relayed", m_relayed ? "true" : "false")
         .with("may_have_run", m_mayHaveExecuted ? "true" : "false")
         .with("sends", m_attemptCount)
         .with("cold_start_requests", m_coldStartRequests)
--- a/packages/wire/include/plumfold/wire/plumfold_convert.hpp
+++ b/packages/wire/include/plumfold/wire/plumfold_convert.hpp
@@ -6,6 +6,7 @@
 #include "plumfold/core/plumfold_dispatch_types.hpp"
 #include "plumfold/core/plumfold_part_directory.hpp"
 #include "plumfold/core/plumfold_raft_types.hpp"
+#include "plumfold/core/plumfold_relay_helpers.hpp"
 #include "plumfold/core/plumfold_stream_origin.hpp"
 #include "plumfold/core/plumfold_suspect_registry.hpp"
 #include "plumfold/core/plumfold_target_directory.hpp"
@@ -96,8 +97,11 @@
 void write(DeploymentState::Builder out, const core::deployment_state& value);
 core::deployment_state read(DeploymentState::Reader in);
 
-void write(WeightNaming::Builder out, const core::weight_naming& value);
-core::weight_naming read(WeightNaming::Reader in);
+void write(EntryAddress::Builder out, const core::entry_address& value);
+core::entry_address read(EntryAddress::Reader in);
+
+void write(capnp::List<EventAge>::Builder out, const std::vector<core::event_age>& values);
+std::vector<core::event_age> readEventAges(capnp::List<EventAge>::Reader in);
 
 void write(AnnouncedTarget::Builder out, const core::target_announcement& value);
 core::target_announcement read(AnnouncedTarget::Reader in);
@@ -120,6 +124,9 @@
 void write(SuspectSuccess::Builder out, const core::suspect_success& value);
 core::suspect_success read(SuspectSuccess::Reader in);
 
+void write(RecordedSuccess::Builder out, const core::recorded_success& value);
+core::recorded_success read(RecordedSuccess::Reader in);
+
 void write(CrashVerdict::Builder out, const core::crash_verdict& value);
 core::crash_verdict read(CrashVerdict::Reader in);
 
--- a/tests/core/plumfold_target_selector_tests.cpp
+++ b/tests/core/plumfold_target_selector_tests.cpp
@@ -1,3 +1,4 @@
+#include "plumfold/core/plumfold_deployment_state.hpp"
 #include "plumfold/core/plumfold_target_selector.hpp"
 
 #include <catch2/catch.hpp>
@@ -161,7 +162,7 @@
     leaving.state = target_state::leaving;
     selector.applyAnnouncements({ leaving }, false, start);
     CHECK(selector.choose(requestOf(), start).chosen->target == "t2");
-    selector.setOutOfService({ "b" }, start);
+    selector.setOutOfService({ "b" });
     CHECK_FALSE(selector.choose(requestOf(), start).chosen);
 }
 
@@ -174,6 +175,49 @@
     CHECK(selector.choose(requestOf(), start + milliseconds(1000)).chosen);
 }
 
+TEST_CASE("Attempts that fail at the same time cause a single back-off", "[target_board]")
+{
+    auto selector = selectorOf({ engine("t1") });
+    constexpr int attempts = 8;
+    for (int number = 0; number < attempts; ++number)
+        REQUIRE(selector.choose(requestOf(), start).chosen);
+    for (int number = 0; number < attempts; ++number)
+        selector.onAttemptEnded("t1", attempt_result::not_reached, 0, start + milliseconds(number));
+    auto initial = target_selector_options().initialBackoff;
+    CHECK_FALSE(selector.choose(requestOf(), start + initial - milliseconds(1)).chosen);
+    REQUIRE(selector.choose(requestOf(), start + initial).chosen);
+    selector.onAttemptEnded("t1", attempt_result::not_reached, 0, start + initial);
+    CHECK_FALSE(selector.choose(requestOf(), start + 3 * initial - milliseconds(1)).chosen);
+    CHECK(selector.choose(requestOf(), start + 3 * initial).chosen);
+}
+
+TEST_CASE("A target that is silent for a short time is used only if there is no other", "[target_board]")
+{
+    auto selector = selectorOf({ engine("t1"), engine("t2") });
+    auto silent = engine("t1");
+    silent.state = target_state::silent;
+    selector.applyAnnouncements({ silent }, false, start);
+    placement_request request = requestOf();
+    CHECK(selector.choose(request, start).chosen->target == "t2");
+    CHECK(selector.hasWarmTarget(request, start));
+    request.excluded = { "t2" };
+    CHECK_FALSE(selector.hasWarmTarget(request, start));
+    REQUIRE(selector.choose(request, start).chosen);
+    CHECK(selector.choose(request, start).chosen->target == "t1");
+    auto later = start + target_selector_options().maxPause;
+    CHECK_FALSE(selector.choose(request, later).chosen);
+    CHECK(selector.isSilent("t1", later));
+
+    target_load report { "t1", 0, 0, 0, milliseconds(0), false };
+    report.age = std::chrono::duration_cast<milliseconds>(later - start) + milliseconds(1);
+    selector.applyLoads({ report }, later);
+    CHECK(selector.isSilent("t1", later)); // sent before the target became silent
+    report.age = milliseconds(0);
+    selector.applyLoads({ report }, later);
+    CHECK_FALSE(selector.isSilent("t1", later));
+    CHECK(selector.choose(request, later).chosen);
+}
+
 TEST_CASE("A request starts on a cold target only if its start is granted", "[target_board]")
 {
     auto cold = engine("t1");
@@ -204,8 +248,9 @@
 {
     auto selector = selectorOf({ engine("t1") });
     selector.setServices({ coldLimits() });
-    selector.setOutOfService({ "a" }, start);
-    selector.setOutOfService({}, start + milliseconds(1000));
+    selector.setOutOfService({ "a" });
+    selector.setOutOfService({});
+    selector.setReturns({ { "a", 2 } }, start + milliseconds(1000));
     selector.applyAnnouncements(
         { engine("t1") }, false, start + milliseconds(1100)); // sent before it was cold
     CHECK(selector.choose(requestOf(), start + milliseconds(1200)).chosen->isCold);
@@ -213,6 +258,60 @@
     CHECK_FALSE(selector.choose(requestOf(), start + milliseconds(4000)).chosen->isCold);
 }
 
+TEST_CASE("Targets that are announced after their failure domain is back in service count as cold",
+    "[target_board][cold]")
+{
+    auto selector = selectorOf({ engine("t1") });
+    selector.setServices({ coldLimits() });
+    selector.setOutOfService({ "a" });
+    selector.setOutOfService({});
+    selector.setReturns({ { "a", 2 } }, start + milliseconds(1000));
+    // A control VM that has just started knows no targets.
+    selector.applyAnnouncements({}, true, start + milliseconds(1100));
+    selector.applyAnnouncements({ engine("t1"), engine("t2") }, true, start + milliseconds(1200));
+    for (const auto* other : { "t1", "t2" }) {
+        auto request = requestOf();
+        request.excluded = { other };
+        CHECK(selector.choose(request, start + milliseconds(3999)).chosen->isCold);
+        CHECK_FALSE(selector.choose(request, start + milliseconds(4000)).chosen->isCold);
+    }
+}
+
+TEST_CASE("An entry that starts after a failure domain came back counts cold time from the return",
+    "[target_board][cold]")
+{
+    auto selector = selectorOf({ engine("t1") });
+    selector.setServices({ coldLimits() });
+    selector.applyReturnAges({ { "a", 2, milliseconds(1000) } }, start);
+    selector.setReturns({ { "a", 2 } }, start);
+    CHECK(selector.choose(requestOf(), start + milliseconds(1999)).chosen->isCold);
+    CHECK_FALSE(selector.choose(requestOf(), start + milliseconds(2000)).chosen->isCold);
+    selector.setOutOfService({ "a" });
+    selector.setOutOfService({});
+    selector.setReturns({ { "a", 4 } }, start + milliseconds(5000));
+    selector.applyReturnAges(
+        { { "a", 2, milliseconds(6500) }, { "a", 4, milliseconds(500) } }, start + milliseconds(5500));
+    CHECK(selector.choose(requestOf(), start + milliseconds(7999)).chosen->isCold);
+    CHECK_FALSE(selector.choose(requestOf(), start + milliseconds(8000)).chosen->isCold);
+}
+
+TEST_CASE("Each return of a failure domain to service has a number of its own", "[control][cold]")
+{
+    deployment_state state;
+    CHECK_FALSE(state.setInService("a", true)); // it was not out of service
+    CHECK(state.returns.empty());
+    REQUIRE(state.setInService("a", false));
+    CHECK(state.returns.empty());
+    REQUIRE(state.setInService("a", true));
+    auto first = state.returns.at("a");
+    CHECK(first == state.revision);
+    CHECK_FALSE(state.setInService("a", true)); // sent again
+    CHECK(state.returns.at("a") == first);
+    REQUIRE(state.setInService("a", false));
+    REQUIRE(state.setInService("a", true));
+    CHECK(state.returns.at("a") > first);
+}
+
 TEST_CASE("An earlier announcement does not replace a later one", "[target_board][cold]")
 {
     auto cold = engine("t1");
--- a/tests/forwarding/support/plumfold_forwarding_system.cpp
+++ b/tests/forwarding/support/plumfold_forwarding_system.cpp
@@ -6,6 +6,7 @@
 #include <Poco/StreamCopier.h>
 #include <Poco/String.h>
 
+#include <cstdlib>
 #include <fcntl.h>
 #include <fstream>
 #include <sstream>
@@ -21,7 +22,6 @@
 
 constexpr int controlVms = 3;
 constexpr int receiveTimeoutSeconds = 10;
-constexpr std::chrono::milliseconds announceInterval { 500 };
 constexpr int firstTargetHost = 140;
 constexpr int rpcPort = 7000;
 constexpr int platformPort = 7080;
@@ -138,7 +138,9 @@
     m_targets.clear();
     for (int pipe : m_pipes)
         ::close(pipe);
-    std::filesystem::remove_all(m_folder);
+    // Logs of a failing run can be read afterwards.
+    if (std::getenv("PLUMFOLD_KEEP_TEST_FOLDERS") == nullptr)
+        std::filesystem::remove_all(m_folder);
 }
 
 std::string forwarding_system::address(int host, int port) const
@@ -200,7 +202,8 @@
         { { "process", process },
             { "forwarding",
                 { { "callerAddress", callerAddress(number) },
-                    { "readinessAddress", address(20 + number, 8001) }, { "control", seeds() },
+                    { "readinessAddress", address(20 + number, 8001) },
+                    { "relayAddress", address(20 + number, 8002) }, { "control", seeds() },
                     { "controlPort", rpcPort }, { "weightsBoundMs", m_weightsBound.count() } } } });
 }
 
@@ -251,13 +254,15 @@
     }
 }
 
-void forwarding_system::startAnnouncing()
+void forwarding_system::startAnnouncing(std::chrono::milliseconds interval)
 {
-    m_announcer = std::thread([this] {
+    m_announcer = std::thread([this, interval] {
         while (!m_stopping) {
-            for (const auto& [name, target] : m_targets)
-                announce(name);
-            std::this_thread::sleep_for(announceInterval);
+            for (const auto& [name, target] : m_targets) {
+                if (!target.server->isSilent())
+                    announce(name);
+            }
+            std::this_thread::sleep_for(interval);
         }
     });
 }
--- a/tests/forwarding/support/plumfold_scripted_target.cpp
+++ b/tests/forwarding/support/plumfold_scripted_target.cpp
@@ -16,6 +16,8 @@
 constexpr std::chrono::milliseconds timeUntilCrash { 40 };
 constexpr std::chrono::milliseconds workTime { 100 };
 constexpr std::chrono::milliseconds timeUntilListenerCloses { 15 };
+constexpr std::chrono::milliseconds silencePollInterval { 2 };
+constexpr int listenerQueue = 64;
 
 } // namespace
 
@@ -46,6 +48,9 @@
 void scripted_target::accept()
 {
     while (!m_stopping) {
+        waitWhileSilent();
+        if (m_isQueueClosed.exchange(false))
+            ::listen(m_listener.impl()->sockfd(), listenerQueue);
         if (!m_listener.poll(Poco::Timespan(0, pollMicroseconds), Poco::Net::Socket::SELECT_READ))
             continue;
         try {
@@ -76,6 +81,21 @@
     ::shutdown(m_listener.impl()->sockfd(), SHUT_RDWR);
 }
 
+void scripted_target::fallSilent(std::chrono::milliseconds time, bool keepsQueue)
+{
+    m_silentUntil = std::chrono::steady_clock::now() + time;
+    if (keepsQueue)
+        return;
+    ::listen(m_listener.impl()->sockfd(), 0);
+    m_isQueueClosed = true;
+}
+
+void scripted_target::waitWhileSilent() const
+{
+    while (!m_stopping && isSilent())
+        std::this_thread::sleep_for(silencePollInterval);
+}
+
 /// @return whether a request is meant for a former target at this address.
 bool scripted_target::isMisdirected(const recorded_request& request) const
 {
@@ -93,6 +113,23 @@
     current.keepAlive = false;
 }
 
+void scripted_target::serveWithRoom(exchange& current)
+{
+    auto entered = m_room->enter([this] { return m_stopping.load(); });
+    if (entered == scripted_room::result::overloaded) {
+        crash();
+        current.keepAlive = false;
+        return;
+    }
+    if (entered == scripted_room::result::rejected) {
+        current.sendResponse("503 Service Unavailable", "Not-Executed: 1\r\n" + m_room->headers(), "");
+        return;
+    }
+    std::this_thread::sleep_for(workTime);
+    m_room->leave();
+    current.sendResponse("200 OK", "Response-Signature: " + m_name + "\r\n" + m_room->headers(), "served");
+}
+
 void scripted_target::serve(Poco::Net::StreamSocket socket)
 {
     static const std::map<std::string, behaviour> behaviours {
@@ -131,8 +168,10 @@
         { "versioned", &scripted_target::streamVersionedEvents },
         { "events-cut-slow", &scripted_target::streamSlowlyWhenResumed },
     };
-    exchange current { socket, {}, {}, true };
+    exchange current { *this, socket, {}, {}, true, 0, true };
     try {
+        if (m_cuts)
+            current.owner = m_cuts->ownerOf(socket.peerAddress(), socket.address());
         while (current.keepAlive && readRequest(current)) {
             {
                 std::lock_guard lock(m_mutex);
@@ -164,6 +203,10 @@
                 continue;
             }
             bool isControlCall = path.starts_with("/report") || path.starts_with("/kv-");
+            if (m_room && !isControlCall) {
+                serveWithRoom(current);
+                continue;
+            }
             auto found
                 = behaviours.find(isControlCall ? m_controlBehaviour : path.substr(path.rfind('/') + 1));
             (this->*(found == behaviours.end() ? &scripted_target::respondComplete : found->second))(current);
@@ -175,14 +218,32 @@
     std::erase_if(m_sockets, [&](const auto& each) { return each.impl() == socket.impl(); });
 }
 
+bool scripted_target::passesLink(exchange& current) const
+{
+    if (!m_cuts)
+        return true;
+    auto state = m_cuts->stateOf(current.owner);
+    bool isRefused = state == link_state::refusing && current.isNew;
+    if (state == link_state::whole || (state == link_state::refusing && !isRefused))
+        return true;
+    while (!m_stopping && m_cuts->stateOf(current.owner) == link_state::hanging)
+        std::this_thread::sleep_for(std::chrono::microseconds(pollMicroseconds));
+    current.socket.setLinger(true, 0);
+    current.socket.close();
+    return false;
+}
+
 bool scripted_target::readRequest(exchange& current)
 {
     current.request = {};
     auto fill = [&] {
-        while (!current.socket.poll(Poco::Timespan(0, pollMicroseconds), Poco::Net::Socket::SELECT_READ)) {
-            if (m_stopping)
+        do {
+            if (m_stopping || !passesLink(current))
                 return false;
-        }
+        } while (!current.socket.poll(Poco::Timespan(0, pollMicroseconds), Poco::Net::Socket::SELECT_READ));
+        if (!passesLink(current))
+            return false;
+        waitWhileSilent();
         char bytes[4096];
         int got = current.socket.receiveBytes(bytes, sizeof(bytes));
         current.buffer.append(bytes, static_cast<std::size_t>(std::max(got, 0)));
@@ -209,6 +270,7 @@
     }
     current.request.body = current.buffer.substr(0, length);
     current.buffer.erase(0, length);
+    current.isNew = false;
     return true;
 }
 
--- a/tests/forwarding/support/plumfold_scripted_target.hpp
+++ b/tests/forwarding/support/plumfold_scripted_target.hpp
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "plumfold_link_cuts.hpp"
+#include "plumfold_scripted_room.hpp"
+
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocket.h>
 
@@ -7,6 +10,7 @@
 #include <chrono>
 #include <functional>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <optional>
 #include <string>
@@ -63,16 +67,31 @@
     /// @return the loaded weights; nothing for a target without a model.
     std::optional<scripted_weights> weights() const;
 
+    /// Limits the requests that the target runs and lets wait; all take the same time. Call it before the
+    /// target serves requests.
+    void setRoom(int slots, int waiting) { m_room = std::make_unique<scripted_room>(slots, waiting); }
+    /// @return null unless setRoom() was called.
+    scripted_room* room() { return m_room.get(); }
+
     /// Lets the target crash while it runs a request for which the condition holds. Call it before the target
     /// serves requests.
     void setCrashCondition(std::function<bool(const recorded_request&)> condition)
     {
         m_crashCondition = std::move(condition);
     }
+    /// Lets the target treat connections as the state of their process' link says. Call it before the target
+    /// serves requests of that process.
+    void setLinkCuts(std::shared_ptr<const link_cuts> cuts) { m_cuts = std::move(cuts); }
     /// Ends the target as the end of its process would: all connections are closed and new ones are refused.
     void crash();
     bool hasCrashed() const { return m_crashed; }
 
+    /// Lets the target neither read, send nor accept for a time, and then go on with what it had.
+    /// @param keepsQueue whether the system still queues new connections meanwhile, as for a suspended
+    /// process; otherwise it drops them.
+    void fallSilent(std::chrono::milliseconds time, bool keepsQueue);
+    bool isSilent() const { return std::chrono::steady_clock::now() < m_silentUntil.load(); }
+
     std::vector<recorded_request> requests() const;
     /// @return number of connections that the entry closed while a request was being served.
     int abandoned() const { return m_abandoned; }
@@ -81,13 +100,18 @@
     struct exchange;
     using behaviour = void (scripted_target::*)(exchange&);
 
+    void waitWhileSilent() const;
     void accept();
     void serve(Poco::Net::StreamSocket socket);
     bool readRequest(exchange& current);
+    /// Resets or suspends a connection whose link is cut.
+    /// @return whether the connection may still be used.
+    bool passesLink(exchange& current) const;
     bool isMisdirected(const recorded_request& request) const;
     void crashWhileServing(exchange& current);
     /// @return whether the request was rejected because of the target's weights.
     bool rejectForWeights(exchange& current);
+    void serveWithRoom(exchange& current);
     void respondReport(exchange& current);
     void respondToOrder(exchange& current);
     void completeLoad();
@@ -139,10 +163,14 @@
     mutable std::mutex m_mutex;
     std::vector<recorded_request> m_requests;
     std::optional<scripted_weights> m_weights;
+    std::unique_ptr<scripted_room> m_room;
     std::atomic<int> m_abandoned { 0 };
     std::atomic<bool> m_stopping { false };
     std::atomic<bool> m_crashed { false };
+    std::atomic<std::chrono::steady_clock::time_point> m_silentUntil {};
+    std::atomic<bool> m_isQueueClosed { false };
     std::function<bool(const recorded_request&)> m_crashCondition;
+    std::shared_ptr<const link_cuts> m_cuts;
     std::vector<Poco::Net::StreamSocket> m_sockets; // of all connections
     std::vector<std::thread> m_connections;
     std::thread m_thread;
