--- a/packages/forwarding/src/plumfold_request_forwarder.cpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.cpp
@@ -388,6 +388,7 @@
 {
     static constexpr const char* reasons[] = { "no_target", "targets_cold", "targets_full" };
     m_reason = reasons[static_cast<int>(selection.reason)];
+    m_isUnavailable = selection.isBackedOff && selection.reason == core::placement_failure::no_target;
     if (m_mayHaveExecuted || m_streamStarted)
         finishUnanswered();
     else
--- a/packages/forwarding/src/plumfold_request_relay.cpp
+++ b/packages/forwarding/src/plumfold_request_relay.cpp
@@ -82,7 +82,9 @@
     out.outcome = isFromTarget ? relay_outcome::by_target
         : m_mayHaveExecuted    ? relay_outcome::may_have_run
                                : relay_outcome::not_run;
-    out.isUnavailable = m_isUnavailable;
+    // Another helper may reach the targets that this entry does not reach.
+    bool reachedNone = m_attemptCount == 0 && !m_unreachableTargets.empty();
+    out.isUnavailable = m_isUnavailable || reachedNone;
     out.reason = m_reason;
     out.target = m_lastTarget;
     if (m_origin)
