--- a/packages/forwarding/src/plumfold_forwarding_role.cpp
+++ b/packages/forwarding/src/plumfold_forwarding_role.cpp
@@ -144,8 +144,10 @@
         if (update.deployment)
             applyDeployment(*update.deployment, now);
         m_state.link.setTargetCount(m_state.targetSelector.readyTargets());
-        if (update.helpers)
+        if (update.helpers) {
             m_state.helpers.setHelpers(*update.helpers);
+            runtime::log_event("helpers_known").with("count", update.helpers->size());
+        }
         m_metrics.set("plumfold_known_targets", static_cast<double>(m_state.targetSelector.size()));
     }
 
--- a/tests/forwarding/support/plumfold_partitioned_system.hpp
+++ b/tests/forwarding/support/plumfold_partitioned_system.hpp
@@ -40,8 +40,12 @@
             m_targets.push_back(&target);
         }
         startAnnouncing();
-        for (int number = 1; number <= entries; ++number)
+        auto knowsHelpers = "event=helpers_known count=" + std::to_string(entries - 1);
+        for (int number = 1; number <= entries; ++number) {
             waitForTarget(number);
+            eventually(
+                [&] { return logOf("n" + std::to_string(number)).find(knowsHelpers) != std::string::npos; });
+        }
     }
 
     ~partitioned_system()
