Failing test: requests that wait at an engine begin on old weights after their time

Four engines that keep their old weights let each request wait 1.2 s; the bound is 2 s.

Scripted targets now mark the request that they run by its number; before, the latest one that the target had received was marked, which may be another connection's.

--- a/tests/forwarding/plumfold_old_weights_tests.cpp
+++ b/tests/forwarding/plumfold_old_weights_tests.cpp
@@ -77,7 +77,7 @@
     system.startCallers();
     system.name(5);
     auto namedAt = std::chrono::steady_clock::now();
-    system.sleepFor(weights_system::bound + milliseconds(1'000));
+    system.sleepFor(weights_system::defaultBound + milliseconds(1'000));
     system.stopCallers();
     CHECK(system.lateRequests() == 0);
     CHECK(system.enginesWith(5) == 3);
@@ -124,10 +124,27 @@
     for (int number = 1; number <= weights_system::entries; ++number)
         system.eventually([&] { return system.sendRequest(number) == 200; });
     auto calmSince = std::chrono::steady_clock::now();
-    system.sleepFor(weights_system::bound);
+    system.sleepFor(weights_system::defaultBound);
     system.stopCallers();
     CHECK(system.lateRequests() == 0);
     CHECK(system.enginesWith(lastVersion) == 3);
     CHECK(system.servedShare(calmSince) >= mostRequests);
     CHECK(system.servedShare(begin) >= 0.5);
 }
+
+TEST_CASE(
+    "No request that waits at an engine begins on old weights after their time", "[forwarding][weights]")
+{
+    constexpr milliseconds bound { 2'000 };
+    weights_system system("", order_behaviour::ignore, bound);
+    auto begin = std::chrono::steady_clock::now();
+    system.setQueueTime(milliseconds(1'200));
+    system.startCallers("/stock/whole");
+    system.sleepFor(milliseconds(3'000));
+    auto namedAt = std::chrono::steady_clock::now();
+    system.name(5);
+    system.sleepFor(2 * bound);
+    system.stopCallers();
+    CHECK(system.lateRequests() == 0);
+    CHECK(system.servedShare(begin, namedAt) >= mostRequests);
+}
--- a/tests/forwarding/support/plumfold_scripted_exchange.hpp
+++ b/tests/forwarding/support/plumfold_scripted_exchange.hpp
@@ -18,6 +18,7 @@
     bool keepAlive = true;
     int owner = 0; // process at the other end, see link_cuts; 0: any
     bool isNew = true; // no request was received yet
+    std::size_t number = 0; // of the request among all that the target has received
 
     void send(const std::string& bytes)
     {
--- a/tests/forwarding/support/plumfold_scripted_target.cpp
+++ b/tests/forwarding/support/plumfold_scripted_target.cpp
@@ -176,13 +176,14 @@
             {
                 std::lock_guard lock(m_mutex);
                 current.request.receivedAt = std::chrono::steady_clock::now();
+                current.number = m_requests.size();
                 m_requests.push_back(current.request);
             }
             if (isMisdirected(current.request)) {
                 current.sendResponse("421 Misdirected Request", "Not-Executed: 1\r\n", "");
                 continue;
             }
-            if (rejectForWeights(current))
+            if (rejectForWeights(current) || !waitForStart(current))
                 continue;
             if (m_crashCondition && m_crashCondition(current.request)) {
                 crashWhileServing(current);
--- a/tests/forwarding/support/plumfold_scripted_target.hpp
+++ b/tests/forwarding/support/plumfold_scripted_target.hpp
@@ -26,6 +26,7 @@
     std::string body;
     std::chrono::steady_clock::time_point receivedAt {};
     std::uint64_t weights = 0; ///< Version that the target ran the request on; 0: it did not run.
+    std::chrono::steady_clock::time_point startedAt {}; ///< When it began to run, if it has weights.
 };
 
 /// What a target does with an order to load weights.
@@ -64,6 +65,8 @@
 
     /// Makes the target an engine of a model. Call it before the target serves requests.
     void setWeights(const std::string& model, std::uint64_t version, order_behaviour orders);
+    /// Lets requests to the model wait before they run.
+    void setQueueTime(std::chrono::milliseconds time) { m_queueTime = time; }
     /// @return the loaded weights; nothing for a target without a model.
     std::optional<scripted_weights> weights() const;
 
@@ -112,6 +115,8 @@
     /// @return whether the request was rejected because of the target's weights.
     bool rejectForWeights(exchange& current);
     void serveWithRoom(exchange& current);
+    /// @return whether the request runs; false if its connection was closed while it waited.
+    bool waitForStart(exchange& current);
     void respondReport(exchange& current);
     void respondToOrder(exchange& current);
     void completeLoad();
@@ -163,6 +168,7 @@
     mutable std::mutex m_mutex;
     std::vector<recorded_request> m_requests;
     std::optional<scripted_weights> m_weights;
+    std::atomic<std::chrono::milliseconds> m_queueTime { std::chrono::milliseconds(0) };
     std::unique_ptr<scripted_room> m_room;
     std::atomic<int> m_abandoned { 0 };
     std::atomic<bool> m_stopping { false };
--- a/tests/forwarding/support/plumfold_scripted_weights.cpp
+++ b/tests/forwarding/support/plumfold_scripted_weights.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds loadTime { 300 };
+constexpr int closePollMicroseconds = 20'000;
 
 } // namespace
 
@@ -45,16 +46,31 @@
         isLoading = m_weights->loading != 0;
         auto expected = headers.find("expected-version");
         bool isOther = expected != headers.end() && expected->second != std::to_string(m_weights->version);
-        if (!isLoading && !isOther) {
-            m_requests.back().weights = m_weights->version;
+        if (!isLoading && !isOther)
             return false;
-        }
     }
     current.sendResponse(
         isLoading ? "503 Service Unavailable" : "421 Misdirected Request", "Not-Executed: 1\r\n", "");
     return true;
 }
 
+bool scripted_target::waitForStart(exchange& current)
+{
+    if (!m_weights || !current.request.headers.contains("model"))
+        return true;
+    auto startAt = std::chrono::steady_clock::now() + m_queueTime.load();
+    while (!m_stopping && std::chrono::steady_clock::now() < startAt) {
+        if (!current.socket.poll(Poco::Timespan(0, closePollMicroseconds), Poco::Net::Socket::SELECT_READ))
+            continue;
+        current.keepAlive = false;
+        return false;
+    }
+    std::lock_guard lock(m_mutex);
+    m_requests[current.number].weights = m_weights->version;
+    m_requests[current.number].startedAt = std::chrono::steady_clock::now();
+    return true;
+}
+
 void scripted_target::respondReport(exchange& current)
 {
     nlohmann::json body;
--- a/tests/forwarding/support/plumfold_weights_system.hpp
+++ b/tests/forwarding/support/plumfold_weights_system.hpp
@@ -11,17 +11,20 @@
 
 namespace plumfold::tests {
 
-/// Three control VMs, two entries and four engines of one model whose weights are replaced. One engine
-/// does not execute orders to load weights.
+/// Three control VMs, two entries and four engines of one model whose weights are replaced. One engine or all
+/// of them do not execute orders to load weights.
 class weights_system : public forwarding_system {
 public:
     using time_point = std::chrono::steady_clock::time_point;
-    static constexpr std::chrono::milliseconds bound { 5'000 }; ///< For starting requests on old weights.
+    static constexpr std::chrono::milliseconds defaultBound { 5'000 };
     static constexpr std::uint64_t firstVersion = 4;
     static constexpr int entries = 2;
 
-    /// @param failing name of the engine that does not execute orders.
-    explicit weights_system(const std::string& failing, order_behaviour behaviour = order_behaviour::ignore)
+    /// @param failing name of the engine that does not execute orders; empty: none does.
+    /// @param bound for starting requests on old weights.
+    explicit weights_system(const std::string& failing, order_behaviour behaviour = order_behaviour::ignore,
+        std::chrono::milliseconds bound = defaultBound)
+        : m_bound(bound)
     {
         setWeightsBound(bound);
         for (int number = 1; number <= 3; ++number)
@@ -31,7 +34,8 @@
             startEntry(number);
         for (const auto* name : { "t1", "t2", "t3", "t4" }) {
             auto& target = startTarget(name);
-            target.setWeights("base", firstVersion, name == failing ? behaviour : order_behaviour::execute);
+            target.setWeights("base", firstVersion,
+                failing.empty() || name == failing ? behaviour : order_behaviour::execute);
             m_targets.push_back(&target);
         }
         startAnnouncing();
@@ -54,20 +58,28 @@
     }
 
     /// @return the HTTP status that a caller receives for a request to the model.
-    int sendRequest(int entry)
+    int sendRequest(int entry, const std::string& path = "/stock/slow")
     {
-        return request(entry, "/stock/slow", "check", { { "Model", "base" } }).status;
+        return request(entry, path, "check", { { "Model", "base" } }).status;
+    }
+
+    /// Lets requests wait at all engines before they run.
+    void setQueueTime(std::chrono::milliseconds time)
+    {
+        for (auto* each : m_targets)
+            each->setQueueTime(time);
     }
 
     /// Starts sixteen callers' requests a second, to all entries by turns.
-    void startCallers()
+    /// @param path selects what engines do.
+    void startCallers(const std::string& path = "/stock/slow")
     {
-        m_callers = std::thread([this] {
+        m_callers = std::thread([this, path] {
             std::vector<std::thread> requests;
             for (int number = 0; !m_stopping; ++number) {
-                requests.emplace_back([this, number] {
+                requests.emplace_back([this, number, path] {
                     auto sentAt = std::chrono::steady_clock::now();
-                    auto status = sendRequest(1 + number % entries);
+                    auto status = sendRequest(1 + number % entries, path);
                     std::lock_guard lock(m_mutex);
                     m_answers.emplace_back(sentAt, status);
                 });
@@ -93,18 +105,19 @@
             for (const auto& each : target->requests()) {
                 auto newer = m_namedAt.upper_bound(each.weights);
                 late += each.weights != 0 && newer != m_namedAt.end()
-                    && each.receivedAt > newer->second + bound;
+                    && each.startedAt > newer->second + m_bound;
             }
         return late;
     }
-    /// @return the share of the requests since a time that were answered by a target.
-    double servedShare(time_point since) const
+    /// @return the share of the requests sent between two times that were answered by a target.
+    double servedShare(time_point since, time_point until = time_point::max()) const
     {
         int sent = 0;
         int served = 0;
         for (const auto& [at, status] : m_answers) {
-            sent += at >= since;
-            served += at >= since && status == 200;
+            bool isCounted = at >= since && at < until;
+            sent += isCounted;
+            served += isCounted && status == 200;
         }
         return sent == 0 ? 0 : static_cast<double>(served) / sent;
     }
@@ -118,6 +131,7 @@
     }
 
 private:
+    std::chrono::milliseconds m_bound;
     std::vector<scripted_target*> m_targets;
     std::map<std::uint64_t, time_point> m_namedAt; // when it was acknowledged
     std::thread m_callers;
