--- /dev/null
+++ b/packages/core/src/plumfold_target_prediction.cpp
@@ -0,0 +1,70 @@
+// The part of target_selector that predicts a request's time to its first event.
+
+#include "plumfold/core/plumfold_target_selector.hpp"
+
+#include <algorithm>
+
+namespace plumfold::core {
+
+/// @return how long the requests on a target delay another one, in ms.
+double target_selector::waitMs(
+    const tracked_target& target, const placement_request& request, instant now) const
+{
+    const auto& latency = m_options.latencyModel;
+    auto limits = m_services.find(target.last.service);
+    bool hasEngine = limits != m_services.end() && limits->second.engine.has_value();
+    double capacity = hasEngine ? static_cast<double>(limits->second.engine->memoryTokens) : 0;
+    double waiting = 0;
+    double unreportedAttempts = 0;
+    double running = static_cast<double>(target.inFlight) * m_entries;
+    double used = static_cast<double>(target.inFlightTokens) * m_entries;
+    if (target.load && now - target.loadAt < m_options.maxLoadAge) {
+        waiting = target.load->waiting;
+        running = target.load->running;
+        used = target.load->usedTokens;
+        for (const auto& [at, tokens] : target.unreportedAttempts) {
+            if (at < target.loadAt)
+                continue;
+            ++unreportedAttempts;
+            used += static_cast<double>(tokens);
+        }
+    }
+    double share = capacity > 0 ? (used + static_cast<double>(expectedTokens(request))) / capacity : 0;
+    double memoryOverflowMs = std::max(0.0, share - latency.preemptionMemoryShare) * latency.memoryOverflowMs;
+    return waiting * latency.waitingRequestMs + unreportedAttempts * latency.unreportedRequestMs
+        + running * latency.runningRequestMs + memoryOverflowMs;
+}
+
+double target_selector::predictedMs(
+    const tracked_target& target, const placement_request& request, bool isPreferred, instant now) const
+{
+    const auto& latency = m_options.latencyModel;
+    double own = static_cast<double>(request.promptTokens - request.sharedTokens);
+    return own / latency.prefillTokensPerMs + cacheMissMs(target, request, isPreferred)
+        + waitMs(target, request, now);
+}
+
+bool target_selector::isHolder(const tracked_target& target, const placement_request& request)
+{
+    const auto& holders = request.holders;
+    return std::find(holders.begin(), holders.end(), target.last.address) != holders.end();
+}
+
+/// @return the time that a target needs to fetch or recompute the shared part, in ms; 0 if it holds it.
+double target_selector::cacheMissMs(
+    const tracked_target& target, const placement_request& request, bool isPreferred) const
+{
+    // If no holder is known, the preferred target may hold it.
+    if (isHolder(target, request) || (request.holders.empty() && isPreferred))
+        return 0;
+    const auto& latency = m_options.latencyModel;
+    double rate = latency.prefillTokensPerMs;
+    if (request.storedIn)
+        rate = *request.storedIn == target.last.failureDomain ? latency.localFetchTokensPerMs
+                                                              : latency.remoteFetchTokensPerMs;
+    else if (!request.holders.empty())
+        rate = latency.localFetchTokensPerMs;
+    return static_cast<double>(request.sharedTokens) / rate;
+}
+
+} // namespace plumfold::core
--- a/packages/forwarding/src/plumfold_forwarding_state.hpp
+++ b/packages/forwarding/src/plumfold_forwarding_state.hpp
@@ -15,6 +15,7 @@
 #include "plumfold/core/plumfold_part_directory.hpp"
 #include "plumfold/core/plumfold_relay_helpers.hpp"
 #include "plumfold/core/plumfold_target_selector.hpp"
+#include "plumfold/core/plumfold_windowed_retry_budget.hpp"
 #include "plumfold/runtime/plumfold_log.hpp"
 #include "plumfold/runtime/plumfold_metrics.hpp"
 #include "plumfold/runtime/plumfold_settings.hpp"
--- a/tests/core/plumfold_target_selector_tests.cpp
+++ b/tests/core/plumfold_target_selector_tests.cpp
@@ -1,5 +1,6 @@
 #include "plumfold/core/plumfold_deployment_state.hpp"
 #include "plumfold/core/plumfold_target_selector.hpp"
+#include "plumfold/core/plumfold_windowed_retry_budget.hpp"
 
 #include <catch2/catch.hpp>
 
