Recall requests that wait at an engine before the time for its weights ends

Cause: the time was asked when a target is chosen, and 40 % of it was left for waits at engines; one request waited 5.9 s. It was not asked again after a cold start was granted and the connection opened.

Ruled out: an entry that counts from a later time (sent 4.5 s after the naming, within the 6 s).

Change: the entry asks again before it sends, and closes the connection of a request without a byte of its body 0.8 s before the bound, which an engine notices within half a second. The request goes on elsewhere if it may be repeated; else it ends as lost, since it may just have begun. The engine gets no back-off, and the link is not blamed.

Conclusion: no request begins late by waiting, as far as engines drop closed requests in time.

--- a/packages/core/include/plumfold/core/plumfold_target_selector.hpp
+++ b/packages/core/include/plumfold/core/plumfold_target_selector.hpp
@@ -111,6 +111,8 @@
     milliseconds maxLoadAge { 1'500 }; ///< Older load reports are ignored.
     /// How long requests may start on stale weights after a newer version became current.
     milliseconds staleWeightsGracePeriod { 6'000 };
+    /// How long requests may begin to run on stale weights after a newer version became current.
+    milliseconds staleWeightsBound { 10'000 };
     /// Added to the predicted time of targets with stale weights.
     double staleWeightsPenaltyMs = 150;
 };
@@ -213,6 +215,14 @@
     /// @return whether a target is cold and its service limits the requests to cold targets.
     bool isCold(const std::string& target, instant now) const;
 
+    /// @return whether requests for a model may be sent to a target with the weights that it has.
+    bool mayStart(const std::string& target, const std::string& model, instant now) const;
+
+    /// @param version that the target had when the request was sent to it.
+    /// @return whether a request that waits on a target must be cancelled, so that it does not begin to run
+    /// on stale weights after their time.
+    bool mustRecall(const std::string& model, const std::string& version, instant now) const;
+
     /// @return whether a target is still known in this incarnation.
     bool isIncarnation(const std::string& target, unix_milliseconds startedAt) const;
 
@@ -242,6 +252,7 @@
     bool isAvailable(const tracked_target& target, const placement_request& request, instant now) const;
     bool hasCurrentWeights(const tracked_target& target, const std::string& model) const;
     bool mayStart(const tracked_target& target, const std::string& model, instant now) const;
+    static std::uint64_t versionNumber(const std::string& version);
     static std::uint64_t weightVersionOf(const tracked_target& target, const std::string& model);
     bool isCold(const tracked_target& target, instant now) const;
     bool isAtLimit(const tracked_target& target, const placement_request& request, instant now) const;
--- a/packages/core/src/plumfold_target_selector.cpp
+++ b/packages/core/src/plumfold_target_selector.cpp
@@ -18,6 +18,8 @@
 constexpr std::uint32_t maxLightLoadInFlight = 3;
 /// How long a target gets no request after it rejected one for its weight version.
 constexpr milliseconds unconfirmedWeightsBackoff { 1'500 };
+/// In which a recall is noticed (200 ms) and the target drops the request (500 ms).
+constexpr milliseconds recallTime { 800 };
 
 } // namespace
 
@@ -106,11 +108,19 @@
     std::uint64_t version = 0;
     for (const auto& loaded : target.last.models) {
         if (loaded.model == model)
-            std::from_chars(loaded.version.data(), loaded.version.data() + loaded.version.size(), version);
+            version = versionNumber(loaded.version);
     }
     return version;
 }
 
+/// @return the number of a weight version; 0 if it has none.
+std::uint64_t target_selector::versionNumber(const std::string& version)
+{
+    std::uint64_t number = 0;
+    std::from_chars(version.data(), version.data() + version.size(), number);
+    return number;
+}
+
 bool target_selector::hasCurrentWeights(const tracked_target& target, const std::string& model) const
 {
     auto current = m_weights.latest(model);
@@ -140,6 +150,20 @@
     return !supersededAt || now - *supersededAt < m_options.staleWeightsGracePeriod;
 }
 
+bool target_selector::mayStart(const std::string& target, const std::string& model, instant now) const
+{
+    auto found = m_targets.find(target);
+    return found != m_targets.end() && mayStart(found->second, model, now);
+}
+
+bool target_selector::mustRecall(const std::string& model, const std::string& version, instant now) const
+{
+    if (model.empty() || version.empty())
+        return false;
+    auto supersededAt = m_weights.firstAfter(model, versionNumber(version));
+    return supersededAt && now - *supersededAt >= m_options.staleWeightsBound - recallTime;
+}
+
 /// A target that is silent only towards the control VMs still serves, as its answers to this entry show. One
 /// that has sent a load report since it became silent serves again.
 bool target_selector::isResponsive(const tracked_target& target, instant now) const
--- a/packages/forwarding/src/plumfold_forwarding_role.cpp
+++ b/packages/forwarding/src/plumfold_forwarding_role.cpp
@@ -36,6 +36,7 @@
     options.entryName = settings.process.name;
     options.staleWeightsGracePeriod
         = core::milliseconds(settings.forwarding->weightsBoundMs * staleWeightsPercent / percent);
+    options.staleWeightsBound = core::milliseconds(settings.forwarding->weightsBoundMs);
     return options;
 }
 
--- a/packages/forwarding/src/plumfold_request_attempt.cpp
+++ b/packages/forwarding/src/plumfold_request_attempt.cpp
@@ -104,6 +104,8 @@
 
 task<core::attempt_result> request_forwarder::attempt(const core::placement& placement)
 {
+    m_isRecalled = false;
+    m_hasBegun = false;
     m_connection = co_await connectTo(placement);
     if (m_callerDisconnected)
         co_return core::attempt_result::abandoned;
@@ -115,11 +117,13 @@
         m_state.connections.release(std::move(m_connection));
         co_return classifyFailure(beast::error::timeout);
     }
-    // A verdict may have come in force, the target may have become cold, or the granted start may have
-    // expired, while the connection was opened.
+    // While the connection was opened, a verdict may have come in force, the target may have become cold, the
+    // granted start may have expired, or the time for the target's weights may have ended.
     bool hasColdStart = placement.isCold && runtime::nowWithSuspension() < m_coldStartUntil;
     bool isCondemned = m_state.crashScreen.findVerdict(m_traitList, runtime::now()).has_value();
-    if (isCondemned || (!hasColdStart && m_state.targetSelector.isCold(placement.target, runtime::now()))) {
+    bool mayStart = m_state.targetSelector.mayStart(placement.target, m_head.model, runtime::now());
+    if (isCondemned || !mayStart
+        || (!hasColdStart && m_state.targetSelector.isCold(placement.target, runtime::now()))) {
         m_state.connections.release(std::move(m_connection));
         co_return core::attempt_result::not_started;
     }
@@ -172,6 +176,10 @@
 {
     if (m_callerDisconnected)
         return core::attempt_result::abandoned;
+    if (m_isRecalled) {
+        m_reason = "weights_outdated";
+        return core::attempt_result::lost;
+    }
     m_mayTargetHaveEnded = true;
     if (m_targetUnresponsive) {
         m_reason = "target_silent";
@@ -291,8 +299,10 @@
     co_await http::async_read_some(m_connection->stream, m_connection->buffer, parser, into(error));
     if (error == http::error::need_buffer)
         error = {};
-    if (body.size < buffer.size())
+    if (body.size < buffer.size()) {
+        m_hasBegun = true;
         onBytes();
+    }
     chunk.assign(buffer.data(), buffer.size() - body.size);
     if (error)
         m_reason = error.message();
--- a/packages/forwarding/src/plumfold_request_forwarder.cpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.cpp
@@ -302,8 +302,9 @@
         m_connection.reset();
         m_watchdog.cancel();
         m_state.link.onEnded(m_linkAttempt);
-        bool isUnanswered = attemptResult == core::attempt_result::not_reached
-            || (attemptResult == core::attempt_result::lost && !m_hasReceived);
+        bool isUnanswered = !m_isRecalled
+            && (attemptResult == core::attempt_result::not_reached
+                || (attemptResult == core::attempt_result::lost && !m_hasReceived));
         if (isUnanswered)
             asio::co_spawn(m_state.io,
                 countLinkFailure(m_state, selection.chosen->target, selection.chosen->startedAt,
@@ -312,7 +313,7 @@
         // While the link is lost, a failure says nothing about the target.
         bool isLinkFault = isUnanswered && m_state.link.isLost();
         m_state.targetSelector.onAttemptEnded(selection.chosen->target,
-            isLinkFault ? core::attempt_result::abandoned : attemptResult,
+            isLinkFault || m_isRecalled ? core::attempt_result::abandoned : attemptResult,
             core::target_selector::expectedTokens(request), runtime::now());
         if (attemptResult == core::attempt_result::not_started)
             continue;
--- a/packages/forwarding/src/plumfold_request_forwarder.hpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.hpp
@@ -154,6 +154,8 @@
     std::uint64_t m_verdict = 0; // by which it was rejected
     bool m_wasRejectedForRoom = false; // by the target of the current attempt
     bool m_isCrashSuspect = false; // has crashed a target, and was known to crash others
+    bool m_hasBegun = false; // the target of the current attempt has sent a part of the body
+    bool m_isRecalled = false; // the current attempt was ended since its target's weights are outdated
     bool m_mayTargetHaveEnded = false; // the current attempt was lost with its connection
     bool m_isPredictionReliable = false;
     bool m_callerDisconnected = false;
--- a/packages/forwarding/src/plumfold_request_watchdog.cpp
+++ b/packages/forwarding/src/plumfold_request_watchdog.cpp
@@ -15,10 +15,11 @@
 
 } // namespace
 
-/// Abandons an attempt on an unresponsive target early when the request may be retried on another one.
+/// Ends an attempt on an unresponsive target early when the request may be retried on another one, and any
+/// attempt that would begin on outdated weights.
 void request_forwarder::armWatchdog()
 {
-    if (!isIdempotent())
+    if (!isIdempotent() && m_head.model.empty())
         return;
     m_watchdog.expires_after(watchdogInterval);
     m_watchdog.async_wait([this, alive = std::weak_ptr<bool>(m_alive)](const error_code& error) {
@@ -48,6 +49,15 @@
     if (!m_connection)
         return;
     auto now = runtime::now();
+    if (!m_hasBegun && m_state.targetSelector.mustRecall(m_head.model, m_lastWeights, now)) {
+        m_isRecalled = true;
+        m_connection->stream.close();
+        return;
+    }
+    if (!isIdempotent()) {
+        armWatchdog();
+        return;
+    }
     bool isBelowLimit = m_attemptedTargets.size() - m_excludedBefore < maxAttempts();
     // While the link of this entry may be lost, a helper replaces any target.
     bool isLinkSuspect = m_isTrial || (m_state.link.isLost() && !m_state.helpers.empty());
--- a/tests/core/plumfold_event_history_tests.cpp
+++ b/tests/core/plumfold_event_history_tests.cpp
@@ -102,3 +102,17 @@
     CHECK(selector.choose(request, start).chosen);
     CHECK_FALSE(selector.choose(request, after(100)).chosen);
 }
+
+TEST_CASE("A waiting request is recalled before the time for its target's weights ends", "[weights]")
+{
+    target_selector_options options;
+    options.staleWeightsBound = milliseconds(10'000);
+    target_selector selector(options);
+    CHECK_FALSE(selector.mustRecall("m", "4", after(20'000))); // no version was named
+    selector.applyWeightNamings({ { "m", 5, milliseconds(0) } }, start);
+    CHECK_FALSE(selector.mustRecall("m", "4", after(8'000)));
+    // A target drops a request within half a second of the close of its connection.
+    CHECK(selector.mustRecall("m", "4", after(9'500)));
+    CHECK_FALSE(selector.mustRecall("m", "5", after(20'000)));
+    CHECK_FALSE(selector.mustRecall("", "", after(20'000)));
+}
