--- a/packages/forwarding/src/plumfold_caller_connection.cpp
+++ b/packages/forwarding/src/plumfold_caller_connection.cpp
@@ -146,12 +146,7 @@
 {
     runtime::log_event("relay_refused", runtime::log_level::warning).with("reason", "no cluster secret");
     http::response<http::empty_body> response(http::status::forbidden, 11);
-    response.keep_alive(false);
-    response.prepare_payload();
-    m_stream.expires_after(errorWriteTimeout);
-    error_code ignored;
-    co_await http::async_write(m_stream, response, into(ignored));
-    co_await lingeringClose();
+    co_await closeWith(std::move(response));
 }
 
 task<void> caller_connection::rejectMalformed(const error_code& error, const request_parser& parser)
@@ -164,6 +159,12 @@
         .with("status", response.result_int());
     m_state.metrics.count("plumfold_forwarded_total{outcome=\"malformed\"}");
     platform::encodeLocalResponse(id, std::nullopt, response);
+    co_await closeWith(std::move(response));
+}
+
+/// Sends a last response and closes the connection.
+task<void> caller_connection::closeWith(http::response<http::empty_body> response)
+{
     response.keep_alive(false);
     response.prepare_payload();
     m_stream.expires_after(errorWriteTimeout);
--- a/packages/forwarding/src/plumfold_caller_connection.hpp
+++ b/packages/forwarding/src/plumfold_caller_connection.hpp
@@ -37,6 +37,7 @@
     void startReadTimer(core::milliseconds time);
     task<void> rejectMalformed(const error_code& error, const request_parser& parser);
     task<void> rejectStranger();
+    task<void> closeWith(http::response<http::empty_body> response);
     task<void> lingeringClose();
 
     forwarding_state& m_state;
