--- a/tests/forwarding/support/plumfold_scripted_exchange.hpp
+++ b/tests/forwarding/support/plumfold_scripted_exchange.hpp
@@ -37,7 +37,8 @@
     std::string id() { return request.headers["request-id"]; }
     std::string head(const std::string& status, const std::string& extraHeaders)
     {
-        return "HTTP/1.1 " + status + "\r\nRequest-Id: " + id() + "\r\n" + extraHeaders + "\r\n";
+        return "HTTP/1.1 " + status + "\r\nRequest-Id: " + id() + "\r\n" + target.responseHeaders()
+            + extraHeaders + "\r\n";
     }
     void sendResponse(const std::string& status, const std::string& headers, const std::string& body)
     {
--- a/tests/forwarding/support/plumfold_scripted_target.cpp
+++ b/tests/forwarding/support/plumfold_scripted_target.cpp
@@ -45,6 +45,18 @@
     return m_requests;
 }
 
+void scripted_target::setResponseHeaders(std::string lines)
+{
+    std::lock_guard lock(m_mutex);
+    m_responseHeaders = std::move(lines);
+}
+
+std::string scripted_target::responseHeaders() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_responseHeaders;
+}
+
 void scripted_target::accept()
 {
     while (!m_stopping) {
--- a/tests/forwarding/support/plumfold_scripted_target.hpp
+++ b/tests/forwarding/support/plumfold_scripted_target.hpp
@@ -63,6 +63,12 @@
     void breakOffStreams(int interval) { m_breakOffInterval = interval; }
     const std::string& address() const { return m_address; }
 
+    /// Adds headers to all responses from now on.
+    /// @param lines header lines, each with its line end; empty for none.
+    void setResponseHeaders(std::string lines);
+    /// @return the header lines that are added to all responses.
+    std::string responseHeaders() const;
+
     /// Makes the target an engine of a model. Call it before the target serves requests.
     void setWeights(const std::string& model, std::uint64_t version, order_behaviour orders);
     /// Lets requests to the model wait before they run.
@@ -167,6 +173,7 @@
     Poco::Net::ServerSocket m_listener;
     mutable std::mutex m_mutex;
     std::vector<recorded_request> m_requests;
+    std::string m_responseHeaders;
     std::optional<scripted_weights> m_weights;
     std::atomic<std::chrono::milliseconds> m_queueTime { std::chrono::milliseconds(0) };
     std::unique_ptr<scripted_room> m_room;
