Obey the limits that targets name: starts are granted by one control VM for each target

Cause: a limit that a target names in its responses was not read. Class: back-pressure is a fact that a target states, and each kind of it was read and kept apart, or not at all.

Ruled out: repeats and relays (all sent once), parts kept by each entry (arrivals did not fall at the naming).

Change: a response's limit is decoded and kept as a demand of the target's incarnation. Entries report demands to the control VM that they follow, control VMs exchange them and send them to all entries, so that entries which send nothing or start know them too. Demands have epochs instead of ages: only the response to a request that was sent with the limit known ends or raises it. A start on a limited target is granted by the control VM that holds the lease of the shared limits for the target's failure domain, from a token bucket without a reserve at its start; the grant is checked again just before sending, so first attempts, retries, replacements and relayed requests go through one gate. Without an answer of that control VM every entry has a small part. Requests beyond the limits are refused at once, with Retry-After from the next free place, spread over a second. Old builds ignore the new fields; a control VM of an older build leaves the entry with its small part.

--- a/packages/control/src/plumfold_control_service.cpp
+++ b/packages/control/src/plumfold_control_service.cpp
@@ -59,6 +59,7 @@
         m_context.feed.updateLoads(readList<core::target_load>(params.getLoads()), false);
         m_context.feed.applyPeerEvents(
             wire::readEventAges(params.getNamings()), wire::readEventAges(params.getReturns()));
+        m_context.feed.applyDemands(readList<core::target_demand>(params.getDemands()));
         m_context.crashes.addEvidence(from,
             { readList<core::crash_report>(params.getCrashes()),
                 readList<core::recorded_success>(params.getSuccesses()) });
@@ -117,6 +118,7 @@
     {
         auto params = call.getParams();
         m_context.feed.recordFollower({ m_name, params.getRelayAddress().cStr(), m_failureDomain });
+        m_context.feed.applyDemands(readList<core::target_demand>(params.getDemands()));
         auto arrivedAt = runtime::nowWithSuspension();
         kj::Promise<void> ready = kj::READY_NOW;
         if (params.getConfirmed())
@@ -124,13 +126,16 @@
         return ready.then([this, call, arrivedAt]() mutable {
             auto params = call.getParams();
             // Change numbers restart with each incarnation of a feed, so an unknown one gets a snapshot.
-            std::uint64_t change = params.getFeed() == m_context.feed.id() ? params.getKnownChange() : 0;
+            bool isKnownFeed = params.getFeed() == m_context.feed.id();
+            std::uint64_t change = isKnownFeed ? params.getKnownChange() : 0;
+            std::uint64_t demand = isKnownFeed ? params.getKnownDemands() : 0;
             auto wait = std::min(params.getWaitMs(), maxWatchMs) * kj::MILLISECONDS;
             return m_context.feed
-                .waitForUpdate(params.getKnownDeployment(), change, params.getKnownVerdicts(), wait)
-                .then([this, call, change, arrivedAt]() mutable {
+                .waitForUpdate(params.getKnownDeployment(), change, params.getKnownVerdicts(), demand, wait)
+                .then([this, call, change, demand, arrivedAt]() mutable {
                     writeFollowResults(call, change);
                     writeEvents(call, arrivedAt);
+                    writeDemands(call, demand);
                 });
         });
     }
@@ -145,6 +150,20 @@
         return kj::READY_NOW;
     }
 
+    kj::Promise<void> startLimited(StartLimitedContext call) override
+    {
+        auto params = call.getParams();
+        auto decision = m_context.sharedLimits.tryLimitedStart(
+            params.getFailureDomain().cStr(), wire::read(params.getDemand()));
+        auto out = call.getResults();
+        out.setDecided(decision.has_value());
+        if (decision) {
+            out.setGranted(decision->isGranted);
+            out.setRetryAfterMs(static_cast<std::uint32_t>(decision->retryAfter.count()));
+        }
+        return kj::READY_NOW;
+    }
+
     kj::Promise<void> retry(RetryContext call) override
     {
         call.getResults().setGranted(
@@ -234,6 +253,23 @@
         writeList(call.getResults().initHelpers(helpers.size()), helpers);
     }
 
+    void writeDemands(FollowContext& call, std::uint64_t known)
+    {
+        const auto& demands = m_context.feed.demands();
+        auto out = call.getResults();
+        out.setLatestDemand(demands.latestChange());
+        auto changed = demands.changedAfter(known);
+        writeList(out.initDemands(changed.size()), changed);
+        if (demands.limitedTargets() == 0)
+            return;
+        auto domains = m_context.sharedLimits.failureDomains();
+        auto issuers = out.initLimitIssuers(domains.size());
+        for (unsigned index = 0; index < domains.size(); ++index) {
+            issuers[index].setAddress(m_context.feed.sharedLimitIssuerOf(domains[index]));
+            issuers[index].setFailureDomain(domains[index]);
+        }
+    }
+
     void writeEvents(FollowContext& call, core::instant arrivedAt)
     {
         auto namings = m_context.feed.weightNamings(arrivedAt);
--- a/packages/control/src/plumfold_deployment_feed.cpp
+++ b/packages/control/src/plumfold_deployment_feed.cpp
@@ -19,6 +19,7 @@
 constexpr core::milliseconds maxTargetAge { 60'000 }; // of leaving and silent targets
 constexpr core::milliseconds maxLoadReportAge { 2'000 };
 constexpr core::milliseconds maxPartsAge { 10'000 };
+constexpr core::milliseconds maxDemandAge { 60'000 }; // of targets that are not known any more
 
 const char* stateName(core::target_state state)
 {
@@ -263,6 +264,22 @@
     m_returns.observe(returns, now);
 }
 
+void deployment_feed::applyDemands(const std::vector<core::target_demand>& demands)
+{
+    auto before = m_demands.latestChange();
+    for (const auto& each : demands) {
+        if (!m_demands.apply(each, runtime::now()))
+            continue;
+        runtime::log_event("target_limit_known")
+            .with("target", each.target)
+            .with("started_at", each.startedAt)
+            .with("epoch", each.epoch)
+            .with("max_requests_per_second", core::limitText(each));
+    }
+    if (m_demands.latestChange() != before)
+        wake();
+}
+
 void deployment_feed::resetParts(const std::string& holder, std::uint64_t generation)
 {
     m_parts.reset(holder, generation, runtime::now());
@@ -371,6 +388,9 @@
     for (const auto& name : silent)
         logTarget("target_silent", m_directory.entries().at(name).last);
     m_directory.removeStale(now, maxTargetAge);
+    m_demands.removeStale(
+        [this](const std::string& target) { return m_directory.entries().contains(target); }, now,
+        maxDemandAge);
     m_parts.expire(now, maxPartsAge);
     std::erase_if(
         m_loadReports, [&](const auto& each) { return now - each.second.sentAt > maxLoadReportAge; });
@@ -431,12 +451,12 @@
     });
 }
 
-kj::Promise<void> deployment_feed::waitForUpdate(
-    std::uint64_t deployment, std::uint64_t change, std::uint64_t verdicts, kj::Duration atMost)
+kj::Promise<void> deployment_feed::waitForUpdate(std::uint64_t deployment, std::uint64_t change,
+    std::uint64_t verdicts, std::uint64_t demand, kj::Duration atMost)
 {
-    auto changed = waitUntil([this, deployment, change, verdicts] {
+    auto changed = waitUntil([this, deployment, change, verdicts, demand] {
         return m_view.deployment->revision > deployment || m_directory.latestChange() != change
-            || m_verdictsDigest != verdicts || !m_view.isCaughtUp;
+            || m_verdictsDigest != verdicts || m_demands.latestChange() != demand || !m_view.isCaughtUp;
     });
     return changed.exclusiveJoin(m_rpc.timer().afterDelay(atMost));
 }
--- a/packages/control/src/plumfold_deployment_feed.hpp
+++ b/packages/control/src/plumfold_deployment_feed.hpp
@@ -6,6 +6,7 @@
 #include "plumfold/core/plumfold_event_history.hpp"
 #include "plumfold/core/plumfold_part_directory.hpp"
 #include "plumfold/core/plumfold_relay_helpers.hpp"
+#include "plumfold/core/plumfold_target_demands.hpp"
 #include "plumfold/core/plumfold_target_directory.hpp"
 #include "plumfold/core/plumfold_target_selector.hpp"
 #include "plumfold/runtime/plumfold_settings.hpp"
@@ -62,6 +63,8 @@
     /// control VM knows.
     void applyPeerEvents(
         const std::vector<core::event_age>& namings, const std::vector<core::event_age>& returns);
+    /// Applies what targets ask of their callers, as far as an entry or another control VM knows.
+    void applyDemands(const std::vector<core::target_demand>& demands);
     /// Starts a generation of a holder that this control VM polls, without any parts.
     void resetParts(const std::string& holder, std::uint64_t generation);
     /// Applies changes that this control VM polled from a holder.
@@ -96,6 +99,7 @@
     /// @return a number that differs for different suspects; 0 for none.
     std::uint64_t suspectsDigest() const { return m_suspectsDigest; }
     const core::part_directory& parts() const { return m_parts; }
+    const core::target_demands& demands() const { return m_demands; }
     /// @param at a time of runtime::nowWithSuspension().
     /// @return the weight versions that were named, with their ages at that time.
     std::vector<core::event_age> weightNamings(core::instant at) const { return m_weights.ages(at); }
@@ -143,9 +147,10 @@
     /// @param deployment the known revision of the deployment.
     /// @param change the known number of the latest target change.
     /// @param verdicts the known digest of the verdicts.
+    /// @param demand the known number of the latest change of a demand.
     /// @return a promise that is fulfilled then, or after atMost at the latest.
-    kj::Promise<void> waitForUpdate(
-        std::uint64_t deployment, std::uint64_t change, std::uint64_t verdicts, kj::Duration atMost);
+    kj::Promise<void> waitForUpdate(std::uint64_t deployment, std::uint64_t change, std::uint64_t verdicts,
+        std::uint64_t demand, kj::Duration atMost);
     /// @return a promise that is fulfilled when the log is applied up to an index, and rejected after atMost.
     kj::Promise<void> waitForApplied(std::uint64_t index, kj::Duration atMost);
 
@@ -169,6 +174,7 @@
     core::instant m_lastTick {};
     core::target_directory m_directory;
     core::part_directory m_parts;
+    core::target_demands m_demands;
     core::event_history m_weights; // in times of runtime::nowWithSuspension()
     core::event_history m_returns; // of failure domains to service; in the same times
     std::vector<core::part_store> m_stores; // from the current deployment
--- a/packages/control/src/plumfold_peer_links.cpp
+++ b/packages/control/src/plumfold_peer_links.cpp
@@ -1,5 +1,7 @@
 #include "plumfold_peer_links.hpp"
 
+#include "plumfold_wire_lists.hpp"
+
 #include "plumfold/runtime/plumfold_clock.hpp"
 #include "plumfold/wire/plumfold_convert.hpp"
 
@@ -87,7 +89,9 @@
     bool hasNews = !holders.empty() || !loads.empty() || !namings.empty() || !returns.empty();
     bool newsDue = hasNews && now - to.sharedNewsAt > shareNewsInterval;
     bool isEvidenceDue = to.sharedEvidence < crashes.latestChange();
-    if (to.shareInFlight || (announcements.empty() && !all && !newsDue && !isEvidenceDue))
+    auto demands = feed.demands().changedAfter(to.sharedDemand);
+    bool isDue = all || newsDue || isEvidenceDue || !announcements.empty() || !demands.empty();
+    if (to.shareInFlight || !isDue)
         return;
     auto request = KJ_ASSERT_NONNULL(to.peer).shareRequest();
     request.setAddress(m_ownAddress);
@@ -110,6 +114,7 @@
         wire::write(outLoads[index], loads[index]);
     wire::write(request.initNamings(namings.size()), namings);
     wire::write(request.initReturns(returns.size()), returns);
+    writeList(request.initDemands(demands.size()), demands);
     auto evidence = crashes.evidenceAfter(to.sharedEvidence);
     auto outCrashes = request.initCrashes(evidence.crashes.size());
     for (unsigned index = 0; index < evidence.crashes.size(); ++index)
@@ -131,13 +136,15 @@
     std::uint64_t generation = to.generation;
     auto sent = wire::withTimeout(m_rpc, request.send().ignoreResult(), callTimeout);
     m_tasks.add(sent.then(
-        [&to, change, all, now, parts = std::move(parts), known = evidence.change] {
+        [&to, change, all, now, parts = std::move(parts), known = evidence.change,
+            demand = feed.demands().latestChange()] {
             to.shareInFlight = false;
             to.sharedNewsAt = now;
             for (const auto& update : parts)
                 to.sharedParts[update.holder] = { update.holder, update.generation, update.count };
             to.sharedChange = change;
             to.sharedEvidence = known;
+            to.sharedDemand = demand;
             if (all)
                 to.sharedAllAt = now;
         },
@@ -193,6 +200,7 @@
     to.sharedParts.clear();
     to.sharedChange = 0;
     to.sharedEvidence = 0;
+    to.sharedDemand = 0;
     to.peer = nullptr;
     to.inFlight = 0;
     // The connection must not be destroyed inside one of its own callbacks.
--- a/packages/control/src/plumfold_peer_links.hpp
+++ b/packages/control/src/plumfold_peer_links.hpp
@@ -43,6 +43,7 @@
         std::uint64_t sharedChange = 0; // latest change of the directory that the peer has received
         std::uint64_t sharedEvidence
             = 0; // latest change of the evidence of crashes that the peer has received
+        std::uint64_t sharedDemand = 0; // change of target_demands that the peer has
         core::instant sharedAllAt {};
         core::instant sharedNewsAt {}; // parts, loads and ages of events
         std::map<std::string, core::part_cursor> sharedParts; // by holder: changes that the peer has received
--- a/packages/control/src/plumfold_shared_limit_issuer.cpp
+++ b/packages/control/src/plumfold_shared_limit_issuer.cpp
@@ -3,6 +3,8 @@
 #include "plumfold/runtime/plumfold_clock.hpp"
 #include "plumfold/runtime/plumfold_log.hpp"
 
+#include <algorithm>
+
 namespace plumfold::control {
 
 namespace {
@@ -29,18 +31,28 @@
     for (const auto& domain : domains) {
         m_domains.emplace(domain,
             domain_grants { core::lease_usage(core::milliseconds(settings.control->sharedLimitLeaseMs)),
-                core::cold_start_limiter(domain, domains, core::coldStartGrantLifetime),
+                core::cold_start_limiter(domain, domains, core::startGrantLifetime),
                 core::retry_reserve(domain, domains, settings.control->retryExtra,
-                    core::milliseconds(settings.control->retryWindowMs)) });
+                    core::milliseconds(settings.control->retryWindowMs)),
+                {} });
     }
 }
 
+std::vector<std::string> shared_limit_issuer::failureDomains() const
+{
+    std::vector<std::string> names;
+    for (const auto& [domain, grants] : m_domains)
+        names.push_back(domain);
+    return names;
+}
+
 void shared_limit_issuer::tick()
 {
     auto now = runtime::nowWithSuspension();
     bool arePeersKnown = now - m_startedAt > peerDiscoveryTime;
     for (auto& [domain, grants] : m_domains) {
         grants.coldStarts.removeIdle(now, maxGrantAge);
+        grants.limitedStarts.removeIdle(now, maxGrantAge);
         bool isOwn = domain == m_settings.process.failureDomain;
         bool isDue = !grants.isRenewing && now >= grants.nextRenewalAt && (isOwn || arePeersKnown);
         if (isDue && m_feed.sharedLimitIssuerOf(domain) == m_settings.control->address)
@@ -82,6 +94,7 @@
     }
     if (!grants.lease.onGranted(requestedAt, result.takeovers, now))
         return;
+    grants.limitedStarts.restart(grants.lease.usableFrom());
     if (!result.isFirst) {
         grants.coldStarts.restart(grants.lease.usableFrom());
         grants.retries.restart(grants.lease.usableFrom());
@@ -105,6 +118,19 @@
     return found->second.coldStarts.tryStart(target, rate, now);
 }
 
+std::optional<core::grant_decision> shared_limit_issuer::tryLimitedStart(
+    const std::string& failureDomain, const core::target_demand& demand)
+{
+    auto now = runtime::nowWithSuspension();
+    auto found = m_domains.find(failureDomain);
+    if (found == m_domains.end() || !found->second.lease.isUsable(now))
+        return std::nullopt;
+    auto limit = demand.maxRequestsPerSecond.value_or(0);
+    if (auto known = m_feed.demands().maxRequestsPerSecond(demand.target, demand.startedAt))
+        limit = std::min(limit, *known);
+    return found->second.limitedStarts.tryStart(demand.target, demand.startedAt, limit, now);
+}
+
 bool shared_limit_issuer::tryRetry(const std::string& failureDomain, const std::string& service)
 {
     auto now = runtime::nowWithSuspension();
--- a/packages/control/src/plumfold_shared_limit_issuer.hpp
+++ b/packages/control/src/plumfold_shared_limit_issuer.hpp
@@ -6,9 +6,12 @@
 #include "plumfold/core/plumfold_cold_start_limiter.hpp"
 #include "plumfold/core/plumfold_lease_usage.hpp"
 #include "plumfold/core/plumfold_retry_reserve.hpp"
+#include "plumfold/core/plumfold_target_rate_limiter.hpp"
 
 #include <map>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace plumfold::control {
 
@@ -18,6 +21,9 @@
 public:
     shared_limit_issuer(const runtime::settings& settings, deployment_feed& feed, leader_client& leader);
 
+    /// @return the failure domains of the system.
+    std::vector<std::string> failureDomains() const;
+
     /// Renews the leases that this control VM has to hold. Call it periodically.
     void tick();
 
@@ -27,6 +33,13 @@
     core::grant_decision tryStart(
         const std::string& failureDomain, const std::string& service, const std::string& target);
 
+    /// Decides on the start of one request on a target that limits its requests per second.
+    /// @param failureDomain of the target.
+    /// @param demand what the entry knows of the target; a lower limit that is known here applies.
+    /// @return the decision; nothing if this control VM does not grant starts for the failure domain.
+    std::optional<core::grant_decision> tryLimitedStart(
+        const std::string& failureDomain, const core::target_demand& demand);
+
     /// Decides on one retry from the reserve.
     /// @param failureDomain of the entry.
     /// @return whether it may be sent; false if this control VM does not grant retries for the failure
@@ -38,6 +51,7 @@
         core::lease_usage lease;
         core::cold_start_limiter coldStarts;
         core::retry_reserve retries;
+        core::target_rate_limiter limitedStarts;
         core::instant nextRenewalAt {};
         bool isRenewing = false;
     };
--- a/packages/core/include/plumfold/core/plumfold_cold_start_limiter.hpp
+++ b/packages/core/include/plumfold/core/plumfold_cold_start_limiter.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "plumfold/core/plumfold_grant.hpp"
 #include "plumfold/core/plumfold_time.hpp"
 
 #include <compare>
@@ -9,9 +10,6 @@
 
 namespace plumfold::core {
 
-/// How long after it was requested a granted start may be used.
-constexpr milliseconds coldStartGrantLifetime { 300 };
-
 /// Requests that a cold target bears from all entries together.
 struct cold_start_rate {
     double perSecond = 0; ///< On average.
@@ -19,13 +17,6 @@
     auto operator<=>(const cold_start_rate&) const = default;
 };
 
-/// Whether a shared limit allows what was asked for.
-struct grant_decision {
-    bool isGranted = false;
-    milliseconds retryAfter { 0 }; ///< If refused, time until it may be granted; 0 if not known.
-    auto operator<=>(const grant_decision&) const = default;
-};
-
 /// Grants the starts of requests on cold targets for one failure domain. Every failure domain has a fixed
 /// part of each target's rate, so that no domain depends on what another one does or is believed to do. If
 /// the rate is too low for all domains, some of them, selected by rendezvous hashing, have a part.
--- a/packages/core/include/plumfold/core/plumfold_target_selector.hpp
+++ b/packages/core/include/plumfold/core/plumfold_target_selector.hpp
@@ -3,7 +3,9 @@
 #include "plumfold/core/plumfold_brittle_limiter.hpp"
 #include "plumfold/core/plumfold_deployment.hpp"
 #include "plumfold/core/plumfold_event_history.hpp"
+#include "plumfold/core/plumfold_grant.hpp"
 #include "plumfold/core/plumfold_prompt_parts.hpp"
+#include "plumfold/core/plumfold_target_demands.hpp"
 #include "plumfold/core/plumfold_target_directory.hpp"
 
 #include <deque>
@@ -37,6 +39,7 @@
     std::vector<std::string> holders; ///< Addresses of targets that hold the shared part.
     std::set<std::string> excluded; ///< Targets that were already tried.
     bool isWarmOnly = false; ///< Excludes cold targets.
+    bool isUnlimitedOnly = false; ///< Excludes targets that limit their requests per second.
     /// Only targets with this software version; an empty one matches none. Nothing: any.
     std::optional<std::string> softwareVersion;
     milliseconds timeLeft { 0 }; ///< Until the caller's deadline.
@@ -55,6 +58,7 @@
     bool isHolder = false; ///< The target is listed as a holder of the shared part.
     bool isTargetUnderLoad = false; ///< Other requests make the prediction uncertain.
     bool isCold = false; ///< The request may be sent only after its start was granted.
+    bool isRateLimited = false; ///< The request may be sent only after its start was granted.
     bool operator==(const placement&) const = default;
 };
 
@@ -63,6 +67,7 @@
     no_target, ///< No usable target is known.
     cold, ///< No usable target is left but cold ones on which no request may start now.
     full, ///< All are at their limit of concurrent requests.
+    rate_limited, ///< No usable target is left but some that get no further requests now by their own limit.
 };
 
 /// The result of a target selection.
@@ -81,7 +86,7 @@
     lost, ///< After the request was sent, the connection broke or the answer was unusable.
     failed, ///< The target answered with an error.
     abandoned, ///< The caller disconnected or the deadline passed.
-    not_started, ///< Nothing was sent because a start on the cold target was not granted or not used in time.
+    not_started, ///< Nothing was sent because a start on the target was not granted or not used in time.
 };
 
 /// Parameters of the prediction of a model engine's time to the first event.
@@ -177,6 +182,27 @@
     /// Excludes a cold target for a time because no request may start on it.
     void onColdStartRefused(const std::string& target, instant until);
 
+    /// Applies demands of targets that other processes know.
+    /// @return those that have changed here.
+    std::vector<target_demand> applyDemands(const std::vector<target_demand>& demands, instant now);
+    /// Applies what a response states.
+    /// @return the target's demand if it has changed.
+    std::optional<target_demand> onStatement(const target_statement& statement, instant now)
+    {
+        return m_demands.onResponse(statement, now);
+    }
+    /// @return the demand of a target; nothing if it has made none.
+    std::optional<target_demand> demandOf(const std::string& target) const;
+    /// @return the number of targets that limit their requests per second.
+    std::size_t limitedTargets() const { return m_demands.limitedTargets(); }
+    /// @return whether a target limits its requests per second.
+    bool isRateLimited(const std::string& target) const;
+    /// Records the decision on a start on a target that limits its requests per second.
+    void onRateLimitDecision(const std::string& target, const grant_decision& decision, instant now);
+    /// Decides on such a start while the control VM that grants them does not answer. Every entry has a small
+    /// part of the limit then.
+    grant_decision tryStartWithoutIssuer(const std::string& target, instant now);
+
     /// Ends all back-offs: the failures were not those of the targets.
     void clearBackoffs(instant now);
 
@@ -206,7 +232,8 @@
     /// @return whether a target neither announces itself nor has recently answered this entry.
     bool isSilent(const std::string& target, instant now) const;
 
-    /// @return whether choose() would find a warm target; nothing is recorded.
+    /// @return whether choose() would find a target on which a request may start without a grant; nothing is
+    /// recorded.
     bool hasWarmTarget(const placement_request& request, instant now) const;
 
     /// @return whether a target has announced that it stops, or is no longer known.
@@ -233,6 +260,8 @@
         target_announcement last;
         instant coldUntil {}; ///< As announced.
         instant coldStartRefusedUntil {};
+        instant limitedStartRefusedUntil {}; ///< By the target's limit of requests per second.
+        std::optional<instant> nextStartWithoutIssuer;
         instant backoffUntil {};
         std::optional<instant> lastAnswerAt; ///< Latest answer to this entry.
         instant silentSince {}; ///< When this entry learned that the target is silent.
@@ -256,6 +285,7 @@
     static std::uint64_t weightVersionOf(const tracked_target& target, const std::string& model);
     bool isCold(const tracked_target& target, instant now) const;
     bool isAtLimit(const tracked_target& target, const placement_request& request, instant now) const;
+    bool isRateLimited(const tracked_target& target) const;
     tracked_target* selectTarget(
         std::vector<tracked_target*>& candidates, const placement_request& request, instant now) const;
     tracked_target* selectForSession(
@@ -280,6 +310,7 @@
     std::map<std::string, service_limits> m_services;
     std::uint32_t m_entries = 1;
     brittle_limiter m_brittleLimiter;
+    target_demands m_demands;
 };
 
 } // namespace plumfold::core
--- a/packages/core/src/plumfold_target_selector.cpp
+++ b/packages/core/src/plumfold_target_selector.cpp
@@ -18,6 +18,8 @@
 constexpr std::uint32_t maxLightLoadInFlight = 3;
 /// How long a target gets no request after it rejected one for its weight version.
 constexpr milliseconds unconfirmedWeightsBackoff { 1'500 };
+/// How long demands of targets are kept that are not known any more.
+constexpr milliseconds maxDemandAge { 60'000 };
 /// In which a recall is noticed (200 ms) and the target drops the request (500 ms).
 constexpr milliseconds recallTime { 800 };
 
@@ -57,6 +59,8 @@
         if (isComplete && !announced.contains(name))
             each.last.state = target_state::leaving;
     }
+    m_demands.removeStale(
+        [this](const std::string& target) { return m_targets.contains(target); }, now, maxDemandAge);
 }
 
 void target_selector::setOutOfService(std::set<std::string> failureDomains)
@@ -262,11 +266,12 @@
     std::vector<tracked_target*> candidates;
     std::vector<tracked_target*> paused;
     std::optional<instant> nextColdStart;
+    std::optional<instant> nextLimitedStart;
     bool isFull = false;
     for (auto& [name, target] : m_targets) {
         bool isUsableNow = isUsable(target, request, now);
-        bool isPaused
-            = mayBePaused(target, now) && !isCold(target, now) && mayStart(target, request.model, now);
+        bool isPaused = mayBePaused(target, now) && !isCold(target, now)
+            && mayStart(target, request.model, now) && !isRateLimited(target);
         if (!isUsableNow && isPaused && isAvailable(target, request, now))
             paused.push_back(&target);
         if (!isUsableNow)
@@ -277,6 +282,11 @@
         }
         if (!mayStart(target, request.model, now))
             continue;
+        if (isRateLimited(target) && (request.isUnlimitedOnly || now < target.limitedStartRefusedUntil)) {
+            nextLimitedStart
+                = std::min(nextLimitedStart.value_or(instant::max()), target.limitedStartRefusedUntil);
+            continue;
+        }
         bool isTargetFull = isAtLimit(target, request, now);
         isFull = isFull || isTargetFull;
         if (!isTargetFull)
@@ -298,8 +308,12 @@
     }
     answer.reason = isFull ? placement_failure::full
         : nextColdStart    ? placement_failure::cold
+        : nextLimitedStart ? placement_failure::rate_limited
                            : placement_failure::no_target;
     answer.retryAfter = retryWithoutTarget;
+    if (answer.reason == placement_failure::rate_limited)
+        answer.retryAfter
+            = std::max(milliseconds(1), std::chrono::ceil<milliseconds>(*nextLimitedStart - now));
     answer.isBackedOff = std::any_of(m_targets.begin(), m_targets.end(), [&](const auto& each) {
         return each.second.last.service == request.service && isResponsive(each.second, now)
             && now < each.second.backoffUntil;
@@ -314,7 +328,8 @@
 {
     return std::any_of(m_targets.begin(), m_targets.end(), [&](const auto& each) {
         const auto& target = each.second;
-        return isUsable(target, request, now) && !isCold(target, now) && mayStart(target, request.model, now);
+        return isUsable(target, request, now) && !isCold(target, now) && mayStart(target, request.model, now)
+            && !isRateLimited(target);
     });
 }
 
@@ -328,7 +343,7 @@
         target.unreportedAttempts.pop_front();
     placement out { target.last.name, target.last.address, {}, target.last.failureDomain,
         target.last.softwareVersion, target.last.startedAt, 0, 0, isHolder(target, request), false,
-        isCold(target, now) };
+        isCold(target, now), isRateLimited(target) };
     for (const auto& loaded : target.last.models) {
         if (loaded.model == request.model)
             out.weights = loaded.version;
--- a/packages/forwarding/src/plumfold_deployment_follower.cpp
+++ b/packages/forwarding/src/plumfold_deployment_follower.cpp
@@ -21,6 +21,7 @@
 /// Until an update is confirmed, a response requires a round trip to a quorum.
 constexpr std::chrono::milliseconds quorumConfirmTimeout { 2'000 };
 constexpr auto reconnectDelay = 100 * kj::MILLISECONDS;
+constexpr std::size_t maxOwnDemands = 1'000; // any are dropped beyond
 
 std::vector<std::string> controlAddresses(const runtime::settings& settings)
 {
@@ -118,6 +119,8 @@
     request.setKnownSuspects(m_knownSuspects);
     request.setRelayAddress(m_settings.forwarding->relayAddress);
     request.setKnownHelpers(m_knownHelpers);
+    request.setKnownDemands(m_knownDemand);
+    writeDemands(request);
     request.setWaitMs(m_justConnected ? 0 : longPollWaitMs);
     auto timeout = !m_confirmed ? quorumConfirmTimeout : m_justConnected ? firstPollTimeout : pollTimeout;
     request.setConfirmed(!m_confirmed);
@@ -130,6 +133,27 @@
     });
 }
 
+void deployment_follower::reportDemand(core::target_demand demand)
+{
+    m_rpc.post([this, demand = std::move(demand)] {
+        if (m_ownDemands.size() >= maxOwnDemands)
+            m_ownDemands.erase(m_ownDemands.begin());
+        m_ownDemands[demand.target] = demand;
+        m_unreportedDemands.insert(demand.target);
+    });
+}
+
+void deployment_follower::writeDemands(wire::EntrySession::FollowParams::Builder request)
+{
+    m_sentDemands = std::move(m_unreportedDemands);
+    m_unreportedDemands.clear();
+    std::erase_if(m_sentDemands, [&](const auto& target) { return !m_ownDemands.contains(target); });
+    auto out = request.initDemands(m_sentDemands.size());
+    unsigned index = 0;
+    for (const auto& target : m_sentDemands)
+        wire::write(out[index++], m_ownDemands.at(target));
+}
+
 void deployment_follower::applyFollowResponse(capnp::Response<wire::EntrySession::FollowResults> response)
 {
     bool fresh = response.getFresh();
@@ -176,7 +200,17 @@
         update.deployment = wire::read(response.getDeployment());
         m_knownDeployment = update.deployment->revision;
     }
+    for (auto each : response.getDemands())
+        update.demands.push_back(wire::read(each));
+    for (auto each : response.getLimitIssuers())
+        update.limitIssuers[each.getFailureDomain().cStr()] = each.getAddress().cStr();
+    m_knownDemand = response.getLatestDemand();
+    m_sentDemands.clear();
     bool isNewFeed = m_feedId != response.getFeed();
+    if (isNewFeed) {
+        for (const auto& [target, demand] : m_ownDemands)
+            m_unreportedDemands.insert(target);
+    }
     m_feedId = response.getFeed();
     m_knownChange = response.getChange();
     applyControlAddresses(response.getControl());
@@ -215,6 +249,7 @@
         .with("address", m_address)
         .with("reason", exception.getDescription().cStr());
     ++m_failures;
+    m_unreportedDemands.merge(m_sentDemands);
     m_session = nullptr;
     // The connection must not be destroyed inside one of its own callbacks.
     m_tasks->add(kj::evalLater([old = kj::mv(m_connection)] {}));
--- a/packages/forwarding/src/plumfold_deployment_follower.hpp
+++ b/packages/forwarding/src/plumfold_deployment_follower.hpp
@@ -14,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -35,6 +36,10 @@
     std::optional<std::vector<core::crash_suspect>> suspects; ///< All of them, if any has changed.
     std::uint64_t targetClockMs = 0; ///< The targets' clock; 0: unknown.
     std::optional<std::vector<core::entry_address>> helpers; ///< All of them, if any has changed.
+    std::vector<core::target_demand> demands; ///< Those that have changed.
+    /// Control VMs that grant starts on targets that limit their requests, by failure domain of the target;
+    /// empty if they are not needed.
+    std::map<std::string, std::string> limitIssuers;
 };
 
 /// Long-polls a control VM for changes of the deployment, the targets and the KV parts. Prefers a control VM
@@ -52,12 +57,16 @@
     /// @param addresses ip:port of control VMs; the port is replaced by that of the control RPC interface.
     void setSeeds(std::vector<std::string> addresses);
 
+    /// Reports to control VMs what a target asks of its callers, again to each one that this entry follows.
+    void reportDemand(core::target_demand demand);
+
 private:
     kj::Promise<void> followLoop();
     kj::Promise<void> connect();
     kj::Promise<void> followOnce();
     void applyFollowResponse(capnp::Response<wire::EntrySession::FollowResults> response);
     void applyControlAddresses(capnp::List<wire::ControlAddress>::Reader control);
+    void writeDemands(wire::EntrySession::FollowParams::Builder request);
     void onFailure(const kj::Exception& exception);
     std::string nextAddress();
 
@@ -75,6 +84,10 @@
     std::uint64_t m_knownVerdicts = 0; // digest
     std::uint64_t m_knownSuspects = 0; // digest
     std::uint64_t m_knownHelpers = 0; // digest
+    std::uint64_t m_knownDemand = 0; // number of the latest change that was received
+    std::map<std::string, core::target_demand> m_ownDemands; // from responses to this entry, by target
+    std::set<std::string> m_unreportedDemands; // targets
+    std::set<std::string> m_sentDemands; // targets, in the current call
     bool m_confirmed = false; // a quorum has confirmed an update at least once
     bool m_justConnected = true;
     core::instant m_calledAt {}; // the current call, with suspensions
--- a/packages/forwarding/src/plumfold_forwarding_role.cpp
+++ b/packages/forwarding/src/plumfold_forwarding_role.cpp
@@ -57,9 +57,12 @@
         , m_controlSessions(m_rpc.run([&] { return std::make_unique<control_sessions>(rpc, m_settings); }))
         , m_streamOrigins(m_io, rpc, *m_controlSessions, m_settings)
         , m_crashReports(rpc, *m_controlSessions)
-        , m_state { m_io, m_settings, m_metrics, m_sharedLimits, m_streamOrigins, m_crashReports, nullptr, 0,
-            core::target_selector(targetSelectorOptions(m_settings)), retryBudget(*m_settings.forwarding),
-            target_connection_pool(m_io), core::buffer_budget(m_settings.forwarding->responseBufferBytes) }
+        , m_rateLimits(m_io, rpc, *m_controlSessions)
+        , m_state { m_io, m_settings, m_metrics, m_sharedLimits, m_streamOrigins, m_crashReports,
+            m_rateLimits, [this](const core::target_demand& demand) { m_follower.reportDemand(demand); },
+            nullptr, 0, core::target_selector(targetSelectorOptions(m_settings)),
+            retryBudget(*m_settings.forwarding), target_connection_pool(m_io),
+            core::buffer_budget(m_settings.forwarding->responseBufferBytes) }
         , m_acceptor(m_io, endpointOf(m_settings.forwarding->callerAddress))
         , m_status(*m_settings.forwarding, m_metrics)
         , m_follower(rpc, m_settings, [this](control_update update) {
@@ -83,6 +86,7 @@
             m_thread.join();
         m_streamOrigins.stop();
         m_crashReports.stop();
+        m_rateLimits.stop();
         m_rpc.run([this] { m_controlSessions.reset(); });
     }
 
@@ -144,6 +148,7 @@
         m_state.targetSelector.applyReturnAges(update.returns, now);
         if (update.deployment)
             applyDeployment(*update.deployment, now);
+        applyDemands(update, now);
         m_state.link.setTargetCount(m_state.targetSelector.readyTargets());
         if (update.helpers) {
             m_state.helpers.setHelpers(*update.helpers);
@@ -166,6 +171,16 @@
         m_metrics.set("plumfold_condemned_requests", static_cast<double>(m_state.crashScreen.verdicts()));
     }
 
+    void applyDemands(const control_update& update, core::instant now)
+    {
+        for (const auto& each : m_state.targetSelector.applyDemands(update.demands, now))
+            m_state.logDemand(each, "control");
+        if (!update.limitIssuers.empty())
+            m_rateLimits.setIssuers(update.limitIssuers);
+        m_metrics.set(
+            "plumfold_rate_limited_targets", static_cast<double>(m_state.targetSelector.limitedTargets()));
+    }
+
     void setControl(const std::map<std::string, std::string>& domains)
     {
         if (domains == m_control)
@@ -256,6 +271,7 @@
     std::unique_ptr<control_sessions> m_controlSessions; // used and destroyed on the RPC thread
     stream_origin_client m_streamOrigins;
     crash_report_client m_crashReports;
+    rate_limit_client m_rateLimits;
     forwarding_state m_state;
     asio::ip::tcp::acceptor m_acceptor;
     std::optional<asio::ip::tcp::acceptor> m_relayAcceptor; // for requests of other entries
--- a/packages/forwarding/src/plumfold_forwarding_state.hpp
+++ b/packages/forwarding/src/plumfold_forwarding_state.hpp
@@ -3,6 +3,7 @@
 #include "plumfold_asio.hpp"
 #include "plumfold_crash_detector.hpp"
 #include "plumfold_crash_report_client.hpp"
+#include "plumfold_rate_limit_client.hpp"
 #include "plumfold_shared_limit_client.hpp"
 #include "plumfold_stream_origin_client.hpp"
 #include "plumfold_target_connection_pool.hpp"
@@ -20,6 +21,7 @@
 #include "plumfold/runtime/plumfold_metrics.hpp"
 #include "plumfold/runtime/plumfold_settings.hpp"
 
+#include <functional>
 #include <memory>
 #include <set>
 
@@ -35,6 +37,8 @@
     shared_limit_client& sharedLimits;
     stream_origin_client& streamOrigins;
     crash_report_client& crashReports;
+    rate_limit_client& rateLimits;
+    std::function<void(const core::target_demand&)> reportDemand; ///< To control VMs.
     std::shared_ptr<const core::deployment> deployment; ///< Null until the first one is received.
     std::uint64_t deploymentRevision = 0;
     core::target_selector targetSelector;
@@ -70,6 +74,18 @@
         metrics.set("plumfold_link_lost", change->isLost ? 1 : 0);
     }
 
+    /// Logs that a target has named, changed or ended a limit.
+    /// @param source from which this entry knows it.
+    static void logDemand(const core::target_demand& demand, const char* source)
+    {
+        runtime::log_event(demand.maxRequestsPerSecond ? "target_limited" : "target_not_limited")
+            .with("target", demand.target)
+            .with("started_at", demand.startedAt)
+            .with("max_requests_per_second", core::limitText(demand))
+            .with("epoch", demand.epoch)
+            .with("source", source);
+    }
+
     /// Tells control VMs of suspects that have succeeded here.
     void reportSuccesses(core::instant now)
     {
--- a/packages/forwarding/src/plumfold_request_attempt.cpp
+++ b/packages/forwarding/src/plumfold_request_attempt.cpp
@@ -117,13 +117,11 @@
         m_state.connections.release(std::move(m_connection));
         co_return classifyFailure(beast::error::timeout);
     }
-    // While the connection was opened, a verdict may have come in force, the target may have become cold, the
-    // granted start may have expired, or the time for the target's weights may have ended.
-    bool hasColdStart = placement.isCold && runtime::nowWithSuspension() < m_coldStartUntil;
+    // While the connection was opened, a verdict may have come in force, the target may have become cold or
+    // named a limit, the granted start may have expired, or the time for the target's weights may have ended.
     bool isCondemned = m_state.crashScreen.findVerdict(m_traitList, runtime::now()).has_value();
     bool mayStart = m_state.targetSelector.mayStart(placement.target, m_head.model, runtime::now());
-    if (isCondemned || !mayStart
-        || (!hasColdStart && m_state.targetSelector.isCold(placement.target, runtime::now()))) {
+    if (isCondemned || !mayStart || !hasStart(placement)) {
         m_state.connections.release(std::move(m_connection));
         co_return core::attempt_result::not_started;
     }
@@ -142,6 +140,8 @@
     m_targetUnresponsive = false;
     m_mayTargetHaveEnded = false;
     m_wasRejectedForRoom = false;
+    auto demand = m_state.targetSelector.demandOf(placement.target);
+    m_knownEpoch = demand ? demand->epoch : 0;
     armWatchdog();
     ++m_attemptCount;
     bool mayHaveExecutedBefore = m_mayHaveExecuted;
@@ -232,8 +232,10 @@
             continue;
         }
         m_wasRejectedForRoom = m_helper.empty() && head.isNotExecuted && !head.isMisdirected;
-        if (m_helper.empty() && !head.isMisdirected)
+        if (m_helper.empty() && !head.isMisdirected) {
             recordRoom(head);
+            recordDemands(head);
+        }
         bool isRelayFailure = relayed && relayed->outcome != relay_outcome::by_target;
         auto end = isRelayFailure ? co_await receiveRelayFailure(parser, *relayed)
             : isStream            ? co_await relayStream(parser)
@@ -269,6 +271,17 @@
     }
 }
 
+/// Records what the target of a response asks of its callers.
+void request_forwarder::recordDemands(const platform::target_response_head& head)
+{
+    auto changed = m_state.targetSelector.onStatement(
+        { m_lastTarget, m_lastStart, head.maxRequestsPerSecond, m_knownEpoch }, runtime::now());
+    if (!changed)
+        return;
+    m_state.logDemand(*changed, "response");
+    m_state.reportDemand(*changed);
+}
+
 /// Bytes of a helper say nothing about the link to targets.
 void request_forwarder::onBytes()
 {
--- a/packages/forwarding/src/plumfold_request_forwarder.cpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.cpp
@@ -20,6 +20,10 @@
 constexpr int placementWaitDivisor = 8;
 /// A request that asked for starts on this many cold targets goes to warm ones only.
 constexpr unsigned maxColdStartRequests = 3;
+/// A request that asked for starts on this many targets with a limit goes to targets without one only.
+constexpr unsigned maxLimitedStartRequests = 3;
+/// Callers that are rejected for limits come back at times that differ by up to this.
+constexpr std::uint64_t maxRetryAfterSpreadMs = 1'000;
 /// With more targets unreachable, a request is not sent to further ones.
 constexpr std::size_t maxUnreachableTargets = 3;
 
@@ -217,6 +221,7 @@
     out.excluded = m_attemptedTargets;
     out.excluded.insert(m_unreachableTargets.begin(), m_unreachableTargets.end());
     out.isWarmOnly = m_coldStartRequests >= maxColdStartRequests;
+    out.isUnlimitedOnly = m_limitedStartRequests >= maxLimitedStartRequests;
     if (m_origin)
         out.softwareVersion = m_origin->softwareVersion;
     if (!m_route->hasSessions)
@@ -272,7 +277,9 @@
         if (!selection.chosen) {
             if (mayRelayAfter(selection) && co_await relay())
                 break;
-            if (!m_relayed && runtime::now() < waitUntil && m_attemptCount == 0 && !m_callerDisconnected) {
+            bool isLimited = selection.reason == core::placement_failure::rate_limited;
+            bool mayWait = !isLimited && !m_relayed && m_attemptCount == 0 && !m_callerDisconnected;
+            if (mayWait && runtime::now() < waitUntil) {
                 error_code ignored;
                 timer.expires_after(placementPollInterval);
                 co_await timer.async_wait(into(ignored));
@@ -286,10 +293,7 @@
                 core::target_selector::expectedTokens(request), runtime::now());
             co_return;
         }
-        bool mayStart = true;
-        if (selection.chosen->isCold)
-            mayStart = co_await requestColdStart(*selection.chosen);
-        if (!mayStart) {
+        if (!co_await requestStart(*selection.chosen)) {
             m_state.targetSelector.onAttemptEnded(selection.chosen->target, core::attempt_result::not_started,
                 core::target_selector::expectedTokens(request), runtime::now());
             continue;
@@ -350,6 +354,54 @@
         finishUnanswered();
 }
 
+/// @return whether the request may start on a target, as far as that has to be granted.
+task<bool> request_forwarder::requestStart(const core::placement& placement)
+{
+    bool mayStart = true;
+    if (placement.isCold)
+        mayStart = co_await requestColdStart(placement);
+    if (mayStart && placement.isRateLimited)
+        mayStart = co_await requestLimitedStart(placement);
+    co_return mayStart;
+}
+
+/// @return whether the request still may start on a target, now that it is to be sent.
+bool request_forwarder::hasStart(const core::placement& placement) const
+{
+    auto now = runtime::nowWithSuspension();
+    const auto& selector = m_state.targetSelector;
+    bool hasColdStart = placement.isCold && now < m_coldStartUntil;
+    bool hasLimitedStart = placement.isRateLimited && now < m_limitedStartUntil;
+    return (hasColdStart || !selector.isCold(placement.target, runtime::now()))
+        && (hasLimitedStart || !selector.isRateLimited(placement.target));
+}
+
+/// @return whether the request may start on a target that limits its requests per second.
+task<bool> request_forwarder::requestLimitedStart(const core::placement& placement)
+{
+    auto demand = m_state.targetSelector.demandOf(placement.target);
+    if (!demand)
+        co_return true;
+    ++m_limitedStartRequests;
+    auto requestedAt = runtime::nowWithSuspension();
+    auto answer = co_await m_state.rateLimits.start(placement.failureDomain, *demand);
+    auto now = runtime::now();
+    if (answer)
+        m_state.targetSelector.onRateLimitDecision(placement.target, *answer, now);
+    auto decision = answer ? *answer : m_state.targetSelector.tryStartWithoutIssuer(placement.target, now);
+    m_limitedStartUntil = requestedAt + core::startGrantLifetime;
+    m_state.metrics.count(std::string("plumfold_limited_starts_total{service=\"") + m_service
+        + (decision.isGranted ? "\",result=\"granted\"}" : "\",result=\"refused\"}"));
+    if (decision.isGranted)
+        runtime::log_event("limited_start_granted")
+            .with("request", m_head.id)
+            .with("target", placement.target)
+            .with("max_requests_per_second", core::limitText(*demand))
+            .with("by_issuer", answer ? "true" : "false")
+            .with("requests", m_limitedStartRequests);
+    co_return decision.isGranted;
+}
+
 /// @return whether the request may start on a cold target.
 task<bool> request_forwarder::requestColdStart(const core::placement& placement)
 {
@@ -360,7 +412,7 @@
         m_state.targetSelector.onColdStartRefused(placement.target, runtime::now() + decision.retryAfter);
         co_return false;
     }
-    m_coldStartUntil = requestedAt + core::coldStartGrantLifetime;
+    m_coldStartUntil = requestedAt + core::startGrantLifetime;
     auto duration = runtime::nowWithSuspension() - requestedAt;
     runtime::log_event("cold_start_granted")
         .with("request", m_head.id)
@@ -387,13 +439,17 @@
 
 void request_forwarder::rejectWithoutTarget(const core::placement_result& selection)
 {
-    static constexpr const char* reasons[] = { "no_target", "targets_cold", "targets_full" };
+    static constexpr const char* reasons[]
+        = { "no_target", "targets_cold", "targets_full", "targets_limited" };
     m_reason = reasons[static_cast<int>(selection.reason)];
     m_isUnavailable = selection.isBackedOff && selection.reason == core::placement_failure::no_target;
+    auto retryAfter = selection.retryAfter;
+    if (selection.reason == core::placement_failure::rate_limited)
+        retryAfter += core::milliseconds(core::hashBytes(m_head.id) % maxRetryAfterSpreadMs);
     if (m_mayHaveExecuted || m_streamStarted)
         finishUnanswered();
     else
-        reject(http::status::service_unavailable, m_reason, selection.retryAfter);
+        reject(http::status::service_unavailable, m_reason, retryAfter);
 }
 
 /// Generates the final response to a request that no target responded to.
--- a/packages/forwarding/src/plumfold_request_forwarder.hpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.hpp
@@ -75,6 +75,9 @@
     bool mayRetry() const;
     task<bool> takeRetryBudget();
     task<bool> requestColdStart(const core::placement& placement);
+    task<bool> requestLimitedStart(const core::placement& placement);
+    task<bool> requestStart(const core::placement& placement);
+    bool hasStart(const core::placement& placement) const;
     task<void> onTargetLost(const core::placement& placement);
     static task<bool> reportIfEnded(forwarding_state& state, lost_request lost);
     bool rejectCondemned();
@@ -92,6 +95,7 @@
         target_response_parser& parser, const relay_result& relayed);
     task<core::attempt_result> relayStream(target_response_parser& parser);
     void recordRoom(const platform::target_response_head& head);
+    void recordDemands(const platform::target_response_head& head);
     void onBytes();
     task<bool> discardBody(target_response_parser& parser);
     task<bool> readChunk(target_response_parser& parser, std::string& chunk);
@@ -148,6 +152,9 @@
     bool m_hasRetryGrant = false; // the retry after an unresponsive target is counted already
     unsigned m_coldStartRequests = 0;
     core::instant m_coldStartUntil {}; // until when a granted start may be used, with suspensions
+    unsigned m_limitedStartRequests = 0;
+    core::instant m_limitedStartUntil {}; // until when a granted start may be used, with suspensions
+    std::uint64_t m_knownEpoch = 0; // of the target's demand when the current attempt was sent
     bool m_mayHaveExecuted = false;
     bool m_timedOut = false;
     bool m_targetUnresponsive = false; // why the current attempt was abandoned
--- a/packages/wire/include/plumfold/wire/plumfold_convert.hpp
+++ b/packages/wire/include/plumfold/wire/plumfold_convert.hpp
@@ -9,6 +9,7 @@
 #include "plumfold/core/plumfold_relay_helpers.hpp"
 #include "plumfold/core/plumfold_stream_origin.hpp"
 #include "plumfold/core/plumfold_suspect_registry.hpp"
+#include "plumfold/core/plumfold_target_demands.hpp"
 #include "plumfold/core/plumfold_target_directory.hpp"
 #include "plumfold/core/plumfold_target_report.hpp"
 #include "plumfold/core/plumfold_target_selector.hpp"
@@ -109,6 +110,9 @@
 void write(TargetLoad::Builder out, const core::target_load& value);
 core::target_load read(TargetLoad::Reader in);
 
+void write(TargetDemand::Builder out, const core::target_demand& value);
+core::target_demand read(TargetDemand::Reader in);
+
 void write(StreamRecord::Builder out, const core::stream_record& value);
 core::stream_record read(StreamRecord::Reader in);
 
--- a/packages/wire/schema/plumfold.capnp
+++ b/packages/wire/schema/plumfold.capnp
@@ -195,7 +195,7 @@
   share @1 (address :Text, failureDomain :Text, entries :UInt32, targets :List(AnnouncedTarget),
       parts :List(PartNews), clock :UInt64, loads :List(TargetLoad), namings :List(EventAge),
       returns :List(EventAge), crashes :List(CrashReport), successes :List(RecordedSuccess),
-      followers :List(EntryAddress), hasFollowers :Bool) -> ();
+      followers :List(EntryAddress), hasFollowers :Bool, demands :List(TargetDemand)) -> ();
 }
 interface Operator {
   form @0 () -> (reply :Reply);
@@ -217,14 +217,19 @@
   # recently; they are left out if their digest is the known one. So are the suspects. The ages of the namings are
   # those at the time at which the call arrived, so that they can be bounded from above; those of the returns to
   # service are those at the time of the response. The helpers are other entries to which this one
-  # may relay requests; they are left out if their digest is the known one.
+  # may relay requests; they are left out if their digest is the known one. Demands are sent in both directions:
+  # those that the entry has learned from responses, and those that changed after the known number. limitIssuers are
+  # the control VMs that serve startLimited, by failure domain of the target; they are left out if no target limits
+  # its requests.
   follow @2 (knownDeployment :UInt64, feed :UInt64, knownChange :UInt64, waitMs :UInt32, confirmed :Bool,
-      parts :List(PartCursor), knownVerdicts :UInt64, knownSuspects :UInt64, relayAddress :Text, knownHelpers :UInt64)
+      parts :List(PartCursor), knownVerdicts :UInt64, knownSuspects :UInt64, relayAddress :Text, knownHelpers :UInt64,
+      demands :List(TargetDemand), knownDemands :UInt64)
       -> (fresh :Bool, deployment :DeploymentState, feed :UInt64, change :UInt64, everything :Bool,
           targets :List(AnnouncedTarget), control :List(ControlAddress), entries :UInt32, parts :List(PartNews), clock :UInt64,
           loads :List(TargetLoad), sharedLimits :Text, verdictsDigest :UInt64, verdicts :List(CrashVerdict),
           suspects :List(CrashSuspect), suspectsDigest :UInt64, namings :List(EventAge),
-          returns :List(EventAge), helpers :List(EntryAddress), helpersDigest :UInt64);
+          returns :List(EventAge), helpers :List(EntryAddress), helpersDigest :UInt64,
+          demands :List(TargetDemand), latestDemand :UInt64, limitIssuers :List(ControlAddress));
   # Asks the holder of the lease shared-limits/ and the entry's failure domain for one start on a cold target.
   startCold @3 (service :Text, target :Text) -> (granted :Bool, retryAfterMs :UInt32);
   # Asks the same control VM for one retry beyond the share of the entry's own requests.
@@ -238,6 +243,10 @@
   # Reports targets that ended while they ran requests of this entry, successes of suspects, and verdicts
   # by which requests were rejected.
   reportCrashes @7 (crashes :List(CrashReport), successes :List(SuspectSuccess), rejected :List(UInt64)) -> ();
+  # Asks the holder of the lease shared-limits/ and the target's failure domain for one start on a target that limits
+  # its requests per second. It has not decided if it does not hold the lease.
+  startLimited @8 (failureDomain :Text, demand :TargetDemand)
+      -> (decided :Bool, granted :Bool, retryAfterMs :UInt32);
 }
 
 # Requests that crash targets, see core::request_traits, core::crash_report, core::suspect_success,
@@ -255,6 +264,15 @@
   traits @4 :List(UInt64);
 }
 
+# What a target asks of its callers, see core::target_demand.
+struct TargetDemand {
+  target @0 :Text;
+  startedAt @1 :UInt64;
+  epoch @2 :UInt64;
+  limited @3 :Bool;
+  maxRequestsPerSecond @4 :Float64;
+}
+
 # Where a stream began, see core::stream_record.
 struct StreamRecord { stream @0 :UInt64; service @1 :Text; softwareVersion @2 :Text; keepForMs @3 :UInt32; }
 
--- a/packages/wire/src/plumfold_convert_deployment.cpp
+++ b/packages/wire/src/plumfold_convert_deployment.cpp
@@ -140,6 +140,23 @@
         core::milliseconds(in.getAgeMs()), in.getBusy() };
 }
 
+void write(TargetDemand::Builder out, const core::target_demand& value)
+{
+    out.setTarget(value.target);
+    out.setStartedAt(value.startedAt);
+    out.setEpoch(value.epoch);
+    out.setLimited(value.maxRequestsPerSecond.has_value());
+    out.setMaxRequestsPerSecond(value.maxRequestsPerSecond.value_or(0));
+}
+
+core::target_demand read(TargetDemand::Reader in)
+{
+    core::target_demand value { text(in.getTarget()), in.getStartedAt(), in.getEpoch(), {} };
+    if (in.getLimited())
+        value.maxRequestsPerSecond = in.getMaxRequestsPerSecond();
+    return value;
+}
+
 void write(StreamRecord::Builder out, const core::stream_record& value)
 {
     out.setStream(value.stream);
