Break ties between idle targets differently at each entry

Callers saw: of four targets with limits of 6 a second only 151 and 152 of 192 possible requests served in 8 s.

Cause: among targets with the same load, every entry took the first by name. At light load all requests went to one target, and all entries asked for starts on the same limited targets first.

Ruled out: the issuer's bucket (uses over 0.9 of any limit in its property test), time-outs of the calls (all by_issuer).

Change: ties are broken by a hash of entry and target.

--- a/packages/core/src/plumfold_target_selector.cpp
+++ b/packages/core/src/plumfold_target_selector.cpp
@@ -370,7 +370,9 @@
         bool isRemote = target->last.failureDomain != m_options.failureDomain;
         // A remote target is selected once the local ones have a whole batch more in flight.
         double load = static_cast<double>(target->inFlight) * m_entries / std::max(target->last.slots, 1u);
-        return std::pair(load + (isRemote ? 1.0 : 0.0), target->last.name);
+        // Equal ones are ranked differently by each entry, which spreads requests over idle targets.
+        return std::tuple(load + (isRemote ? 1.0 : 0.0),
+            hashBytes(m_options.entryName, hashBytes(target->last.name)), target->last.name);
     };
     return *std::min_element(candidates.begin(), candidates.end(),
         [&](const auto* left, const auto* right) { return cost(left) < cost(right); });
--- a/tests/core/plumfold_target_selector_tests.cpp
+++ b/tests/core/plumfold_target_selector_tests.cpp
@@ -52,6 +52,30 @@
 
 } // namespace
 
+TEST_CASE("Entries spread requests without a session over idle targets", "[selector]")
+{
+    constexpr int entries = 60;
+    std::map<std::string, int> chosen;
+    for (int number = 0; number < entries; ++number) {
+        target_selector_options options;
+        options.failureDomain = "a";
+        options.entryName = "n" + std::to_string(number);
+        target_selector selector(options);
+        std::vector<target_announcement> targets;
+        for (const auto* name : { "t1", "t2", "t3", "t4" })
+            targets.push_back({ name, "s", "address", "a", 8 });
+        selector.applyAnnouncements(targets, true, instant(std::chrono::hours(1)));
+        placement_request request;
+        request.service = "s";
+        auto result = selector.choose(request, instant(std::chrono::hours(1)));
+        REQUIRE(result.chosen);
+        ++chosen[result.chosen->target];
+    }
+    CHECK(chosen.size() == 4);
+    for (const auto& [target, count] : chosen)
+        CHECK(count >= entries / 4 / 3);
+}
+
 TEST_CASE("Requests of one conversation share a number whatever their own last part is", "[target_board]")
 {
     CHECK(conversationOf({ { "system", 500 }, { "session", 8000 }, { "own", 200 } })
