--- a/tests/forwarding/support/plumfold_scripted_target.cpp
+++ b/tests/forwarding/support/plumfold_scripted_target.cpp
@@ -115,6 +115,39 @@
     return expected != request.headers.end() && expected->second != m_name;
 }
 
+void scripted_target::askForRest(int process, std::chrono::milliseconds time)
+{
+    std::lock_guard lock(m_mutex);
+    m_restsToAsk[process] = time;
+}
+
+std::vector<scripted_rest> scripted_target::rests() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_rests;
+}
+
+bool scripted_target::rejectForRest(exchange& current)
+{
+    auto now = std::chrono::steady_clock::now();
+    std::optional<std::chrono::milliseconds> time; // that is left
+    {
+        std::lock_guard lock(m_mutex);
+        if (auto asked = m_restsToAsk.extract(current.owner); asked)
+            m_rests.push_back({ current.owner, now, now + asked.mapped() });
+        for (const auto& each : m_rests) {
+            if (each.process == current.owner && now < each.until)
+                time = std::chrono::duration_cast<std::chrono::milliseconds>(each.until - now);
+        }
+    }
+    if (!time)
+        return false;
+    auto seconds = std::to_string(static_cast<double>(time->count()) / 1000);
+    current.sendResponse(
+        "503 Service Unavailable", "Not-Executed: 1\r\nRetry-After: " + seconds + "\r\n", "");
+    return true;
+}
+
 void scripted_target::crashWhileServing(exchange& current)
 {
     if (current.request.path.find("/events") != std::string::npos)
@@ -188,6 +221,7 @@
             {
                 std::lock_guard lock(m_mutex);
                 current.request.receivedAt = std::chrono::steady_clock::now();
+                current.request.process = current.owner;
                 current.number = m_requests.size();
                 m_requests.push_back(current.request);
             }
@@ -195,7 +229,7 @@
                 current.sendResponse("421 Misdirected Request", "Not-Executed: 1\r\n", "");
                 continue;
             }
-            if (rejectForWeights(current) || !waitForStart(current))
+            if (rejectForRest(current) || rejectForWeights(current) || !waitForStart(current))
                 continue;
             if (m_crashCondition && m_crashCondition(current.request)) {
                 crashWhileServing(current);
--- a/tests/forwarding/support/plumfold_scripted_target.hpp
+++ b/tests/forwarding/support/plumfold_scripted_target.hpp
@@ -24,11 +24,19 @@
     std::string path;
     std::map<std::string, std::string> headers; ///< Names in lower case.
     std::string body;
+    int process = 0; ///< That sent it, if link_cuts knows it.
     std::chrono::steady_clock::time_point receivedAt {};
     std::uint64_t weights = 0; ///< Version that the target ran the request on; 0: it did not run.
     std::chrono::steady_clock::time_point startedAt {}; ///< When it began to run, if it has weights.
 };
 
+/// A time in which a target wants no requests from a process.
+struct scripted_rest {
+    int process = 0;
+    std::chrono::steady_clock::time_point from {};
+    std::chrono::steady_clock::time_point until {};
+};
+
 /// What a target does with an order to load weights.
 enum class order_behaviour {
     execute,
@@ -69,6 +77,12 @@
     /// @return the header lines that are added to all responses.
     std::string responseHeaders() const;
 
+    /// Lets the target ask a process for rest from the process' next request on: until the rest ends, it
+    /// rejects all its requests. Call setLinkCuts() before, with the process known there.
+    void askForRest(int process, std::chrono::milliseconds time);
+    /// @return when the target has asked processes for rest, and until when.
+    std::vector<scripted_rest> rests() const;
+
     /// Makes the target an engine of a model. Call it before the target serves requests.
     void setWeights(const std::string& model, std::uint64_t version, order_behaviour orders);
     /// Lets requests to the model wait before they run.
@@ -118,6 +132,8 @@
     bool passesLink(exchange& current) const;
     bool isMisdirected(const recorded_request& request) const;
     void crashWhileServing(exchange& current);
+    /// @return whether the request was rejected because its process is to rest.
+    bool rejectForRest(exchange& current);
     /// @return whether the request was rejected because of the target's weights.
     bool rejectForWeights(exchange& current);
     void serveWithRoom(exchange& current);
@@ -174,6 +190,8 @@
     mutable std::mutex m_mutex;
     std::vector<recorded_request> m_requests;
     std::string m_responseHeaders;
+    std::map<int, std::chrono::milliseconds> m_restsToAsk; // by process
+    std::vector<scripted_rest> m_rests;
     std::optional<scripted_weights> m_weights;
     std::atomic<std::chrono::milliseconds> m_queueTime { std::chrono::milliseconds(0) };
     std::unique_ptr<scripted_room> m_room;
