Obey targets that ask an entry for rest

Callers saw: up to over a tenth of the requests to model services not served while five of 18 engines asked single entries for rest; the engines got 4 and 3 requests in a rest of 3 s (2 allowed).

Cause: Retry-After of a target's 503 was not read, so the next request went to the target again; without load it was even preferred. The retry that each rejection needed used up the retry budget, and with it the way to sound targets.

Ruled out: requests on their way (rejections for nine seconds), repeats and relays (59 of 90 refused requests were sent once, none relayed).

Change: a target that asks for rest gets no request from this entry until then, however it is sent: it is left out of the choice, also of paused targets and of what may replace a silent one, and it is asked again just before sending. The longest rest applies, for the incarnation that asked.

--- a/packages/core/include/plumfold/core/plumfold_target_selector.hpp
+++ b/packages/core/include/plumfold/core/plumfold_target_selector.hpp
@@ -67,6 +67,7 @@
     no_target, ///< No usable target is known.
     cold, ///< No usable target is left but cold ones on which no request may start now.
     full, ///< All are at their limit of concurrent requests.
+    resting, ///< No usable target is left but some that want no requests from this entry now.
     rate_limited, ///< No usable target is left but some that get no further requests now by their own limit.
 };
 
@@ -197,6 +198,14 @@
     std::size_t limitedTargets() const { return m_demands.limitedTargets(); }
     /// @return whether a target limits its requests per second.
     bool isRateLimited(const std::string& target) const;
+    /// Records that a target wants no requests from this entry until a time.
+    /// @param startedAt incarnation of the target.
+    void onRestRequested(const std::string& target, unix_milliseconds startedAt, instant until);
+    /// @return whether a target wants no requests from this entry now.
+    bool isResting(const std::string& target, instant now) const;
+    /// @return the names of the targets of a service that want no requests from this entry now.
+    std::set<std::string> restingTargets(const std::string& service, instant now) const;
+
     /// Records the decision on a start on a target that limits its requests per second.
     void onRateLimitDecision(const std::string& target, const grant_decision& decision, instant now);
     /// Decides on such a start while the control VM that grants them does not answer. Every entry has a small
@@ -260,6 +269,7 @@
         target_announcement last;
         instant coldUntil {}; ///< As announced.
         instant coldStartRefusedUntil {};
+        instant restsUntil {}; ///< The target wants no requests from this entry before.
         instant limitedStartRefusedUntil {}; ///< By the target's limit of requests per second.
         std::optional<instant> nextStartWithoutIssuer;
         instant backoffUntil {};
@@ -286,6 +296,7 @@
     bool isCold(const tracked_target& target, instant now) const;
     bool isAtLimit(const tracked_target& target, const placement_request& request, instant now) const;
     bool isRateLimited(const tracked_target& target) const;
+    std::optional<instant> nextRestEnd(const placement_request& request, instant now) const;
     tracked_target* selectTarget(
         std::vector<tracked_target*>& candidates, const placement_request& request, instant now) const;
     tracked_target* selectForSession(
--- a/packages/core/src/plumfold_target_limits.cpp
+++ b/packages/core/src/plumfold_target_limits.cpp
@@ -46,6 +46,41 @@
     return m_demands.maxRequestsPerSecond(target.last.name, target.last.startedAt).has_value();
 }
 
+void target_selector::onRestRequested(const std::string& target, unix_milliseconds startedAt, instant until)
+{
+    auto found = m_targets.find(target);
+    if (found != m_targets.end() && found->second.last.startedAt == startedAt)
+        found->second.restsUntil = std::max(found->second.restsUntil, until);
+}
+
+bool target_selector::isResting(const std::string& target, instant now) const
+{
+    auto found = m_targets.find(target);
+    return found != m_targets.end() && now < found->second.restsUntil;
+}
+
+std::set<std::string> target_selector::restingTargets(const std::string& service, instant now) const
+{
+    std::set<std::string> names;
+    for (const auto& [name, each] : m_targets) {
+        if (each.last.service == service && now < each.restsUntil)
+            names.insert(name);
+    }
+    return names;
+}
+
+/// @return when the first rest ends of a target that could serve the request; nothing if there is none.
+std::optional<instant> target_selector::nextRestEnd(const placement_request& request, instant now) const
+{
+    std::optional<instant> next;
+    for (const auto& [name, each] : m_targets) {
+        bool isResting = each.last.service == request.service && now < each.restsUntil;
+        if (isResting && isResponsive(each, now) && !request.excluded.contains(name))
+            next = std::min(next.value_or(instant::max()), each.restsUntil);
+    }
+    return next;
+}
+
 void target_selector::onRateLimitDecision(
     const std::string& target, const grant_decision& decision, instant now)
 {
--- a/packages/core/src/plumfold_target_selector.cpp
+++ b/packages/core/src/plumfold_target_selector.cpp
@@ -38,6 +38,7 @@
         if (each.startedAt != known.last.startedAt) {
             known.backoffUntil = now;
             known.currentBackoff = milliseconds(0);
+            known.restsUntil = now;
             m_brittleLimiter.onTargetStarted(each.service, each.name, now);
         }
         if (each.state == target_state::silent && known.last.state != target_state::silent)
@@ -215,6 +216,8 @@
     const auto& version = request.softwareVersion;
     if (version && (version->empty() || *version != target.last.softwareVersion))
         return false;
+    if (now < target.restsUntil)
+        return false;
     if (target.weightsUnconfirmed && now - target.unconfirmedSince < unconfirmedWeightsBackoff)
         return false;
     bool isBusy = target.load && target.load->isBusy && now - target.loadAt < m_options.maxLoadAge;
@@ -306,14 +309,17 @@
         answer.chosen->isTargetUnderLoad = isUnderLoad(*chosen, now);
         return answer;
     }
+    auto restEnd = nextRestEnd(request, now);
     answer.reason = isFull ? placement_failure::full
         : nextColdStart    ? placement_failure::cold
         : nextLimitedStart ? placement_failure::rate_limited
+        : restEnd          ? placement_failure::resting
                            : placement_failure::no_target;
     answer.retryAfter = retryWithoutTarget;
-    if (answer.reason == placement_failure::rate_limited)
-        answer.retryAfter
-            = std::max(milliseconds(1), std::chrono::ceil<milliseconds>(*nextLimitedStart - now));
+    if (answer.reason == placement_failure::rate_limited || answer.reason == placement_failure::resting) {
+        auto next = std::min(nextLimitedStart.value_or(instant::max()), restEnd.value_or(instant::max()));
+        answer.retryAfter = std::max(milliseconds(1), std::chrono::ceil<milliseconds>(next - now));
+    }
     answer.isBackedOff = std::any_of(m_targets.begin(), m_targets.end(), [&](const auto& each) {
         return each.second.last.service == request.service && isResponsive(each.second, now)
             && now < each.second.backoffUntil;
--- a/packages/forwarding/src/plumfold_request_attempt.cpp
+++ b/packages/forwarding/src/plumfold_request_attempt.cpp
@@ -117,8 +117,9 @@
         m_state.connections.release(std::move(m_connection));
         co_return classifyFailure(beast::error::timeout);
     }
-    // While the connection was opened, a verdict may have come in force, the target may have become cold or
-    // named a limit, the granted start may have expired, or the time for the target's weights may have ended.
+    // While the connection was opened, a verdict may have come in force, the target may have become cold,
+    // named a limit or asked for rest, the granted start may have expired, or the time for the target's
+    // weights may have ended.
     bool isCondemned = m_state.crashScreen.findVerdict(m_traitList, runtime::now()).has_value();
     bool mayStart = m_state.targetSelector.mayStart(placement.target, m_head.model, runtime::now());
     if (isCondemned || !mayStart || !hasStart(placement)) {
@@ -274,8 +275,18 @@
 /// Records what the target of a response asks of its callers.
 void request_forwarder::recordDemands(const platform::target_response_head& head)
 {
+    auto now = runtime::now();
+    if (head.restTime) {
+        m_state.targetSelector.onRestRequested(m_lastTarget, m_lastStart, now + *head.restTime);
+        m_state.metrics.count("plumfold_rests_total{service=\"" + m_service + "\"}");
+        runtime::log_event("target_rest_requested")
+            .with("request", m_head.id)
+            .with("target", m_lastTarget)
+            .with("started_at", m_lastStart)
+            .with("rest_ms", head.restTime->count());
+    }
     auto changed = m_state.targetSelector.onStatement(
-        { m_lastTarget, m_lastStart, head.maxRequestsPerSecond, m_knownEpoch }, runtime::now());
+        { m_lastTarget, m_lastStart, head.maxRequestsPerSecond, m_knownEpoch }, now);
     if (!changed)
         return;
     m_state.logDemand(*changed, "response");
--- a/packages/forwarding/src/plumfold_request_forwarder.cpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.cpp
@@ -22,8 +22,14 @@
 constexpr unsigned maxColdStartRequests = 3;
 /// A request that asked for starts on this many targets with a limit goes to targets without one only.
 constexpr unsigned maxLimitedStartRequests = 3;
-/// Callers that are rejected for limits come back at times that differ by up to this.
-constexpr std::uint64_t maxRetryAfterSpreadMs = 1'000;
+
+/// How a request without a usable target is rejected, by placement_failure.
+struct rejection_kind {
+    const char* reason;
+    std::uint64_t spreadMs; // callers come back at times that differ by less than this
+};
+constexpr rejection_kind rejectionKinds[] = { { "no_target", 1 }, { "targets_cold", 1 },
+    { "targets_full", 1 }, { "targets_resting", 250 }, { "targets_limited", 1'000 } };
 /// With more targets unreachable, a request is not sent to further ones.
 constexpr std::size_t maxUnreachableTargets = 3;
 
@@ -277,9 +283,8 @@
         if (!selection.chosen) {
             if (mayRelayAfter(selection) && co_await relay())
                 break;
-            bool isLimited = selection.reason == core::placement_failure::rate_limited;
-            bool mayWait = !isLimited && !m_relayed && m_attemptCount == 0 && !m_callerDisconnected;
-            if (mayWait && runtime::now() < waitUntil) {
+            bool mayWait = !m_relayed && m_attemptCount == 0 && !m_callerDisconnected;
+            if (mayWait && mayWaitFor(selection, waitUntil)) {
                 error_code ignored;
                 timer.expires_after(placementPollInterval);
                 co_await timer.async_wait(into(ignored));
@@ -354,6 +359,16 @@
         finishUnanswered();
 }
 
+/// @return whether a target may become usable for a request before it would be rejected.
+bool request_forwarder::mayWaitFor(const core::placement_result& selection, core::instant until)
+{
+    auto now = runtime::now();
+    if (selection.reason == core::placement_failure::rate_limited)
+        return false;
+    return selection.reason == core::placement_failure::resting ? now + selection.retryAfter <= until
+                                                                : now < until;
+}
+
 /// @return whether the request may start on a target, as far as that has to be granted.
 task<bool> request_forwarder::requestStart(const core::placement& placement)
 {
@@ -372,7 +387,8 @@
     const auto& selector = m_state.targetSelector;
     bool hasColdStart = placement.isCold && now < m_coldStartUntil;
     bool hasLimitedStart = placement.isRateLimited && now < m_limitedStartUntil;
-    return (hasColdStart || !selector.isCold(placement.target, runtime::now()))
+    return !selector.isResting(placement.target, runtime::now())
+        && (hasColdStart || !selector.isCold(placement.target, runtime::now()))
         && (hasLimitedStart || !selector.isRateLimited(placement.target));
 }
 
@@ -439,13 +455,10 @@
 
 void request_forwarder::rejectWithoutTarget(const core::placement_result& selection)
 {
-    static constexpr const char* reasons[]
-        = { "no_target", "targets_cold", "targets_full", "targets_limited" };
-    m_reason = reasons[static_cast<int>(selection.reason)];
+    const auto& kind = rejectionKinds[static_cast<int>(selection.reason)];
+    m_reason = kind.reason;
     m_isUnavailable = selection.isBackedOff && selection.reason == core::placement_failure::no_target;
-    auto retryAfter = selection.retryAfter;
-    if (selection.reason == core::placement_failure::rate_limited)
-        retryAfter += core::milliseconds(core::hashBytes(m_head.id) % maxRetryAfterSpreadMs);
+    auto retryAfter = selection.retryAfter + core::milliseconds(core::hashBytes(m_head.id) % kind.spreadMs);
     if (m_mayHaveExecuted || m_streamStarted)
         finishUnanswered();
     else
--- a/packages/forwarding/src/plumfold_request_forwarder.hpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.hpp
@@ -78,6 +78,7 @@
     task<bool> requestLimitedStart(const core::placement& placement);
     task<bool> requestStart(const core::placement& placement);
     bool hasStart(const core::placement& placement) const;
+    static bool mayWaitFor(const core::placement_result& selection, core::instant until);
     task<void> onTargetLost(const core::placement& placement);
     static task<bool> reportIfEnded(forwarding_state& state, lost_request lost);
     bool rejectCondemned();
--- a/packages/forwarding/src/plumfold_request_relay.cpp
+++ b/packages/forwarding/src/plumfold_request_relay.cpp
@@ -210,6 +210,8 @@
     out.timeLeft = timeLeft() - responseMargin;
     out.attemptsLeft = maxAttempts() - std::min(maxAttempts(), m_attemptedTargets.size());
     out.excluded = m_attemptedTargets;
+    // A helper must not be a way around what a target has asked of this entry.
+    out.excluded.merge(m_state.targetSelector.restingTargets(m_service, runtime::now()));
     if (m_origin)
         out.softwareVersion = m_origin->softwareVersion;
     return out;
