Obey targets that say in their responses that they leave

Callers could see requests that end with their target.

Cause: Server-Leaving was not read; only announcements made a target leave.

Change: it is part of a target's demand, for its incarnation, and never taken back. The target is left out of the choice at once and asked again just before sending; control VMs mark it as leaving, so that all entries, also those that start later, leave it out although it announces itself as ready.

--- a/packages/control/src/plumfold_deployment_feed.cpp
+++ b/packages/control/src/plumfold_deployment_feed.cpp
@@ -85,6 +85,7 @@
     bool applied = m_directory.apply(target, true, runtime::now());
     if (!applied)
         logTarget("announcement_outdated", target);
+    markLeavingTargets();
     if (m_directory.latestChange() == before)
         return;
     logTarget("target_changed", target);
@@ -123,6 +124,7 @@
     auto before = m_directory.latestChange();
     for (const auto& target : targets)
         m_directory.apply(target, false, runtime::now());
+    markLeavingTargets();
     if (m_directory.latestChange() != before)
         wake();
 }
@@ -270,16 +272,30 @@
     for (const auto& each : demands) {
         if (!m_demands.apply(each, runtime::now()))
             continue;
-        runtime::log_event("target_limit_known")
+        runtime::log_event("target_demand_known")
             .with("target", each.target)
             .with("started_at", each.startedAt)
             .with("epoch", each.epoch)
-            .with("max_requests_per_second", core::limitText(each));
+            .with("max_requests_per_second", core::limitText(each))
+            .with("leaving", each.isLeaving ? "true" : "false");
     }
+    markLeavingTargets();
     if (m_demands.latestChange() != before)
         wake();
 }
 
+/// An announcement that says "ready" is older than a response that says otherwise.
+void deployment_feed::markLeavingTargets()
+{
+    for (const auto& [name, each] : m_demands.entries()) {
+        auto known = m_directory.entries().find(name);
+        bool isSameIncarnation
+            = known != m_directory.entries().end() && known->second.last.startedAt == each.demand.startedAt;
+        if (each.demand.isLeaving && isSameIncarnation)
+            onTargetLeft(name);
+    }
+}
+
 void deployment_feed::resetParts(const std::string& holder, std::uint64_t generation)
 {
     m_parts.reset(holder, generation, runtime::now());
--- a/packages/control/src/plumfold_deployment_feed.hpp
+++ b/packages/control/src/plumfold_deployment_feed.hpp
@@ -164,6 +164,7 @@
     bool isAssignedTo(const std::string& failureDomain) const;
     void wake();
     void updateTargetClock(std::uint64_t clock);
+    void markLeavingTargets();
     void updateServices();
     void logTarget(const char* event, const core::target_announcement& target);
 
--- a/packages/core/include/plumfold/core/plumfold_target_demands.hpp
+++ b/packages/core/include/plumfold/core/plumfold_target_demands.hpp
@@ -19,6 +19,7 @@
     /// Orders the statements about the limit: higher for one that is known to be later or has to be assumed.
     std::uint64_t epoch = 0;
     std::optional<double> maxRequestsPerSecond; ///< From all callers; nothing: no limit.
+    bool isLeaving = false; ///< The target is about to end, whatever it announces; never taken back.
     bool operator==(const target_demand&) const = default;
 };
 
@@ -31,6 +32,7 @@
     unix_milliseconds startedAt = 0; ///< Incarnation of the target.
     std::optional<double> maxRequestsPerSecond; ///< Nothing: the response names no limit.
     std::uint64_t knownEpoch = 0; ///< Epoch that was known here when the request was sent.
+    bool isLeaving = false;
 };
 
 /// The demands of all targets, as far as known to one process. Processes exchange them; whatever the order in
@@ -57,6 +59,9 @@
     /// @return the demand of a target; nothing if it has made none in this incarnation.
     std::optional<target_demand> find(const std::string& target, unix_milliseconds startedAt) const;
 
+    /// @return whether a target has said that it is about to end.
+    bool isLeaving(const std::string& target, unix_milliseconds startedAt) const;
+
     /// @return the limit of a target, in requests per second from all callers; nothing: none.
     std::optional<double> maxRequestsPerSecond(const std::string& target, unix_milliseconds startedAt) const;
 
@@ -67,6 +72,8 @@
     /// @return the demands that changed after it.
     std::vector<target_demand> changedAfter(std::uint64_t change) const;
 
+    const std::map<std::string, entry>& entries() const { return m_entries; }
+
     /// Removes demands of targets that are not known any more and last changed longer ago than maxAge.
     void removeStale(
         const std::function<bool(const std::string&)>& isKnown, instant now, milliseconds maxAge);
@@ -75,6 +82,7 @@
     std::size_t limitedTargets() const;
 
 private:
+    static void updateLimit(target_demand& demand, const target_statement& statement);
     void set(target_demand demand, instant now);
 
     std::map<std::string, entry> m_entries; // by target
--- a/packages/core/src/plumfold_target_demands.cpp
+++ b/packages/core/src/plumfold_target_demands.cpp
@@ -11,9 +11,10 @@
 /// Combines two demands of the same incarnation.
 target_demand combine(const target_demand& left, const target_demand& right)
 {
+    auto combined = left.epoch >= right.epoch ? left : right;
+    combined.isLeaving = left.isLeaving || right.isLeaving;
     if (left.epoch != right.epoch)
-        return left.epoch > right.epoch ? left : right;
-    auto combined = left;
+        return combined;
     // The end of a limit in its own epoch is later than each naming.
     if (!left.maxRequestsPerSecond || !right.maxRequestsPerSecond)
         combined.maxRequestsPerSecond.reset();
@@ -54,24 +55,32 @@
     return true;
 }
 
-std::optional<target_demand> target_demands::onResponse(const target_statement& statement, instant now)
+/// Applies the limit that a response names, or that it names none.
+void target_demands::updateLimit(target_demand& demand, const target_statement& statement)
 {
-    auto newest = m_entries.find(statement.target);
-    if (newest != m_entries.end() && newest->second.demand.startedAt > statement.startedAt)
-        return std::nullopt;
-    auto demand = find(statement.target, statement.startedAt)
-                      .value_or(target_demand { statement.target, statement.startedAt, 0, {} });
     const auto& named = statement.maxRequestsPerSecond;
     const auto& known = demand.maxRequestsPerSecond;
-    if (named == known)
-        return std::nullopt;
     bool isLater = statement.knownEpoch >= demand.epoch;
     bool isLower = named && (!known || *named < *known);
-    if (!isLower && !isLater)
-        return std::nullopt;
+    if (named == known || (!isLower && !isLater))
+        return;
     if (named)
         ++demand.epoch;
     demand.maxRequestsPerSecond = named;
+}
+
+std::optional<target_demand> target_demands::onResponse(const target_statement& statement, instant now)
+{
+    auto newest = m_entries.find(statement.target);
+    if (newest != m_entries.end() && newest->second.demand.startedAt > statement.startedAt)
+        return std::nullopt;
+    auto known = find(statement.target, statement.startedAt)
+                     .value_or(target_demand { statement.target, statement.startedAt, 0, {} });
+    auto demand = known;
+    demand.isLeaving = known.isLeaving || statement.isLeaving;
+    updateLimit(demand, statement);
+    if (demand == known)
+        return std::nullopt;
     set(demand, now);
     return demand;
 }
@@ -92,6 +101,12 @@
     return demand ? demand->maxRequestsPerSecond : std::nullopt;
 }
 
+bool target_demands::isLeaving(const std::string& target, unix_milliseconds startedAt) const
+{
+    auto demand = find(target, startedAt);
+    return demand && demand->isLeaving;
+}
+
 std::vector<target_demand> target_demands::changedAfter(std::uint64_t change) const
 {
     std::vector<target_demand> changed;
--- a/packages/core/src/plumfold_target_selector.cpp
+++ b/packages/core/src/plumfold_target_selector.cpp
@@ -196,7 +196,8 @@
 bool target_selector::isLeaving(const std::string& target) const
 {
     auto found = m_targets.find(target);
-    return found == m_targets.end() || found->second.last.state == target_state::leaving;
+    return found == m_targets.end() || found->second.last.state == target_state::leaving
+        || m_demands.isLeaving(target, found->second.last.startedAt);
 }
 
 bool target_selector::isUsable(
@@ -216,7 +217,7 @@
     const auto& version = request.softwareVersion;
     if (version && (version->empty() || *version != target.last.softwareVersion))
         return false;
-    if (now < target.restsUntil)
+    if (now < target.restsUntil || m_demands.isLeaving(target.last.name, target.last.startedAt))
         return false;
     if (target.weightsUnconfirmed && now - target.unconfirmedSince < unconfirmedWeightsBackoff)
         return false;
--- a/packages/forwarding/src/plumfold_forwarding_state.hpp
+++ b/packages/forwarding/src/plumfold_forwarding_state.hpp
@@ -74,11 +74,13 @@
         metrics.set("plumfold_link_lost", change->isLost ? 1 : 0);
     }
 
-    /// Logs that a target has named, changed or ended a limit.
+    /// Logs that a target has named, changed or ended a limit, or leaves.
     /// @param source from which this entry knows it.
     static void logDemand(const core::target_demand& demand, const char* source)
     {
-        runtime::log_event(demand.maxRequestsPerSecond ? "target_limited" : "target_not_limited")
+        runtime::log_event(demand.isLeaving   ? "target_leaving"
+                : demand.maxRequestsPerSecond ? "target_limited"
+                                              : "target_not_limited")
             .with("target", demand.target)
             .with("started_at", demand.startedAt)
             .with("max_requests_per_second", core::limitText(demand))
--- a/packages/forwarding/src/plumfold_request_attempt.cpp
+++ b/packages/forwarding/src/plumfold_request_attempt.cpp
@@ -286,7 +286,7 @@
             .with("rest_ms", head.restTime->count());
     }
     auto changed = m_state.targetSelector.onStatement(
-        { m_lastTarget, m_lastStart, head.maxRequestsPerSecond, m_knownEpoch }, now);
+        { m_lastTarget, m_lastStart, head.maxRequestsPerSecond, m_knownEpoch, head.isLeaving }, now);
     if (!changed)
         return;
     m_state.logDemand(*changed, "response");
--- a/packages/forwarding/src/plumfold_request_forwarder.cpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.cpp
@@ -387,7 +387,7 @@
     const auto& selector = m_state.targetSelector;
     bool hasColdStart = placement.isCold && now < m_coldStartUntil;
     bool hasLimitedStart = placement.isRateLimited && now < m_limitedStartUntil;
-    return !selector.isResting(placement.target, runtime::now())
+    return !selector.isResting(placement.target, runtime::now()) && !selector.isLeaving(placement.target)
         && (hasColdStart || !selector.isCold(placement.target, runtime::now()))
         && (hasLimitedStart || !selector.isRateLimited(placement.target));
 }
--- a/packages/wire/schema/plumfold.capnp
+++ b/packages/wire/schema/plumfold.capnp
@@ -271,6 +271,7 @@
   epoch @2 :UInt64;
   limited @3 :Bool;
   maxRequestsPerSecond @4 :Float64;
+  leaving @5 :Bool;
 }
 
 # Where a stream began, see core::stream_record.
--- a/packages/wire/src/plumfold_convert_deployment.cpp
+++ b/packages/wire/src/plumfold_convert_deployment.cpp
@@ -147,6 +147,7 @@
     out.setEpoch(value.epoch);
     out.setLimited(value.maxRequestsPerSecond.has_value());
     out.setMaxRequestsPerSecond(value.maxRequestsPerSecond.value_or(0));
+    out.setLeaving(value.isLeaving);
 }
 
 core::target_demand read(TargetDemand::Reader in)
@@ -154,6 +155,7 @@
     core::target_demand value { text(in.getTarget()), in.getStartedAt(), in.getEpoch(), {} };
     if (in.getLimited())
         value.maxRequestsPerSecond = in.getMaxRequestsPerSecond();
+    value.isLeaving = in.getLeaving();
     return value;
 }
 
--- a/tests/core/plumfold_target_demands_tests.cpp
+++ b/tests/core/plumfold_target_demands_tests.cpp
@@ -57,6 +57,22 @@
     }
 }
 
+TEST_CASE("A target that has said that it leaves does so whatever it says later", "[leaving]")
+{
+    target_demands demands;
+    auto changed = demands.onResponse({ "t", 1, 2.0, 0, true }, start);
+    REQUIRE(changed);
+    CHECK(changed->isLeaving);
+    CHECK(demands.onResponse({ "t", 1, std::nullopt, 1, false }, start));
+    CHECK(demands.isLeaving("t", 1));
+    CHECK_FALSE(demands.isLeaving("t", 2));
+    target_demands other;
+    other.apply(limitOf(1, 5), start);
+    other.apply(*changed, start);
+    CHECK(other.isLeaving("t", 1));
+    CHECK(other.maxRequestsPerSecond("t", 1) == 1);
+}
+
 TEST_CASE("Processes that exchange demands agree whatever the order in which these arrive", "[limit]")
 {
     rc::prop("for any number of processes", [] {
@@ -71,7 +87,7 @@
             std::optional<double> named;
             if (random() % 3)
                 named = static_cast<double>(1 + random() % 4);
-            if (auto changed = process.onResponse({ "t", 1, named, epoch }, start))
+            if (auto changed = process.onResponse({ "t", 1, named, epoch, random() % 20 == 0 }, start))
                 sent.push_back(*changed);
             if (!sent.empty())
                 processes[random() % count].apply(sent[random() % sent.size()], start);
