Remember software versions over a restart of all control VMs

Callers saw (users' report, here only if the control VMs are killed as well): streams that were taken up after a kill of all processes were answered 200 and joined from two software versions.

Cause: records of streams, and what was heard of software versions in the last minute, are in the memory of control VMs. Killed at once, all of them know only the versions that announce themselves now. One version counted as the only one, and each stream of unknown origin went on there.

Conclusion: what two software versions need not to be mixed up lasts as long as a stream may.

--- a/packages/control/include/plumfold/control/plumfold_control_node.hpp
+++ b/packages/control/include/plumfold/control/plumfold_control_node.hpp
@@ -42,6 +42,7 @@
     std::string leaderAddress; ///< Empty while no leader is known.
     core::raft_membership members;
     std::map<std::string, std::string> leaseHolders; ///< Latest holder of each lease, by its name.
+    std::map<std::string, core::unix_milliseconds> leaseEnds; ///< When each lease expires, by its name.
     std::vector<core::verdict> verdicts; ///< Includes those that were withdrawn.
 };
 
--- a/packages/control/src/plumfold_control_node.cpp
+++ b/packages/control/src/plumfold_control_node.cpp
@@ -158,6 +158,7 @@
     m_view.leaderAddress = std::move(leader);
     m_view.members = m_raft.members();
     m_view.leaseHolders = std::move(leaseHolders);
+    m_view.leaseEnds = m_state.leaseEnds();
     m_view.verdicts = m_state.verdicts();
     m_onViewChanged(m_view);
 }
--- a/packages/control/src/plumfold_control_role.cpp
+++ b/packages/control/src/plumfold_control_role.cpp
@@ -62,8 +62,10 @@
             m_leader = std::make_unique<leader_client>(m_rpc, m_settings, *m_node, *m_feed);
             m_sharedLimits = std::make_unique<shared_limit_issuer>(m_settings, *m_feed, *m_leader);
             m_crashes = std::make_unique<crash_judge>(*m_feed, *m_leader);
-            m_context = std::make_unique<service_context>(service_context { m_settings, *m_node, m_rpc,
-                *m_feed, *m_leader, *m_sharedLimits, *m_crashes, {}, core::stream_origin_table(maxStreams) });
+            m_versions = std::make_unique<software_versions>(*m_feed, *m_leader);
+            m_context = std::make_unique<service_context>(
+                service_context { m_settings, *m_node, m_rpc, *m_feed, *m_leader, *m_sharedLimits, *m_crashes,
+                    *m_versions, {}, core::stream_origin_table(maxStreams) });
             m_listener = std::make_unique<wire::rpc_listener>(
                 m_rpc, m_settings.control->address, makeControlService(*m_context));
             m_tasks->add(feedLoop());
@@ -89,6 +91,7 @@
         m_rpc.flush();
         m_rpc.run([&] {
             m_tasks.reset();
+            m_versions.reset();
             m_crashes.reset();
             m_sharedLimits.reset();
             m_leader.reset();
@@ -105,8 +108,10 @@
         m_feed->tick();
         m_crashes->tick();
         m_links->share(*m_feed, *m_crashes);
-        if (!m_settings.control->platformAddress.empty())
+        if (!m_settings.control->platformAddress.empty()) {
             m_sharedLimits->tick();
+            m_versions->tick();
+        }
         return m_rpc.timer().afterDelay(feedInterval).then([this] { return feedLoop(); });
     }
 
@@ -118,6 +123,7 @@
     std::unique_ptr<leader_client> m_leader;
     std::unique_ptr<shared_limit_issuer> m_sharedLimits;
     std::unique_ptr<crash_judge> m_crashes;
+    std::unique_ptr<software_versions> m_versions;
     std::unique_ptr<wire::task_group> m_tasks;
     std::unique_ptr<service_context> m_context;
     std::unique_ptr<wire::rpc_listener> m_listener;
--- a/packages/control/src/plumfold_control_service.cpp
+++ b/packages/control/src/plumfold_control_service.cpp
@@ -186,7 +186,7 @@
         out.setFound(origin.has_value());
         if (origin)
             wire::write(out.initRecord(), core::stream_record { stream, *origin, {} });
-        auto versions = m_context.feed.directory().softwareVersions(call.getParams().getService().cStr());
+        auto versions = m_context.versions.versionsOf(call.getParams().getService().cStr());
         writeTextList(out.initSoftwareVersions(versions.size()), versions);
         std::set<std::string> members;
         for (const auto& member : m_context.feed.view().members.members)
--- a/packages/control/src/plumfold_control_service.hpp
+++ b/packages/control/src/plumfold_control_service.hpp
@@ -4,6 +4,7 @@
 #include "plumfold_deployment_feed.hpp"
 #include "plumfold_leader_client.hpp"
 #include "plumfold_shared_limit_issuer.hpp"
+#include "plumfold_software_versions.hpp"
 
 #include "plumfold/control/plumfold_control_node.hpp"
 #include "plumfold/core/plumfold_stream_origin.hpp"
@@ -37,6 +38,7 @@
     leader_client& leader;
     shared_limit_issuer& sharedLimits;
     crash_judge& crashes;
+    software_versions& versions;
     std::map<std::string, entry_status> entries; ///< By name.
     core::stream_origin_table streams { maxStreams };
 };
--- a/packages/core/include/plumfold/core/plumfold_control_state.hpp
+++ b/packages/core/include/plumfold/core/plumfold_control_state.hpp
@@ -104,6 +104,8 @@
     std::vector<verdict> verdicts() const;
     /// @return the latest holder of each lease, by its name; the lease may have expired.
     std::map<std::string, std::string> leaseHolders() const;
+    /// @return when each lease expires, by its name.
+    std::map<std::string, unix_milliseconds> leaseEnds() const;
     const std::deque<audit_record>& audit() const { return m_audit; }
 
 private:
--- a/packages/core/src/plumfold_control_state.cpp
+++ b/packages/core/src/plumfold_control_state.cpp
@@ -290,4 +290,12 @@
     return holders;
 }
 
+std::map<std::string, unix_milliseconds> control_state::leaseEnds() const
+{
+    std::map<std::string, unix_milliseconds> ends;
+    for (const auto& [name, lease] : m_leases)
+        ends[name] = lease.until;
+    return ends;
+}
+
 } // namespace plumfold::core
