--- a/tests/forwarding/plumfold_rate_limit_tests.cpp
+++ b/tests/forwarding/plumfold_rate_limit_tests.cpp
@@ -1,3 +1,4 @@
+#include "support/plumfold_disturbances.hpp"
 #include "support/plumfold_forwarding_system.hpp"
 #include "support/plumfold_request_rates.hpp"
 #include "support/plumfold_steady_callers.hpp"
@@ -117,3 +118,25 @@
     CHECK(static_cast<double>(slow) <= 0.01 * static_cast<double>(calls.size()));
     CHECK(servedShare(callers.callsBetween(recoveredAt, stoppedAt)) >= 0.99);
 }
+
+TEST_CASE_METHOD(limited_system, "Limits hold while control VMs and entries stop, restart and are suspended",
+    "[forwarding][limit][soak]")
+{
+    constexpr auto disturbedTime = 16s;
+    constexpr auto calmTime = 14s; // detection of a lost holder, its lease and that of a successor
+    INFO("seed " << soakSeed());
+    steady_callers callers(*this, allEntries(), requestsPerSecond, "/stock/whole");
+    sleepFor(1s);
+    nameLimit(0, "1.8");
+    nameLimit(1, "6");
+    nameLimit(2, "0.4");
+    auto bindsAt = sleepFor(limitGrace);
+    disturbances(*this, entries, soakSeed()).runFor(disturbedTime);
+    auto calmAt = sleepFor(calmTime - 6s);
+    auto endedAt = sleepFor(6s);
+    callers.stop();
+    CHECK(static_cast<double>(maxRequestsWithin(target(0), limitSpan, bindsAt)) <= maxRequests(1.8));
+    CHECK(static_cast<double>(maxRequestsWithin(target(1), limitSpan, bindsAt)) <= maxRequests(6));
+    CHECK(static_cast<double>(maxRequestsWithin(target(2), limitSpan, bindsAt)) <= maxRequests(0.4));
+    CHECK(servedShare(callers.callsBetween(calmAt, endedAt)) >= 0.99);
+}
