Rejections soon after a service became brittle pause an entry for two seconds at most

Callers saw: nothing served for up to entries / N seconds after targets became brittle, if every entry had a rejection then.

Cause: a rejection halves an entry's limit and pauses it for its part of the rejections that a target bears (9 s with nine entries and N = 1), also if the request was sent before the entry knew that the service is brittle, or found the room filled by entries that did not know it yet.

Ruled out: slots that are announced and not there (the property runs with all of them).

Change: within two seconds after an entry learned that a service is brittle, a rejection pauses it for two seconds at most. By then all entries know, and what they sent before has ended.

--- a/packages/core/include/plumfold/core/plumfold_brittle_limiter.hpp
+++ b/packages/core/include/plumfold/core/plumfold_brittle_limiter.hpp
@@ -62,6 +62,7 @@
     struct brittle_service {
         std::uint32_t maxRejections = 0;
         instant declaredAt {}; ///< Latest response that declared it.
+        instant knownSince {}; ///< First of those responses without a break.
     };
     struct limited_target {
         double startShare = 1; ///< Share of the entry's part of the slots at `risesFrom`.
@@ -72,6 +73,7 @@
 
     std::uint32_t entries() const;
     milliseconds rejectionInterval(const std::string& service) const;
+    milliseconds pauseAfterRejection(const std::string& service, instant now) const;
     bool isDrawn(const std::string& target, double probability, instant now) const;
     static double riseOf(const limited_target& target, instant now);
 
--- a/packages/core/src/plumfold_brittle_limiter.cpp
+++ b/packages/core/src/plumfold_brittle_limiter.cpp
@@ -18,6 +18,8 @@
 /// A target stops a request at the latest this long after its connection was closed.
 constexpr milliseconds cancellationTime { 500 };
 constexpr milliseconds rejectionWindow { 1'000 };
+/// In which all entries learn that a service is brittle, and what they sent before has ended.
+constexpr milliseconds settleTime { 2'000 };
 /// With fewer slots than entries, the entries that use them are drawn anew after this time.
 constexpr milliseconds drawPeriod { 1'000 };
 /// Share of the slots that is drawn then: the number of entries that draw a slot varies.
@@ -43,7 +45,9 @@
     const std::string& service, std::optional<std::uint32_t> maxRejections, instant now)
 {
     if (maxRejections) {
-        m_services[service] = { *maxRejections, now };
+        auto& known = m_services.try_emplace(service, brittle_service { 0, now, now }).first->second;
+        known.maxRejections = *maxRejections;
+        known.declaredAt = now;
         return;
     }
     auto found = m_services.find(service);
@@ -61,6 +65,15 @@
         std::chrono::duration<double, std::milli>(intervals * static_cast<double>(rejectionWindow.count())));
 }
 
+/// A rejection soon after the service became known as brittle is due to requests that were not limited yet, of
+/// this entry or others, and says nothing about the limit.
+milliseconds brittle_limiter::pauseAfterRejection(const std::string& service, instant now) const
+{
+    auto interval = rejectionInterval(service);
+    bool isSettling = now - m_services.at(service).knownSince < settleTime;
+    return isSettling ? std::min(interval, settleTime) : interval;
+}
+
 double brittle_limiter::riseOf(const limited_target& target, instant now)
 {
     auto elapsed = std::chrono::duration<double, std::milli>(now - target.risesFrom).count();
@@ -75,7 +88,7 @@
     if (now < limited.pausedUntil)
         return; // sent before the rejection that has halved the limit was known
     limited.startShare = riseOf(limited, now) / 2;
-    limited.pausedUntil = now + rejectionInterval(service);
+    limited.pausedUntil = now + pauseAfterRejection(service, now);
     limited.risesFrom = limited.pausedUntil;
 }
 
