--- a/packages/core/src/plumfold_brittle_limiter.cpp
+++ b/packages/core/src/plumfold_brittle_limiter.cpp
@@ -65,8 +65,8 @@
         std::chrono::duration<double, std::milli>(intervals * static_cast<double>(rejectionWindow.count())));
 }
 
-/// A rejection soon after the service became known as brittle is due to requests that were not limited yet, of
-/// this entry or others, and says nothing about the limit.
+/// A rejection soon after the service became known as brittle is due to requests that were not limited yet,
+/// of this entry or others, and says nothing about the limit.
 milliseconds brittle_limiter::pauseAfterRejection(const std::string& service, instant now) const
 {
     auto interval = rejectionInterval(service);
