--- a/packages/core/include/plumfold/core/plumfold_target_demands.hpp
+++ b/packages/core/include/plumfold/core/plumfold_target_demands.hpp
@@ -82,6 +82,7 @@
     std::size_t limitedTargets() const;
 
 private:
+    const target_demand* lookup(const std::string& target, unix_milliseconds startedAt) const;
     static void updateLimit(target_demand& demand, const target_statement& statement);
     void set(target_demand demand, instant now);
 
--- a/packages/core/src/plumfold_target_demands.cpp
+++ b/packages/core/src/plumfold_target_demands.cpp
@@ -85,25 +85,30 @@
     return demand;
 }
 
+const target_demand* target_demands::lookup(const std::string& target, unix_milliseconds startedAt) const
+{
+    auto found = m_entries.find(target);
+    bool isKnown = found != m_entries.end() && found->second.demand.startedAt == startedAt;
+    return isKnown ? &found->second.demand : nullptr;
+}
+
 std::optional<target_demand> target_demands::find(
     const std::string& target, unix_milliseconds startedAt) const
 {
-    auto found = m_entries.find(target);
-    if (found == m_entries.end() || found->second.demand.startedAt != startedAt)
-        return std::nullopt;
-    return found->second.demand;
+    const auto* demand = lookup(target, startedAt);
+    return demand ? std::optional(*demand) : std::nullopt;
 }
 
 std::optional<double> target_demands::maxRequestsPerSecond(
     const std::string& target, unix_milliseconds startedAt) const
 {
-    auto demand = find(target, startedAt);
+    const auto* demand = lookup(target, startedAt);
     return demand ? demand->maxRequestsPerSecond : std::nullopt;
 }
 
 bool target_demands::isLeaving(const std::string& target, unix_milliseconds startedAt) const
 {
-    auto demand = find(target, startedAt);
+    const auto* demand = lookup(target, startedAt);
     return demand && demand->isLeaving;
 }
 
--- a/tests/forwarding/support/plumfold_forwarding_system.cpp
+++ b/tests/forwarding/support/plumfold_forwarding_system.cpp
@@ -26,6 +26,17 @@
 constexpr int rpcPort = 7000;
 constexpr int platformPort = 7080;
 
+/// @return the program of a process. To try builds side by side, PLUMFOLD_OTHER_DAEMON names another program
+/// and PLUMFOLD_OTHER_PROCESSES the processes that run it, each followed by a comma.
+std::string daemonOf(const std::string& process)
+{
+    const char* program = std::getenv("PLUMFOLD_OTHER_DAEMON");
+    const char* processes = std::getenv("PLUMFOLD_OTHER_PROCESSES");
+    bool isOther = program && processes
+        && (',' + std::string(processes)).find(',' + process + ',') != std::string::npos;
+    return isOther ? program : PLUMFOLD_DAEMON;
+}
+
 } // namespace
 
 raw_caller::raw_caller(const std::string& address)
@@ -162,7 +173,7 @@
     auto file = m_folder / (name + ".json");
     std::ofstream(file) << settings.dump(2);
     m_processes[name] = test_process(
-        { PLUMFOLD_DAEMON, "--settings", file.string() }, (m_folder / (name + ".out")).string());
+        { daemonOf(name), "--settings", file.string() }, (m_folder / (name + ".out")).string());
 }
 
 json forwarding_system::processSettings(const std::string& name, int number) const
