--- a/packages/control/src/plumfold_software_versions.hpp
+++ b/packages/control/src/plumfold_software_versions.hpp
@@ -24,7 +24,7 @@
     /// Renews leases that are due. Call it periodically.
     void tick();
 
-    /// @return the software versions of a service that this control VM has heard of or the log holds.
+    /// @return the software versions of a service that this control VM knows of or the log holds.
     std::set<std::string> versionsOf(const std::string& service) const;
 
 private:
--- a/packages/core/include/plumfold/core/plumfold_target_demands.hpp
+++ b/packages/core/include/plumfold/core/plumfold_target_demands.hpp
@@ -59,7 +59,7 @@
     /// @return the demand of a target; nothing if it has made none in this incarnation.
     std::optional<target_demand> find(const std::string& target, unix_milliseconds startedAt) const;
 
-    /// @return whether a target has said that it is about to end.
+    /// @return whether a target has declared that it is about to end.
     bool isLeaving(const std::string& target, unix_milliseconds startedAt) const;
 
     /// @return the limit of a target, in requests per second from all callers; nothing: none.
