Log what a lost connection to a control VM had received

A connection records what it receives, each part of a long message when it arrives.

No change of logic.

--- a/packages/forwarding/src/plumfold_deployment_follower.cpp
+++ b/packages/forwarding/src/plumfold_deployment_follower.cpp
@@ -247,7 +247,10 @@
 {
     runtime::log_event("control_lost", runtime::log_level::warning)
         .with("address", m_address)
-        .with("reason", exception.getDescription().cStr());
+        .with("reason", exception.getDescription().cStr())
+        .with("first_poll", m_justConnected ? "true" : "false")
+        .with("received_bytes", m_connection.get() == nullptr ? 0 : m_connection->received()->count)
+        .with("known_deployment", m_knownDeployment);
     ++m_failures;
     m_unreportedDemands.merge(m_sentDemands);
     m_session = nullptr;
--- a/packages/wire/include/plumfold/wire/plumfold_rpc_connection.hpp
+++ b/packages/wire/include/plumfold/wire/plumfold_rpc_connection.hpp
@@ -5,10 +5,18 @@
 #include <capnp/rpc-twoparty.h>
 
 #include <chrono>
+#include <cstdint>
+#include <memory>
 #include <string>
 
 namespace plumfold::wire {
 
+/// What a connection has received so far.
+struct received_bytes {
+    std::uint64_t count = 0;
+    kj::TimePoint latestAt = kj::origin<kj::TimePoint>(); ///< When the latest of them arrived.
+};
+
 /// A Cap'n Proto RPC connection to another process. Use and destroy it on the event loop of its rpc_thread.
 class rpc_connection {
 public:
@@ -18,7 +26,7 @@
     static kj::Promise<kj::Own<rpc_connection>> connect(
         rpc_thread& thread, const std::string& address, std::chrono::milliseconds timeout);
 
-    explicit rpc_connection(kj::Own<kj::AsyncIoStream> stream);
+    rpc_connection(rpc_thread& thread, kj::Own<kj::AsyncIoStream> stream);
 
     /// @return the interface that the other process serves.
     template <class Interface> typename Interface::Client bootstrap()
@@ -26,7 +34,11 @@
         return m_client.bootstrap().castAs<Interface>();
     }
 
+    /// @return what the connection has received; valid beyond the life of the connection.
+    std::shared_ptr<const received_bytes> received() const { return m_received; }
+
 private:
+    std::shared_ptr<received_bytes> m_received;
     kj::Own<kj::AsyncIoStream> m_stream;
     capnp::TwoPartyClient m_client;
 };
--- a/packages/wire/src/plumfold_rpc_connection.cpp
+++ b/packages/wire/src/plumfold_rpc_connection.cpp
@@ -2,13 +2,63 @@
 
 #include <kj/debug.h>
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <netinet/in.h>
 
 namespace plumfold::wire {
 
-rpc_connection::rpc_connection(kj::Own<kj::AsyncIoStream> stream)
-    : m_stream(kj::mv(stream))
+namespace {
+
+/// Records what a stream receives.
+class recording_stream final : public kj::AsyncIoStream {
+public:
+    recording_stream(
+        rpc_thread& thread, std::shared_ptr<received_bytes> received, kj::Own<kj::AsyncIoStream> inner)
+        : m_thread(thread)
+        , m_received(std::move(received))
+        , m_inner(kj::mv(inner))
+    {
+    }
+
+    kj::Promise<std::size_t> tryRead(void* buffer, std::size_t minBytes, std::size_t maxBytes) override
+    {
+        // Each part of a long message is recorded when it arrives.
+        return m_inner->tryRead(buffer, std::min<std::size_t>(minBytes, 1), maxBytes)
+            .then([this, buffer, minBytes, maxBytes](std::size_t bytes) -> kj::Promise<std::size_t> {
+                m_received->count += bytes;
+                m_received->latestAt = m_thread.timer().now();
+                if (bytes == 0 || bytes >= minBytes)
+                    return bytes;
+                auto* rest = static_cast<char*>(buffer) + bytes;
+                return tryRead(rest, minBytes - bytes, maxBytes - bytes).then([bytes](std::size_t more) {
+                    return bytes + more;
+                });
+            });
+    }
+    kj::Promise<void> write(const void* buffer, std::size_t size) override
+    {
+        return m_inner->write(buffer, size);
+    }
+    kj::Promise<void> write(kj::ArrayPtr<const kj::ArrayPtr<const kj::byte>> pieces) override
+    {
+        return m_inner->write(pieces);
+    }
+    kj::Promise<void> whenWriteDisconnected() override { return m_inner->whenWriteDisconnected(); }
+    void shutdownWrite() override { m_inner->shutdownWrite(); }
+    void abortRead() override { m_inner->abortRead(); }
+
+private:
+    rpc_thread& m_thread;
+    std::shared_ptr<received_bytes> m_received;
+    kj::Own<kj::AsyncIoStream> m_inner;
+};
+
+} // namespace
+
+rpc_connection::rpc_connection(rpc_thread& thread, kj::Own<kj::AsyncIoStream> stream)
+    : m_received(std::make_shared<received_bytes>())
+    , m_stream(kj::heap<recording_stream>(thread, m_received, kj::mv(stream)))
     , m_client(*m_stream)
 {
 }
@@ -22,8 +72,8 @@
                               auto* raw = parsed.get();
                               return raw->connect().attach(kj::mv(parsed));
                           })
-                          .then([](kj::Own<kj::AsyncIoStream> stream) {
-                              return kj::heap<rpc_connection>(kj::mv(stream));
+                          .then([&thread](kj::Own<kj::AsyncIoStream> stream) {
+                              return kj::heap<rpc_connection>(thread, kj::mv(stream));
                           });
     return withTimeout(thread, kj::mv(connecting), timeout);
 }
