--- a/packages/control/src/plumfold_control_role.cpp
+++ b/packages/control/src/plumfold_control_role.cpp
@@ -67,7 +67,7 @@
                 service_context { m_settings, *m_node, m_rpc, *m_feed, *m_leader, *m_sharedLimits, *m_crashes,
                     *m_versions, {}, core::stream_origin_table(maxStreams) });
             m_listener = std::make_unique<wire::rpc_listener>(
-                m_rpc, m_settings.control->address, makeControlService(*m_context));
+                m_rpc, runtime::listenAddress(*m_settings.control), makeControlService(*m_context));
             m_tasks->add(feedLoop());
         });
         if (m_settings.control->platformAddress.empty())
--- a/packages/runtime/include/plumfold/runtime/plumfold_settings.hpp
+++ b/packages/runtime/include/plumfold/runtime/plumfold_settings.hpp
@@ -77,6 +77,8 @@
 /// Membership in the control group, which replicates the configuration.
 struct control_settings {
     std::string address; ///< RPC interface for entries, operators and other control VMs.
+    /// Where this process listens for RPC, if others reach it at another address; empty: at the address.
+    std::string listenAddress;
     std::vector<peer_setting> peers; ///< The other control VMs.
     std::vector<std::string> seeds; ///< Seed control VMs: ip:port of their platform addresses.
     std::uint64_t rpcPort = 0; ///< RPC port of the seeds.
@@ -116,6 +118,9 @@
     std::optional<store_settings> store;
 };
 
+/// @return the address at which a control VM listens for RPC.
+const std::string& listenAddress(const control_settings& control);
+
 /// @return the RPC addresses of the seeds.
 std::vector<std::string> seedAddresses(const control_settings& control);
 
--- a/packages/runtime/src/plumfold_settings.cpp
+++ b/packages/runtime/src/plumfold_settings.cpp
@@ -88,6 +88,7 @@
 {
     static const fields<control_settings> all {
         { "address", &control_settings::address, "ip:port", true, true },
+        { "listenAddress", &control_settings::listenAddress, "ip:port; empty for the address", false, true },
         { "peers", &control_settings::peers, "a list of {name, address}" },
         { "seeds", &control_settings::seeds, "a list of ip:port", false, true },
         { "rpcPort", &control_settings::rpcPort, "a port, 1 to 65535; needed with seeds", false, false, 1,
@@ -345,7 +346,8 @@
         add("/entry/peerAddress", checked.entry->peerAddress);
     }
     if (checked.control) {
-        add("/control/address", checked.control->address);
+        add(checked.control->listenAddress.empty() ? "/control/address" : "/control/listenAddress",
+            listenAddress(*checked.control));
         add("/control/platformAddress", checked.control->platformAddress);
     }
     if (checked.forwarding) {
@@ -396,6 +398,11 @@
     return absl::StrCat(address.substr(0, address.rfind(':')), ":", port);
 }
 
+const std::string& listenAddress(const control_settings& control)
+{
+    return control.listenAddress.empty() ? control.address : control.listenAddress;
+}
+
 std::vector<std::string> seedAddresses(const control_settings& control)
 {
     std::vector<std::string> addresses;
--- a/tests/forwarding/support/plumfold_forwarding_system.cpp
+++ b/tests/forwarding/support/plumfold_forwarding_system.cpp
@@ -188,13 +188,18 @@
     auto name = "c" + std::to_string(number);
     auto process = processSettings(name, number);
     process["dataFolder"] = (m_folder / name).string();
-    start(name,
-        { { "process", process },
-            { "control",
-                { { "address", address(10 + number, rpcPort) },
-                    { "platformAddress", address(10 + number, platformPort) }, { "seeds", seeds() },
-                    { "rpcPort", rpcPort }, { "firstStart", firstStart }, { "electionTimeoutMs", 300 },
-                    { "sharedLimitLeaseMs", m_sharedLimitLease.count() } } } });
+    json control { { "address", controlAddress(number) },
+        { "platformAddress", address(10 + number, platformPort) }, { "seeds", seeds() },
+        { "rpcPort", rpcPort }, { "firstStart", firstStart }, { "electionTimeoutMs", 300 },
+        { "sharedLimitLeaseMs", m_sharedLimitLease.count() } };
+    if (m_firstControlListener > 0)
+        control["listenAddress"] = address(m_firstControlListener + number, rpcPort);
+    start(name, { { "process", process }, { "control", control } });
+}
+
+std::string forwarding_system::controlAddress(int number) const
+{
+    return address(10 + number, rpcPort);
 }
 
 void forwarding_system::blockOutput(const std::string& name)
--- a/tests/forwarding/support/plumfold_forwarding_system.hpp
+++ b/tests/forwarding/support/plumfold_forwarding_system.hpp
@@ -58,6 +58,9 @@
     void setSharedLimitLease(std::chrono::milliseconds time) { m_sharedLimitLease = time; }
     /// Sets the time limit for starting requests on old weights of entries that are started later.
     void setWeightsBound(std::chrono::milliseconds time) { m_weightsBound = time; }
+    /// Lets control VMs that are started later listen for RPC at another host than their address names.
+    /// @param firstHost the host of the control VM with the number 0.
+    void setControlListeners(int firstHost) { m_firstControlListener = firstHost; }
     void startControl(int number, bool firstStart = true);
     void startEntry(int number);
     /// Connects the standard output of a process that is started later to a pipe that is never read.
@@ -81,6 +84,8 @@
     nlohmann::json deployment(int version) const;
     bool putDeployment(int control, const nlohmann::json& body);
     bool isReady(int entry);
+    /// @return where the RPC interface of a control VM is reached: ip:port.
+    std::string controlAddress(int number) const;
     void waitForTarget(int entry, const std::string& path = "/shop/whole");
 
     /// @return an address in the network of this system: ip:port.
@@ -111,6 +116,7 @@
     std::chrono::milliseconds m_sharedLimitLease { 6'000 };
     std::chrono::milliseconds m_weightsBound { 10'000 };
     std::string m_network;
+    int m_firstControlListener = 0; // 0: control VMs listen at their own address
     std::map<std::string, nlohmann::json> m_settings;
     struct announced_target {
         std::unique_ptr<scripted_target> server;
