Send deployments to entries in pieces, limited by progress instead of time

What callers saw: routes that were added more than 2.5 s before were not served at most entries of a grown site, some for ever (CONFIG).

Cause: a response with the whole text of a deployment had 0.4 or 0.9 s. Each change sent the whole text, so load made it worse: 44 of 60 entries never got there. The class: a time limit on a transfer instead of on its progress, and a repeat that begins from nothing.

Change: a poll gets an outline, the digests of the pieces that make the text. Pieces are cut where the text around them says so, so a change of a route changes two or three of them. The entry asks for those that it does not have, eight a call, four calls at a time, compressed with zlib; it keeps them when it changes the control VM or the version. All but the document (failure domains out of service, weights) is in force at once. A poll fails when its connection has received nothing for 0.4 or 0.9 s, whatever the size of the response. Entries and control VMs of former versions exchange the whole text as before.

Why it works: what has arrived counts, so a transfer of any size ends on a link of any rate, and the bytes of a change are those of its pieces.

--- a/packages/control/src/plumfold_control_service.cpp
+++ b/packages/control/src/plumfold_control_service.cpp
@@ -140,6 +140,19 @@
         });
     }
 
+    kj::Promise<void> readPieces(ReadPiecesContext call) override
+    {
+        std::vector<const std::string*> found;
+        for (auto digest : call.getParams().getDigests()) {
+            if (const auto* piece = m_context.feed.document().find(digest))
+                found.push_back(piece);
+        }
+        auto out = call.getResults().initPieces(found.size());
+        for (unsigned index = 0; index < found.size(); ++index)
+            out.set(index, kj::arrayPtr(found[index]->data(), found[index]->size()).asBytes());
+        return kj::READY_NOW;
+    }
+
     kj::Promise<void> startCold(StartColdContext call) override
     {
         auto params = call.getParams();
@@ -225,8 +238,14 @@
         out.setEverything(change == 0);
         out.setEntries(feed.entryCount());
         out.setSharedLimits(feed.sharedLimitIssuerOf(m_failureDomain));
-        if (feed.view().deployment->revision > call.getParams().getKnownDeployment())
-            wire::write(out.initDeployment(), *feed.view().deployment);
+        const auto& deployment = *feed.view().deployment;
+        if (deployment.revision > call.getParams().getKnownDeployment()) {
+            // Entries of former versions get the document as a whole.
+            if (call.getParams().getAcceptsOutline())
+                wire::write(out.initOutline(), deployment, feed.document().outline());
+            else
+                wire::write(out.initDeployment(), deployment);
+        }
         auto changed = feed.directory().changedAfter(change);
         auto targets = out.initTargets(changed.size());
         for (unsigned index = 0; index < changed.size(); ++index)
--- a/packages/control/src/plumfold_deployment_feed.cpp
+++ b/packages/control/src/plumfold_deployment_feed.cpp
@@ -60,8 +60,10 @@
     auto now = runtime::nowWithSuspension();
     m_weights.observeLatest(m_view.deployment->weights, now);
     m_returns.observeLatest(m_view.deployment->returns, now);
-    if (newDocument)
+    if (newDocument) {
+        m_document.update(m_view.deployment->document.text);
         updateServices();
+    }
     wake();
 }
 
--- a/packages/control/src/plumfold_deployment_feed.hpp
+++ b/packages/control/src/plumfold_deployment_feed.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "plumfold_document_catalog.hpp"
+
 #include "plumfold/control/plumfold_control_node.hpp"
 #include "plumfold/core/plumfold_crash_registry.hpp"
 #include "plumfold/core/plumfold_crash_screen.hpp"
@@ -43,6 +45,8 @@
     /// Replaces this control VM's view of the replicated state.
     void update(control_view view);
     const control_view& view() const { return m_view; }
+    /// @return the document of the current deployment.
+    const document_catalog& document() const { return m_document; }
 
     /// Applies an announcement that a target sent to this control VM.
     void onAnnouncement(const core::target_announcement& target);
@@ -172,6 +176,7 @@
     const runtime::settings& m_settings;
     std::uint64_t m_id;
     control_view m_view;
+    document_catalog m_document;
     core::instant m_lastTick {};
     core::target_directory m_directory;
     core::part_directory m_parts;
--- a/packages/forwarding/src/plumfold_deployment_follower.cpp
+++ b/packages/forwarding/src/plumfold_deployment_follower.cpp
@@ -14,13 +14,14 @@
 
 constexpr std::chrono::milliseconds connectTimeout { 250 };
 constexpr std::uint32_t longPollWaitMs = 150;
-/// A control VM that does not respond in time is replaced by the next one. Changes must take effect within
+/// A control VM that sends nothing for this time is replaced by the next one. Changes must take effect within
 /// two seconds, even when two control VMs have just become unresponsive.
 constexpr std::chrono::milliseconds pollTimeout { 900 };
 constexpr std::chrono::milliseconds firstPollTimeout { 400 }; // for the first poll of a connection
 /// Until an update is confirmed, a response requires a round trip to a quorum.
 constexpr std::chrono::milliseconds quorumConfirmTimeout { 2'000 };
 constexpr auto reconnectDelay = 100 * kj::MILLISECONDS;
+constexpr auto cutOffPollDelay = 20 * kj::MILLISECONDS; // it answers polls at once
 constexpr std::size_t maxOwnDemands = 1'000; // any are dropped beyond
 
 std::vector<std::string> controlAddresses(const runtime::settings& settings)
@@ -33,15 +34,16 @@
 
 } // namespace
 
-deployment_follower::deployment_follower(
-    wire::rpc_thread& rpc, const runtime::settings& settings, listener onUpdate)
+deployment_follower::deployment_follower(wire::rpc_thread& rpc, const runtime::settings& settings,
+    listener onUpdate, deployment_transfer::listener onDeployment)
     : m_rpc(rpc)
     , m_settings(settings)
     , m_onUpdate(std::move(onUpdate))
     , m_seeds(controlAddresses(settings))
 {
     m_failures = static_cast<unsigned>(runtime::randomNumber() % m_seeds.size());
-    m_rpc.run([this] {
+    m_rpc.run([this, &onDeployment] {
+        m_transfer = std::make_unique<deployment_transfer>(std::move(onDeployment));
         m_tasks = kj::heap<wire::task_group>();
         m_tasks->add(followLoop());
     });
@@ -51,6 +53,7 @@
 {
     m_rpc.run([this] {
         m_tasks = nullptr;
+        m_transfer.reset();
         m_session = nullptr;
         m_connection = nullptr;
     });
@@ -112,7 +115,8 @@
 {
     m_calledAt = runtime::nowWithSuspension();
     auto request = KJ_ASSERT_NONNULL(m_session).followRequest();
-    request.setKnownDeployment(m_knownDeployment);
+    request.setKnownDeployment(m_transfer->knownRevision());
+    request.setAcceptsOutline(true);
     request.setFeed(m_feedId);
     request.setKnownChange(m_knownChange);
     request.setKnownVerdicts(m_knownVerdicts);
@@ -128,9 +132,12 @@
     unsigned index = 0;
     for (const auto& [holder, cursor] : m_parts)
         wire::write(cursors[index++], cursor);
-    return wire::withTimeout(m_rpc, request.send().dropPipeline(), timeout).then([this](auto&& response) {
-        applyFollowResponse(kj::mv(response));
-    });
+    return wire::withSilenceTimeout(m_rpc, *m_connection, request.send().dropPipeline(), timeout)
+        .then([this](auto&& response) {
+            bool isFresh = response.getFresh();
+            applyFollowResponse(kj::mv(response));
+            return continueTransfer(isFresh);
+        });
 }
 
 void deployment_follower::reportDemand(core::target_demand demand)
@@ -195,11 +202,6 @@
         if (received.generation == 0)
             m_parts.erase(received.holder);
     }
-    // A lagging control VM sends an older revision; the current revision never decreases.
-    if (response.hasDeployment() && response.getDeployment().getRevision() > m_knownDeployment) {
-        update.deployment = wire::read(response.getDeployment());
-        m_knownDeployment = update.deployment->revision;
-    }
     for (auto each : response.getDemands())
         update.demands.push_back(wire::read(each));
     for (auto each : response.getLimitIssuers())
@@ -218,16 +220,37 @@
     if (isNewFeed)
         runtime::log_event("control_followed")
             .with("address", m_address)
-            .with("deployment", m_knownDeployment)
+            .with("deployment", m_transfer->knownRevision())
             .with("fresh", fresh ? "true" : "false")
             .with("targets", update.targets.size());
     m_confirmed = m_confirmed || fresh;
     m_onUpdate(std::move(update));
-    KJ_REQUIRE(fresh, "the control VM is cut off from the quorum");
-    if (m_prefersLocal) {
-        m_session = nullptr;
-        m_tasks->add(kj::evalLater([old = kj::mv(m_connection)] {}));
+    if (response.hasOutline())
+        m_transfer->applyOutline(
+            wire::read(response.getOutline().getState()), wire::readOutline(response.getOutline()));
+    else if (response.hasDeployment())
+        m_transfer->applyWhole(wire::read(response.getDeployment()));
+}
+
+/// Goes on with the transfer of a document, or to a control VM that is better suited.
+kj::Promise<void> deployment_follower::continueTransfer(bool isFresh)
+{
+    // A control VM that is cut off from the quorum is left once it has sent the document that it has.
+    KJ_REQUIRE(isFresh || m_transfer->hasProgressed(), "the control VM is cut off from the quorum");
+    if (m_prefersLocal && isFresh) {
+        closeConnection();
+        return kj::READY_NOW;
     }
+    m_transfer->requestPieces(KJ_ASSERT_NONNULL(m_session));
+    return isFresh ? kj::Promise<void>(kj::READY_NOW) : m_rpc.timer().afterDelay(cutOffPollDelay);
+}
+
+void deployment_follower::closeConnection()
+{
+    m_transfer->onConnectionLost();
+    m_session = nullptr;
+    // The connection must not be destroyed inside one of its own callbacks.
+    m_tasks->add(kj::evalLater([old = kj::mv(m_connection)] {}));
 }
 
 void deployment_follower::applyControlAddresses(capnp::List<wire::ControlAddress>::Reader control)
@@ -250,12 +273,10 @@
         .with("reason", exception.getDescription().cStr())
         .with("first_poll", m_justConnected ? "true" : "false")
         .with("received_bytes", m_connection.get() == nullptr ? 0 : m_connection->received()->count)
-        .with("known_deployment", m_knownDeployment);
+        .with("known_deployment", m_transfer->knownRevision());
     ++m_failures;
     m_unreportedDemands.merge(m_sentDemands);
-    m_session = nullptr;
-    // The connection must not be destroyed inside one of its own callbacks.
-    m_tasks->add(kj::evalLater([old = kj::mv(m_connection)] {}));
+    closeConnection();
 }
 
 } // namespace plumfold::forwarding
--- a/packages/forwarding/src/plumfold_deployment_follower.hpp
+++ b/packages/forwarding/src/plumfold_deployment_follower.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "plumfold_deployment_transfer.hpp"
+
 #include "plumfold/core/plumfold_crash_screen.hpp"
 #include "plumfold/core/plumfold_deployment_state.hpp"
 #include "plumfold/core/plumfold_part_directory.hpp"
@@ -13,6 +15,7 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -22,7 +25,6 @@
 
 /// An update from a control VM.
 struct control_update {
-    std::optional<core::deployment_state> deployment; ///< Set when it has changed.
     std::vector<core::target_announcement> targets; ///< Changed targets; all targets in a snapshot.
     bool isSnapshot = false; ///< The list of targets is complete.
     std::uint32_t entries = 1; ///< Number of entries that follow any control VM.
@@ -50,7 +52,10 @@
     using listener = std::function<void(control_update)>;
 
     /// @param onUpdate called on the RPC thread.
-    deployment_follower(wire::rpc_thread& rpc, const runtime::settings& settings, listener onUpdate);
+    /// @param onDeployment called on the RPC thread with each newer deployment, after the update with which
+    /// it came.
+    deployment_follower(wire::rpc_thread& rpc, const runtime::settings& settings, listener onUpdate,
+        deployment_transfer::listener onDeployment);
     ~deployment_follower();
 
     /// Replaces the seeds.
@@ -67,7 +72,9 @@
     void applyFollowResponse(capnp::Response<wire::EntrySession::FollowResults> response);
     void applyControlAddresses(capnp::List<wire::ControlAddress>::Reader control);
     void writeDemands(wire::EntrySession::FollowParams::Builder request);
+    kj::Promise<void> continueTransfer(bool isFresh);
     void onFailure(const kj::Exception& exception);
+    void closeConnection();
     std::string nextAddress();
 
     wire::rpc_thread& m_rpc;
@@ -78,7 +85,7 @@
     std::string m_address;
     kj::Own<wire::rpc_connection> m_connection;
     kj::Maybe<wire::EntrySession::Client> m_session;
-    std::uint64_t m_knownDeployment = 0;
+    std::unique_ptr<deployment_transfer> m_transfer; // created and destroyed on the RPC thread
     std::uint64_t m_feedId = 0;
     std::uint64_t m_knownChange = 0;
     std::uint64_t m_knownVerdicts = 0; // digest
--- a/packages/forwarding/src/plumfold_forwarding_role.cpp
+++ b/packages/forwarding/src/plumfold_forwarding_role.cpp
@@ -65,9 +65,14 @@
             core::buffer_budget(m_settings.forwarding->responseBufferBytes) }
         , m_acceptor(m_io, endpointOf(m_settings.forwarding->callerAddress))
         , m_status(*m_settings.forwarding, m_metrics)
-        , m_follower(rpc, m_settings, [this](control_update update) {
-            asio::post(m_io, [this, update = std::move(update)] { applyUpdate(update); });
-        })
+        , m_follower(
+              rpc, m_settings,
+              [this](control_update update) {
+                  asio::post(m_io, [this, update = std::move(update)] { applyUpdate(update); });
+              },
+              [this](core::deployment_state next) {
+                  asio::post(m_io, [this, next = std::move(next)] { applyDeployment(next, runtime::now()); });
+              })
     {
         asio::co_spawn(m_io, accept(m_acceptor, false), asio::detached);
         if (!m_settings.forwarding->relayAddress.empty()) {
@@ -146,8 +151,6 @@
                 .with("version", each.number)
                 .with("age_ms", each.age.count());
         m_state.targetSelector.applyReturnAges(update.returns, now);
-        if (update.deployment)
-            applyDeployment(*update.deployment, now);
         applyDemands(update, now);
         m_state.link.setTargetCount(m_state.targetSelector.readyTargets());
         if (update.helpers) {
--- a/packages/wire/include/plumfold/wire/plumfold_convert.hpp
+++ b/packages/wire/include/plumfold/wire/plumfold_convert.hpp
@@ -4,6 +4,7 @@
 #include "plumfold/core/plumfold_control_state.hpp"
 #include "plumfold/core/plumfold_crash_screen.hpp"
 #include "plumfold/core/plumfold_dispatch_types.hpp"
+#include "plumfold/core/plumfold_document_pieces.hpp"
 #include "plumfold/core/plumfold_part_directory.hpp"
 #include "plumfold/core/plumfold_raft_types.hpp"
 #include "plumfold/core/plumfold_relay_helpers.hpp"
@@ -98,6 +99,12 @@
 void write(DeploymentState::Builder out, const core::deployment_state& value);
 core::deployment_state read(DeploymentState::Reader in);
 
+/// Writes a state without the text of its document, and the outline of that text.
+void write(DeploymentOutline::Builder out, const core::deployment_state& state,
+    const core::document_outline& document);
+/// @return the outline of the text of the state's document.
+core::document_outline readOutline(DeploymentOutline::Reader in);
+
 void write(EntryAddress::Builder out, const core::entry_address& value);
 core::entry_address read(EntryAddress::Reader in);
 
--- a/packages/wire/include/plumfold/wire/plumfold_rpc_connection.hpp
+++ b/packages/wire/include/plumfold/wire/plumfold_rpc_connection.hpp
@@ -51,6 +51,22 @@
     return thread.timer().timeoutAfter(timeout.count() * kj::MILLISECONDS, kj::mv(promise));
 }
 
+/// @return a promise that is rejected once nothing has been received for a time, counted from now on.
+kj::Promise<void> rejectOnSilence(
+    rpc_thread& thread, std::shared_ptr<const received_bytes> received, std::chrono::milliseconds timeout);
+
+/// Rejects the promise of a call once the connection has received nothing for the timeout. Unlike
+/// withTimeout(), it does not limit the size of what is transferred.
+template <class T>
+kj::Promise<T> withSilenceTimeout(rpc_thread& thread, const rpc_connection& connection,
+    kj::Promise<T> promise, std::chrono::milliseconds timeout)
+{
+    auto silence = rejectOnSilence(thread, connection.received(), timeout).then([]() -> kj::Promise<T> {
+        return kj::NEVER_DONE; // not reached
+    });
+    return promise.exclusiveJoin(kj::mv(silence));
+}
+
 /// Background promises of one owner, cancelled when it is destroyed. Use it on the event loop of an
 /// rpc_thread.
 class task_group : private kj::TaskSet::ErrorHandler {
--- a/packages/wire/schema/plumfold.capnp
+++ b/packages/wire/schema/plumfold.capnp
@@ -116,6 +116,8 @@
   weights @3 :List(NamedWeights);
   returns @4 :List(ReturnToService);
 }
+# A DeploymentState whose document has no text. The text is put together from pieces, see core::document_outline.
+struct DeploymentOutline { state @0 :DeploymentState; digest @1 :UInt64; pieces @2 :List(UInt64); }
 struct LeaseCommand { name @0 :Text; holder @1 :Text; durationMs @2 :UInt32; }
 struct LeaseResult { granted @0 :Bool; fence @1 :UInt64; takeovers @2 :UInt64; first @3 :Bool; }
 struct LeaseState { name @0 :Text; holder @1 :Text; until @2 :UInt64; fence @3 :UInt64; takeovers @4 :UInt64; }
@@ -220,16 +222,17 @@
   # may relay requests; they are left out if their digest is the known one. Demands are sent in both directions:
   # those that the entry has learned from responses, and those that changed after the known number. limitIssuers are
   # the control VMs that serve startLimited, by failure domain of the target; they are left out if no target limits
-  # its requests.
+  # its requests. An entry that accepts outlines gets an outline instead of the deployment, and then calls readPieces.
   follow @2 (knownDeployment :UInt64, feed :UInt64, knownChange :UInt64, waitMs :UInt32, confirmed :Bool,
       parts :List(PartCursor), knownVerdicts :UInt64, knownSuspects :UInt64, relayAddress :Text, knownHelpers :UInt64,
-      demands :List(TargetDemand), knownDemands :UInt64)
+      demands :List(TargetDemand), knownDemands :UInt64, acceptsOutline :Bool)
       -> (fresh :Bool, deployment :DeploymentState, feed :UInt64, change :UInt64, everything :Bool,
           targets :List(AnnouncedTarget), control :List(ControlAddress), entries :UInt32, parts :List(PartNews), clock :UInt64,
           loads :List(TargetLoad), sharedLimits :Text, verdictsDigest :UInt64, verdicts :List(CrashVerdict),
           suspects :List(CrashSuspect), suspectsDigest :UInt64, namings :List(EventAge),
           returns :List(EventAge), helpers :List(EntryAddress), helpersDigest :UInt64,
-          demands :List(TargetDemand), latestDemand :UInt64, limitIssuers :List(ControlAddress));
+          demands :List(TargetDemand), latestDemand :UInt64, limitIssuers :List(ControlAddress),
+          outline :DeploymentOutline);
   # Asks the holder of the lease shared-limits/ and the entry's failure domain for one start on a cold target.
   startCold @3 (service :Text, target :Text) -> (granted :Bool, retryAfterMs :UInt32);
   # Asks the same control VM for one retry beyond the share of the entry's own requests.
@@ -247,6 +250,9 @@
   # its requests per second. It has not decided if it does not hold the lease.
   startLimited @8 (failureDomain :Text, demand :TargetDemand)
       -> (decided :Bool, granted :Bool, retryAfterMs :UInt32);
+  # Returns pieces of the current document by their digests, each compressed with zlib. Those that it does not have are
+  # left out.
+  readPieces @9 (digests :List(UInt64)) -> (pieces :List(Data));
 }
 
 # Requests that crash targets, see core::request_traits, core::crash_report, core::suspect_success,
--- a/packages/wire/src/plumfold_convert_deployment.cpp
+++ b/packages/wire/src/plumfold_convert_deployment.cpp
@@ -19,10 +19,12 @@
     return core::deployment_document { in.getVersion(), text(in.getText()) };
 }
 
-void write(DeploymentState::Builder out, const core::deployment_state& value)
+namespace {
+
+/// Writes all of a state but its document.
+void writeWithoutDocument(DeploymentState::Builder out, const core::deployment_state& value)
 {
     out.setRevision(value.revision);
-    write(out.initDocument(), value.document);
     writeTexts(out.initOutOfService(value.outOfService.size()),
         std::vector<std::string>(value.outOfService.begin(), value.outOfService.end()));
     auto weights = out.initWeights(value.weights.size());
@@ -39,6 +41,33 @@
     }
 }
 
+} // namespace
+
+void write(DeploymentState::Builder out, const core::deployment_state& value)
+{
+    writeWithoutDocument(out, value);
+    write(out.initDocument(), value.document);
+}
+
+void write(DeploymentOutline::Builder out, const core::deployment_state& state,
+    const core::document_outline& document)
+{
+    writeWithoutDocument(out.initState(), state);
+    out.getState().initDocument().setVersion(state.document.version);
+    out.setDigest(document.digest);
+    auto pieces = out.initPieces(document.pieces.size());
+    for (unsigned index = 0; index < document.pieces.size(); ++index)
+        pieces.set(index, document.pieces[index]);
+}
+
+core::document_outline readOutline(DeploymentOutline::Reader in)
+{
+    core::document_outline value { in.getDigest(), {} };
+    for (auto digest : in.getPieces())
+        value.pieces.push_back(digest);
+    return value;
+}
+
 core::deployment_state read(DeploymentState::Reader in)
 {
     core::deployment_state value;
--- a/packages/wire/src/plumfold_rpc_connection.cpp
+++ b/packages/wire/src/plumfold_rpc_connection.cpp
@@ -63,6 +63,29 @@
 {
 }
 
+namespace {
+
+kj::Promise<void> rejectOnSilenceSince(rpc_thread& thread, std::shared_ptr<const received_bytes> received,
+    kj::Duration timeout, kj::TimePoint since)
+{
+    return thread.timer()
+        .atTime(kj::max(received->latestAt, since) + timeout)
+        .then([&thread, received, timeout, since]() -> kj::Promise<void> {
+            if (kj::max(received->latestAt, since) + timeout <= thread.timer().now())
+                return KJ_EXCEPTION(OVERLOADED, "nothing was received in time");
+            return rejectOnSilenceSince(thread, received, timeout, since);
+        });
+}
+
+} // namespace
+
+kj::Promise<void> rejectOnSilence(
+    rpc_thread& thread, std::shared_ptr<const received_bytes> received, std::chrono::milliseconds timeout)
+{
+    return rejectOnSilenceSince(
+        thread, std::move(received), timeout.count() * kj::MILLISECONDS, thread.timer().now());
+}
+
 kj::Promise<kj::Own<rpc_connection>> rpc_connection::connect(
     rpc_thread& thread, const std::string& address, std::chrono::milliseconds timeout)
 {
--- a/tests/forwarding/support/plumfold_large_configuration.hpp
+++ b/tests/forwarding/support/plumfold_large_configuration.hpp
@@ -152,9 +152,11 @@
     }
 
     /// @return the configuration of the tests with more routes.
-    nlohmann::json grown(int version, int routes) const
+    nlohmann::json grown(int version, int routes) const { return grow(deployment(version), routes); }
+
+    /// @return a configuration with more routes.
+    static nlohmann::json grow(nlohmann::json out, int routes)
     {
-        auto out = deployment(version);
         for (int number = 0; number < routes; ++number) {
             auto route = out["routes"][0];
             route["path-prefix"] = prefixOf(number);
