Compact the log of control VMs by its size, too

Change: the log is compacted beyond 16 MB, too, after at least eight entries and while the disk has free space.

--- a/packages/control/include/plumfold/control/plumfold_control_node.hpp
+++ b/packages/control/include/plumfold/control/plumfold_control_node.hpp
@@ -103,6 +103,7 @@
     std::string address; ///< ip:port at which the node accepts RPC connections.
     core::milliseconds electionTimeout { 400 }; ///< See core::raft_options.
     std::uint64_t snapshotEveryEntries = 10'000; ///< Applied entries after which the log is compacted.
+    std::uint64_t snapshotEveryBytes = 16 << 20; ///< Size beyond which the log is compacted, too.
     std::uint64_t seed = 1; ///< Of the random election timeouts.
 };
 
@@ -144,6 +145,7 @@
     void apply(const core::log_entry& entry);
     void completeWatches();
     watch_response makeWatchResponse(std::uint64_t knownRevision) const;
+    bool isCompactionDue() const;
     void maybeCompact();
     void publishView();
     void logRoleChange();
--- a/packages/control/src/plumfold_control_node.cpp
+++ b/packages/control/src/plumfold_control_node.cpp
@@ -13,6 +13,8 @@
 constexpr std::size_t ringCapacity = 8192;
 constexpr std::size_t maxEventsPerSync = 512;
 constexpr core::milliseconds tickInterval { 15 };
+/// Bounds how often a snapshot is written for its size while entries are long.
+constexpr std::uint64_t minEntriesPerSnapshot = 8;
 
 core::raft_options raftOptions(const control_node_options& options)
 {
@@ -268,9 +270,17 @@
             rejection("this control VM already belongs to a group: nothing needs to be formed"));
 }
 
+/// A log of few entries may be long, since each deployment is an entry with the whole document.
+bool control_node::isCompactionDue() const
+{
+    auto applied = m_appliedIndex - std::min(m_appliedIndex, m_raft.firstIndex());
+    bool isLarge = m_log->logBytes() > m_options.snapshotEveryBytes && applied >= minEntriesPerSnapshot;
+    return applied >= m_options.snapshotEveryEntries || (isLarge && m_log->hasFreeSpace());
+}
+
 void control_node::maybeCompact()
 {
-    if (m_appliedIndex < m_raft.firstIndex() + m_options.snapshotEveryEntries)
+    if (!isCompactionDue())
         return;
     core::raft_snapshot snapshot;
     snapshot.index = m_appliedIndex;
--- /dev/null
+++ b/tests/forwarding/plumfold_control_storage_tests.cpp
@@ -0,0 +1,48 @@
+#include "support/plumfold_large_configuration.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <fstream>
+
+using namespace plumfold::tests;
+
+namespace {
+
+/// @return the largest resident size that a process has had, in bytes.
+std::size_t peakMemoryOf(int process)
+{
+    std::ifstream status("/proc/" + std::to_string(process) + "/status");
+    std::string line;
+    while (std::getline(status, line)) {
+        if (line.starts_with("VmHWM:"))
+            return std::stoul(line.substr(6)) << 10;
+    }
+    return 0;
+}
+
+} // namespace
+
+TEST_CASE("Control VMs bear two hundred changes of a large configuration within their memory and disk",
+    "[forwarding][large_configuration]")
+{
+    constexpr int routes = 4'200;
+    constexpr int changes = 200;
+    constexpr std::size_t memory = 256 << 20;
+    constexpr std::size_t disk = 128 << 20;
+    forwarding_system system;
+    for (int number = 1; number <= 3; ++number)
+        system.startControl(number);
+    auto body = large_configuration_system::grow(system.deployment(3), routes);
+    for (int change = 0; change < changes; ++change) {
+        body["version"] = 3 + change;
+        REQUIRE(system.putDeployment(1 + change % 3, body));
+    }
+    for (int number = 1; number <= 3; ++number) {
+        auto name = "c" + std::to_string(number);
+        CAPTURE(name);
+        CHECK(peakMemoryOf(system.process(name).id()) < memory);
+        CHECK(system.folderBytes(name) < disk);
+        CHECK(nlohmann::json::parse(system.call(number, "GET", "/configuration").second)["version"]
+            == 3 + changes - 1);
+    }
+}
--- a/tests/forwarding/support/plumfold_forwarding_system.cpp
+++ b/tests/forwarding/support/plumfold_forwarding_system.cpp
@@ -379,6 +379,14 @@
     return text.str();
 }
 
+std::size_t forwarding_system::folderBytes(const std::string& name) const
+{
+    std::size_t bytes = 0;
+    for (const auto& each : std::filesystem::directory_iterator(m_folder / name))
+        bytes += each.is_regular_file() ? each.file_size() : 0;
+    return bytes;
+}
+
 bool forwarding_system::eventually(const std::function<bool()>& condition, int seconds)
 {
     auto until = std::chrono::steady_clock::now() + std::chrono::seconds(seconds);
--- a/tests/forwarding/support/plumfold_forwarding_system.hpp
+++ b/tests/forwarding/support/plumfold_forwarding_system.hpp
@@ -100,6 +100,8 @@
     test_process& process(const std::string& name) { return m_processes.at(name); }
     void rewriteSeeds(const std::string& name, const std::vector<int>& controls);
     std::string logOf(const std::string& name) const;
+    /// @return the bytes of the files in the data folder of a process.
+    std::size_t folderBytes(const std::string& name) const;
     void removeFolder(const std::string& name) { std::filesystem::remove_all(m_folder / name); }
 
     static bool eventually(const std::function<bool()>& condition, int seconds = 20);
