--- a/packages/control/src/plumfold_platform_api_server.cpp
+++ b/packages/control/src/plumfold_platform_api_server.cpp
@@ -32,7 +32,8 @@
 api_response errorResponse(HTTPResponse::HTTPStatus status, const std::string& message)
 {
     nlohmann::json body { { "error", message } };
-    return { status, body.dump() };
+    // The message may quote bytes of the request that are not valid UTF-8.
+    return { status, body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) };
 }
 
 /// Executes one call on a thread of the listener and returns its response.
