Don't take a response without an id on a reused connection for this request's

Report of another operator: a worker wrote an earlier refusal once more on a kept connection; callers were told "not run" for requests that ran, or such a request ran at a second worker. It happens here if that refusal has no id: it was taken for the response to the request that had just been sent. With its id it was told apart. The same request does not meet its own earlier refusal: an entry does not send it to a target twice.

Change: on a connection that has carried a request before, a response without an id is a lost attempt, which says nothing about what ran. On a new connection it can only be for this request.

--- a/packages/forwarding/src/plumfold_request_attempt.cpp
+++ b/packages/forwarding/src/plumfold_request_attempt.cpp
@@ -224,6 +224,13 @@
         bool isMismatched = !head.requestId.empty() && head.requestId != m_head.id;
         bool isStream = !isMismatched && !head.isNotExecuted && m_route->kind == core::request_kind::stream
             && parser.get().result_int() == statusOk && !head.isEncoded && head.isSigned;
+        // On a connection that carried another request before, it may be a late response to that one.
+        bool isAmbiguous = m_helper.empty() && head.requestId.empty() && connection.isReused;
+        if (isAmbiguous) {
+            auto failure = classifyFailure(http::error::partial_message);
+            m_reason = failure == core::attempt_result::lost ? "response_without_id" : m_reason;
+            co_return failure;
+        }
         if (isMismatched && parser.need_eof())
             co_return classifyFailure(http::error::partial_message);
         if (isMismatched) {
--- a/tests/forwarding/support/plumfold_scripted_exchange.hpp
+++ b/tests/forwarding/support/plumfold_scripted_exchange.hpp
@@ -19,6 +19,7 @@
     int owner = 0; // process at the other end, see link_cuts; 0: any
     bool isNew = true; // no request was received yet
     std::size_t number = 0; // of the request among all that the target has received
+    std::string refused; // id of the request that was refused last and whose refusal was not sent again
 
     void send(const std::string& bytes)
     {
--- a/tests/forwarding/support/plumfold_scripted_target.cpp
+++ b/tests/forwarding/support/plumfold_scripted_target.cpp
@@ -187,6 +187,8 @@
         { "unsigned", &scripted_target::respondUnsigned },
         { "spoiled", &scripted_target::respondMalformed },
         { "not-run", &scripted_target::respondNotExecuted },
+        { "refusal-again", &scripted_target::refuseAgain },
+        { "refusal-again-named", &scripted_target::refuseAgain },
         { "busy", &scripted_target::respondBusy },
         { "slow", &scripted_target::respondSlowly },
         { "work", &scripted_target::respondAfterWork },
@@ -212,6 +214,16 @@
         { "endless-drip", &scripted_target::dripBytes },
         { "versioned", &scripted_target::streamVersionedEvents },
         { "events-cut-slow", &scripted_target::streamSlowlyWhenResumed },
+        { "events-then-400", &scripted_target::streamThenFail },
+        { "events-then-404", &scripted_target::streamThenFail },
+        { "events-then-500", &scripted_target::streamThenFail },
+        { "events-then-500-close", &scripted_target::streamThenFail },
+        { "events-then-500-events", &scripted_target::streamThenFail },
+        { "events-then-503", &scripted_target::streamThenFail },
+        { "events-then-503-not-run", &scripted_target::streamThenFail },
+        { "events-then-302", &scripted_target::streamThenFail },
+        { "events-then-200-text", &scripted_target::streamThenFail },
+        { "events-then-200-unsigned", &scripted_target::streamThenFail },
     };
     exchange current { *this, socket, {}, {}, true, 0, true };
     try {
@@ -375,6 +387,34 @@
     current.sendResponse("503 Service Unavailable", "Not-Executed: 1\r\n", "");
 }
 
+/// Every other request on a connection is refused. The next one runs, and gets the refusal once more before
+/// its response.
+void scripted_target::refuseAgain(exchange& current)
+{
+    if (current.refused.empty()) {
+        current.refused = current.id();
+        respondNotExecuted(current);
+        return;
+    }
+    {
+        std::lock_guard lock(m_mutex);
+        m_executed.push_back(current.id());
+    }
+    bool isNamed = current.request.path.find("named") != std::string::npos;
+    current.send("HTTP/1.1 503 Service Unavailable\r\n"
+        + (isNamed ? "Request-Id: " + current.refused + "\r\n" : std::string())
+        + "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+    current.refused.clear();
+    std::this_thread::sleep_for(workTime);
+    respondComplete(current);
+}
+
+std::vector<std::string> scripted_target::executed() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_executed;
+}
+
 void scripted_target::respondBusy(exchange& current)
 {
     current.sendResponse("503 Service Unavailable", "Response-Signature: x\r\n", "busy");
--- a/tests/forwarding/support/plumfold_scripted_target.hpp
+++ b/tests/forwarding/support/plumfold_scripted_target.hpp
@@ -115,6 +115,9 @@
     void fallSilent(std::chrono::milliseconds time, bool keepsQueue);
     bool isSilent() const { return std::chrono::steady_clock::now() < m_silentUntil.load(); }
 
+    /// @return the ids of the requests that ran, in that order; recorded by the behaviours that refuse
+    /// others.
+    std::vector<std::string> executed() const;
     std::vector<recorded_request> requests() const;
     /// @return number of connections that the entry closed while a request was being served.
     int abandoned() const { return m_abandoned; }
@@ -152,6 +155,8 @@
     void respondUnsigned(exchange& current);
     void respondMalformed(exchange& current);
     void respondNotExecuted(exchange& current);
+    void refuseAgain(exchange& current);
+    void streamThenFail(exchange& current);
     void respondBusy(exchange& current);
     void respondSlowly(exchange& current);
     void respondAfterWork(exchange& current);
@@ -189,6 +194,7 @@
     Poco::Net::ServerSocket m_listener;
     mutable std::mutex m_mutex;
     std::vector<recorded_request> m_requests;
+    std::vector<std::string> m_executed; // ids, in the order of execution
     std::string m_responseHeaders;
     std::map<int, std::chrono::milliseconds> m_restsToAsk; // by process
     std::vector<scripted_rest> m_rests;
