Test streams that broke off and whose next target answers with an error

Report of another operator: callers found an error's text, at times its head, in their stream, or the stream ended as if it were complete.

Not tried: a stream that its caller takes up at another entry gets the error as the response to a request of its own.

--- a/tests/forwarding/support/plumfold_scripted_streams.cpp
+++ b/tests/forwarding/support/plumfold_scripted_streams.cpp
@@ -140,6 +140,38 @@
     streamCutMidEvent(current);
 }
 
+/// A first request gets two events and part of a third. One that takes the stream up gets a response that
+/// does not continue it, as the path says.
+void scripted_target::streamThenFail(exchange& current)
+{
+    if (!current.isResumed()) {
+        streamCutMidEvent(current);
+        return;
+    }
+    auto variant = current.request.path.substr(current.request.path.rfind("events-then-") + 12);
+    auto signature = "Response-Signature: " + m_name + "\r\nForeign-Header: foreign\r\n";
+    if (variant == "500-close") {
+        current.send(current.head("500 Error", signature + "Connection: close\r\n") + "foreign text");
+        current.keepAlive = false;
+    } else if (variant == "500-events") {
+        current.send(current.head(
+            "500 Error", signature + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"));
+        current.sendChunk("id: 3\ndata: foreign\n\n");
+        current.send("0\r\n\r\n");
+    } else if (variant == "503-not-run") {
+        current.sendResponse(
+            "503 Unavailable", "Not-Executed: 1\r\nForeign-Header: foreign\r\n", "foreign text");
+    } else if (variant == "302") {
+        current.sendResponse("302 Found", signature + "Location: /foreign\r\n", "foreign text");
+    } else if (variant == "200-text") {
+        current.sendResponse("200 OK", signature + "Content-Type: text/plain\r\n", "foreign text");
+    } else if (variant == "200-unsigned") {
+        current.sendResponse("200 OK", "Foreign-Header: foreign\r\n", "id: 3\ndata: foreign\n\n");
+    } else {
+        current.sendResponse(variant + " Error", signature, "foreign text");
+    }
+}
+
 void scripted_target::sendEndlessly(
     exchange& current, const std::string& bytes, std::chrono::milliseconds pause)
 {
