--- a/tests/forwarding/plumfold_control_storage_tests.cpp
+++ b/tests/forwarding/plumfold_control_storage_tests.cpp
@@ -1,4 +1,5 @@
 #include "support/plumfold_large_configuration.hpp"
+#include "support/plumfold_slow_machines.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -22,6 +23,29 @@
 
 } // namespace
 
+TEST_CASE("Large configurations are acknowledged in time by control VMs on slow machines",
+    "[forwarding][large_configuration]")
+{
+    constexpr int routes = 4'200;
+    constexpr double share = 0.3 / 5; // of a processor: a machine of the sheets that runs five times slower
+    constexpr std::chrono::milliseconds acknowledgeBound { 5'000 };
+    forwarding_system system;
+    std::vector<int> processes;
+    for (int number = 1; number <= 3; ++number) {
+        system.startControl(number);
+        processes.push_back(system.process("c" + std::to_string(number)).id());
+    }
+    auto body = large_configuration_system::grow(system.deployment(3), routes);
+    REQUIRE(system.putDeployment(1, system.deployment(3)));
+    slow_machines slow(processes, share);
+    for (int number = 1; number <= 3; ++number) {
+        body["version"] = 3 + number;
+        auto sentAt = std::chrono::steady_clock::now();
+        CHECK(system.putDeployment(number, body));
+        CHECK(std::chrono::steady_clock::now() - sentAt <= acknowledgeBound);
+    }
+}
+
 TEST_CASE("Control VMs bear two hundred changes of a large configuration within their memory and disk",
     "[forwarding][large_configuration]")
 {
