Ask control VMs of a former version for documents that they don't send in pieces

Found when the change was read once more: an entry that had begun a transfer by pieces and then followed a control VM of a former version asked that one for pieces, which it does not know, and told it that it knew the revision, so the document never came until the next change or the next control VM (CONFIG while builds are mixed).

Change: if the call is not implemented, the entry asks again from the revision before, and takes the deployment as a whole; a lost connection ends that.

--- a/packages/forwarding/src/plumfold_deployment_transfer.cpp
+++ b/packages/forwarding/src/plumfold_deployment_transfer.cpp
@@ -28,8 +28,9 @@
 
 void deployment_transfer::applyWhole(core::deployment_state state)
 {
-    if (state.revision <= m_state.revision)
+    if (state.revision < m_state.revision + !m_needsWhole)
         return;
+    m_needsWhole = false;
     m_completeVersion = state.document.version;
     m_state = state;
     m_state.document.text.clear();
@@ -57,7 +58,8 @@
 
 void deployment_transfer::requestPieces(wire::EntrySession::Client session)
 {
-    if (m_callsInFlight > 0 || m_assembly.isComplete())
+    bool isComplete = m_completeVersion == m_state.document.version || m_assembly.isComplete();
+    if (m_callsInFlight > 0 || isComplete || m_needsWhole)
         return;
     m_assembly.resetRequests();
     while (m_callsInFlight < maxCallsInFlight) {
@@ -91,6 +93,7 @@
             if (generation != m_generation)
                 return;
             --m_callsInFlight;
+            m_needsWhole = exception.getType() == kj::Exception::Type::UNIMPLEMENTED;
             runtime::log_event("deployment_pieces_lost", runtime::log_level::warning)
                 .with("revision", m_state.revision)
                 .with("reason", exception.getDescription().cStr());
@@ -143,6 +146,7 @@
 {
     ++m_generation;
     ++m_connectionsLost;
+    m_needsWhole = false;
     m_callsInFlight = 0;
     m_assembly.resetRequests();
 }
--- a/packages/forwarding/src/plumfold_deployment_transfer.hpp
+++ b/packages/forwarding/src/plumfold_deployment_transfer.hpp
@@ -22,10 +22,11 @@
 
     explicit deployment_transfer(listener onState);
 
-    /// @return the revision of the newest deployment that is known, whether its document is complete or not.
-    std::uint64_t knownRevision() const { return m_state.revision; }
+    /// @return the revision that a control VM is asked to go beyond: that of the newest deployment that is
+    /// known, or the one before if the control VM has to send its document as a whole.
+    std::uint64_t knownRevision() const { return m_state.revision - m_needsWhole; }
 
-    /// Applies a deployment that arrived as a whole; ignored if it is not newer.
+    /// Applies a deployment that arrived as a whole; ignored if it is neither newer nor needed as a whole.
     void applyWhole(core::deployment_state state);
     /// Applies an outline; ignored if it is not newer. All but the document is in force at once.
     void applyOutline(core::deployment_state state, core::document_outline outline);
@@ -49,6 +50,7 @@
     std::uint64_t m_completeVersion = 0; // of the newest document that was complete
     unsigned m_callsInFlight = 0;
     bool m_hasProgressed = false;
+    bool m_needsWhole = false; // the control VM is of a former version and does not send pieces
     std::uint64_t m_generation = 0; // of the connection
     core::instant m_startedAt {}; // when the current document became known
     std::size_t m_receivedBytes = 0; // of pieces of the current document, compressed
