--- a/tests/forwarding/support/plumfold_large_configuration.hpp
+++ b/tests/forwarding/support/plumfold_large_configuration.hpp
@@ -30,7 +30,7 @@
                     auto sentAt = std::chrono::steady_clock::now();
                     bool isServed = system.request(entry, path + "whole").status == 200;
                     record(entry, isServed, sentAt);
-                    std::this_thread::sleep_for(milliseconds(40));
+                    std::this_thread::sleep_for(milliseconds(100));
                 }
             });
     }
