--- a/tests/forwarding/plumfold_deployment_transfer_tests.cpp
+++ b/tests/forwarding/plumfold_deployment_transfer_tests.cpp
@@ -63,12 +63,10 @@
     rpc.run([&] { return rpc.timer().afterDelay(50 * kj::MILLISECONDS); });
 }
 
-} // namespace
-
-TEST_CASE("A document that a control VM of a former version does not send in pieces is asked for as a whole",
-    "[forwarding][large_configuration]")
+/// @return a transfer, created on the RPC thread, that knows the outline of the text and has asked a control
+/// VM of a former version for its pieces.
+std::unique_ptr<observed_transfer> askFormerControl(wire::rpc_thread& rpc)
 {
-    wire::rpc_thread rpc;
     std::unique_ptr<observed_transfer> observed;
     rpc.run([&] {
         observed = std::make_unique<observed_transfer>();
@@ -77,6 +75,16 @@
         observed->transfer.requestPieces(kj::heap<former_session>());
     });
     letCallsEnd(rpc);
+    return observed;
+}
+
+} // namespace
+
+TEST_CASE("A document that a control VM of a former version does not send in pieces is asked for as a whole",
+    "[forwarding][large_configuration]")
+{
+    wire::rpc_thread rpc;
+    auto observed = askFormerControl(rpc);
     rpc.run([&] {
         // A control VM sends the deployment if its revision is higher than the known one.
         CHECK(observed->transfer.knownRevision() < 7);
@@ -95,13 +103,7 @@
     "[forwarding][large_configuration]")
 {
     wire::rpc_thread rpc;
-    std::unique_ptr<observed_transfer> observed;
-    rpc.run([&] {
-        observed = std::make_unique<observed_transfer>();
-        observed->transfer.applyOutline(stateOf(7, 4), core::outlineOf(text));
-        observed->transfer.requestPieces(kj::heap<former_session>());
-    });
-    letCallsEnd(rpc);
+    auto observed = askFormerControl(rpc);
     rpc.run([&] {
         observed->transfer.onConnectionLost();
         CHECK(observed->transfer.knownRevision() == 7);
