Accept fractions and exponents in settings, sheets and configurations

Callers saw nothing served: a sheet with the retry budget 428.4 ended each control VM at its start (exit code 2, "/control/retryExtra has the wrong type"), since settings demanded whole numbers where the sheets promise numbers.

An error that the parser finds is reported with its line. retryRatio takes the place of retryPercent and comes from the sheet.

Ruled out: a rounding in the templates, which the platform cannot do.

--- a/packages/control/src/plumfold_shared_limit_issuer.cpp
+++ b/packages/control/src/plumfold_shared_limit_issuer.cpp
@@ -32,7 +32,7 @@
         m_domains.emplace(domain,
             domain_grants { core::lease_usage(core::milliseconds(settings.control->sharedLimitLeaseMs)),
                 core::cold_start_limiter(domain, domains, core::startGrantLifetime),
-                core::retry_reserve(domain, domains, settings.control->retryExtra,
+                core::retry_reserve(domain, domains, static_cast<std::uint64_t>(settings.control->retryExtra),
                     core::milliseconds(settings.control->retryWindowMs)),
                 {} });
     }
@@ -114,7 +114,7 @@
         return { false, retryWithoutLease };
     double perSecond = m_feed.coldRequestsPerSecond(service);
     core::cold_start_rate rate { perSecond,
-        perSecond * m_settings.control->coldOvershoot + static_cast<double>(m_settings.control->coldSlack) };
+        perSecond * m_settings.control->coldOvershoot + m_settings.control->coldSlack };
     return found->second.coldStarts.tryStart(target, rate, now);
 }
 
--- a/packages/core/include/plumfold/core/plumfold_deployment.hpp
+++ b/packages/core/include/plumfold/core/plumfold_deployment.hpp
@@ -24,7 +24,7 @@
 /// A service to which a route forwards a share of its requests.
 struct route_share {
     std::string service;
-    std::uint32_t weight = 1; ///< Share of the route's requests, relative to the other services.
+    double weight = 1; ///< Share of the route's requests, relative to the other services.
     auto operator<=>(const route_share&) const = default;
 };
 
--- a/packages/core/src/plumfold_deployment.cpp
+++ b/packages/core/src/plumfold_deployment.cpp
@@ -2,6 +2,7 @@
 
 #include <absl/strings/str_cat.h>
 #include <algorithm>
+#include <cmath>
 
 namespace plumfold::core {
 
@@ -22,14 +23,14 @@
     if (checked.timeout.count() <= 0)
         return absl::InvalidArgumentError(
             absl::StrCat("the timeout of route ", checked.name, " is 0: give a longer one"));
-    std::uint64_t weights = 0;
+    double weights = 0;
     for (const auto& share : checked.shares) {
         if (!whole.findService(share.service))
             return absl::InvalidArgumentError(absl::StrCat("route ", checked.name,
                 " names the unknown service ", share.service, ": declare it among the services"));
         weights += share.weight;
     }
-    if (weights == 0)
+    if (!(weights > 0))
         return absl::InvalidArgumentError(
             absl::StrCat("the weights of route ", checked.name, " add up to 0: raise one"));
     return absl::OkStatus();
@@ -121,18 +122,22 @@
 
 const std::string* chooseService(const route& requestRoute, std::uint64_t draw)
 {
-    std::uint64_t total = 0;
+    double total = 0;
     for (const auto& share : requestRoute.shares)
         total += share.weight;
-    if (total == 0)
-        return nullptr;
-    std::uint64_t place = draw % total;
+    // The upper 53 bits of the draw, as a fraction of 1.
+    constexpr int unusedBits = 11;
+    double place = std::ldexp(static_cast<double>(draw >> unusedBits), unusedBits - 64) * total;
+    const std::string* last = nullptr;
     for (const auto& share : requestRoute.shares) {
+        if (share.weight <= 0)
+            continue;
+        last = &share.service;
         if (place < share.weight)
-            return &share.service;
+            break;
         place -= share.weight;
     }
-    return nullptr;
+    return last;
 }
 
 } // namespace plumfold::core
--- a/packages/forwarding/src/plumfold_forwarding_role.cpp
+++ b/packages/forwarding/src/plumfold_forwarding_role.cpp
@@ -42,8 +42,7 @@
 
 core::windowed_retry_budget retryBudget(const runtime::forwarding_settings& settings)
 {
-    return { static_cast<double>(settings.retryPercent) / percent,
-        core::milliseconds(settings.retryWindowMs) };
+    return { settings.retryRatio, core::milliseconds(settings.retryWindowMs) };
 }
 
 } // namespace
--- a/packages/runtime/include/plumfold/runtime/plumfold_settings.hpp
+++ b/packages/runtime/include/plumfold/runtime/plumfold_settings.hpp
@@ -67,7 +67,7 @@
     std::uint64_t controlPort = 0; ///< RPC port of the control VMs.
     std::string metricsAddress; ///< Serves metrics as Prometheus text; empty for none.
     std::string relayAddress; ///< Accepts requests that other entries relay; empty for none.
-    std::uint64_t retryPercent = 20; ///< Retries to a service, as a share of its requests.
+    double retryRatio = 0.2; ///< Retries to a service, as a share of its requests.
     std::uint64_t retryWindowMs = 10'000;
     std::uint64_t weightsBoundMs = 10'000; ///< Time limit for starting requests on stale weights.
     /// Limit of all buffered parts of targets' answers beyond 16 KiB each.
@@ -90,8 +90,8 @@
     /// A cold target bears its service's cold request rate times coldOvershoot, plus coldSlack requests, in
     /// any second.
     double coldOvershoot = 1.5;
-    std::uint64_t coldSlack = 5;
-    std::uint64_t retryExtra = 50; ///< Retries to a service of all entries together, beyond retryPercent.
+    double coldSlack = 5;
+    double retryExtra = 50; ///< Retries to a service of all entries together, beyond retryRatio.
     std::uint64_t retryWindowMs = 10'000; ///< Window of retryExtra.
     /// Lease of the control VM that grants a failure domain's part of the limits that all entries share.
     /// While it is cut off it goes on for this time; a successor waits for as long.
--- a/packages/runtime/src/plumfold_settings.cpp
+++ b/packages/runtime/src/plumfold_settings.cpp
@@ -1,12 +1,16 @@
 #include "plumfold/runtime/plumfold_settings.hpp"
 
+#include "plumfold_settings_text.hpp"
+
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/ServerSocket.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
+#include <absl/strings/str_split.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <fstream>
 #include <set>
 #include <sstream>
@@ -25,17 +29,27 @@
         std::vector<operator_setting> Owner::*>;
     const char* name;
     member memberPointer;
-    const char* allowed; ///< Allowed values as text for error messages and the settings reference.
+    std::string allowed; ///< Allowed values as text for error messages and the settings reference.
     bool required = false;
     bool isAddress = false;
     std::uint64_t minimum = 0;
     std::uint64_t maximum = UINT64_MAX;
+    bool isDuration = false; ///< Milliseconds as a number, or text with a unit.
 };
 
 template <class Owner> using fields = std::vector<setting_field<Owner>>;
 
 constexpr std::uint64_t maxDurationMs = 3'600'000;
 
+template <class Owner>
+setting_field<Owner> durationField(
+    const char* name, std::uint64_t Owner::*member, std::uint64_t minimum, std::uint64_t maximum)
+{
+    return { name, member,
+        absl::StrCat("milliseconds, ", minimum, " to ", maximum, ", or text with a unit such as \"2.5 s\""),
+        false, false, minimum, maximum, true };
+}
+
 const fields<process_settings>& processFields()
 {
     static const fields<process_settings> all {
@@ -47,8 +61,7 @@
         { "logFile", &process_settings::logFile, "a file; empty for standard output" },
         { "traceFile", &process_settings::traceFile, "a file; empty for no traces" },
         { "clusterSecret", &process_settings::clusterSecret, "a secret that all processes share", true },
-        { "gracePeriodMs", &process_settings::gracePeriodMs, "milliseconds, 0 to 3600000", false, false, 0,
-            maxDurationMs },
+        durationField("gracePeriodMs", &process_settings::gracePeriodMs, 0, maxDurationMs),
     };
     return all;
 }
@@ -65,16 +78,11 @@
         { "maxConnections", &entry_settings::maxConnections, "1 to 10000", false, false, 1, 10'000 },
         { "maxBodyBytes", &entry_settings::maxBodyBytes, "bytes, 1024 to 67108864", false, false, 1024,
             64 << 20 },
-        { "defaultDeadlineMs", &entry_settings::defaultDeadlineMs, "milliseconds, 100 to 3600000", false,
-            false, 100, maxDurationMs },
-        { "maxQueueWaitMs", &entry_settings::maxQueueWaitMs, "milliseconds, 10 to 3600000", false, false, 10,
-            maxDurationMs },
-        { "firstTokenBoundMs", &entry_settings::firstTokenBoundMs, "milliseconds, 50 to 3600000", false,
-            false, 50, maxDurationMs },
-        { "targetExpiryMs", &entry_settings::targetExpiryMs, "milliseconds, 500 to 60000", false, false, 500,
-            60'000 },
-        { "viewBoundMs", &entry_settings::viewBoundMs, "milliseconds, 500 to 60000", false, false, 500,
-            60'000 },
+        durationField("defaultDeadlineMs", &entry_settings::defaultDeadlineMs, 100, maxDurationMs),
+        durationField("maxQueueWaitMs", &entry_settings::maxQueueWaitMs, 10, maxDurationMs),
+        durationField("firstTokenBoundMs", &entry_settings::firstTokenBoundMs, 50, maxDurationMs),
+        durationField("targetExpiryMs", &entry_settings::targetExpiryMs, 500, 60'000),
+        durationField("viewBoundMs", &entry_settings::viewBoundMs, 500, 60'000),
         { "linkBytesPerSecond", &entry_settings::linkBytesPerSecond, "bytes a second, at least 1000", false,
             false, 1000 },
         { "kvBlockBytes", &entry_settings::kvBlockBytes, "bytes, 1 to 268435456", false, false, 1,
@@ -95,22 +103,20 @@
             65'535 },
         { "platformAddress", &control_settings::platformAddress, "ip:port; empty for none", false, true },
         { "firstStart", &control_settings::firstStart, "true or false" },
-        { "targetSilenceMs", &control_settings::targetSilenceMs, "milliseconds, 500 to 60000", false, false,
-            500, 60'000 },
+        durationField("targetSilenceMs", &control_settings::targetSilenceMs, 500, 60'000),
         { "concurrentLoadPercent", &control_settings::concurrentLoadPercent, "percent, 1 to 100", false,
             false, 1, 100 },
-        { "orderLeaseMs", &control_settings::orderLeaseMs, "milliseconds, 500 to 60000", false, false, 500,
-            60'000 },
-        { "coldOvershoot", &control_settings::coldOvershoot, "a factor, 1 to 100", false, false, 1, 100 },
-        { "coldSlack", &control_settings::coldSlack, "requests, 0 to 100000", false, false, 0, 100'000 },
-        { "retryExtra", &control_settings::retryExtra, "requests, 0 to 100000", false, false, 0, 100'000 },
-        { "retryWindowMs", &control_settings::retryWindowMs, "milliseconds, 100 to 600000", false, false, 100,
-            600'000 },
-        { "sharedLimitLeaseMs", &control_settings::sharedLimitLeaseMs, "milliseconds, 1000 to 60000", false,
-            false, 1000, 60'000 },
+        durationField("orderLeaseMs", &control_settings::orderLeaseMs, 500, 60'000),
+        { "coldOvershoot", &control_settings::coldOvershoot, "a factor, 1 to 100; may have a fraction", false,
+            false, 1, 100 },
+        { "coldSlack", &control_settings::coldSlack, "requests, 0 to 100000; may have a fraction", false,
+            false, 0, 100'000 },
+        { "retryExtra", &control_settings::retryExtra, "requests, 0 to 100000; may have a fraction", false,
+            false, 0, 100'000 },
+        durationField("retryWindowMs", &control_settings::retryWindowMs, 100, 600'000),
+        durationField("sharedLimitLeaseMs", &control_settings::sharedLimitLeaseMs, 1000, 60'000),
         { "operators", &control_settings::operators, "a list of {name, tokenHash, mayChange}" },
-        { "electionTimeoutMs", &control_settings::electionTimeoutMs, "milliseconds, 50 to 60000", false,
-            false, 50, 60'000 },
+        durationField("electionTimeoutMs", &control_settings::electionTimeoutMs, 50, 60'000),
         { "snapshotEveryEntries", &control_settings::snapshotEveryEntries, "log entries, at least 10", false,
             false, 10 },
         { "maxDataBytes", &control_settings::maxDataBytes, "bytes; 0 for no limit" },
@@ -127,11 +133,10 @@
         { "controlPort", &forwarding_settings::controlPort, "a port, 1 to 65535", true, false, 1, 65'535 },
         { "metricsAddress", &forwarding_settings::metricsAddress, "ip:port; empty for none", false, true },
         { "relayAddress", &forwarding_settings::relayAddress, "ip:port; empty for none", false, true },
-        { "retryPercent", &forwarding_settings::retryPercent, "percent, 0 to 100", false, false, 0, 100 },
-        { "retryWindowMs", &forwarding_settings::retryWindowMs, "milliseconds, 100 to 600000", false, false,
-            100, 600'000 },
-        { "weightsBoundMs", &forwarding_settings::weightsBoundMs, "milliseconds, 100 to 3600000", false,
-            false, 100, maxDurationMs },
+        { "retryRatio", &forwarding_settings::retryRatio, "retries per request, 0 to 1; may have a fraction",
+            false, false, 0, 1 },
+        durationField("retryWindowMs", &forwarding_settings::retryWindowMs, 100, 600'000),
+        durationField("weightsBoundMs", &forwarding_settings::weightsBoundMs, 100, maxDurationMs),
         { "responseBufferBytes", &forwarding_settings::responseBufferBytes, "bytes, at least 1048576", false,
             false, 1 << 20 },
     };
@@ -238,14 +243,38 @@
             checkAddress(out, path);
     }
 
+    template <class Field> void outOfRange(const std::string& path, const Field& field)
+    {
+        addError(path, absl::StrCat("is out of range; allowed: ", field.allowed));
+    }
+
     template <class Field>
     void readValue(const json& in, const std::string& path, const Field& field, std::uint64_t& out)
     {
-        if (!in.is_number_unsigned())
+        if (in.is_number_unsigned()) {
+            out = in.get<std::uint64_t>();
+            if (out < field.minimum || out > field.maximum)
+                outOfRange(path, field);
+            return;
+        }
+        double number = 0;
+        if (in.is_number_float())
+            number = in.get<double>();
+        else if (auto duration
+            = field.isDuration && in.is_string() ? parseDuration(in.get<std::string>()) : std::nullopt)
+            number = *duration;
+        else
             return wrongType(path, field);
-        out = in.get<std::uint64_t>();
-        if (out < field.minimum || out > field.maximum)
-            addError(path, absl::StrCat("is out of range; allowed: ", field.allowed));
+        if (field.isDuration)
+            number = std::round(number);
+        if (std::trunc(number) != number)
+            return addError(path, absl::StrCat("is not a whole number; allowed: ", field.allowed));
+        // Above 2^53 a number in floating point may differ from the one in the text.
+        constexpr double maxExact = 9'007'199'254'740'992;
+        if (number < 0 || number > maxExact || number < static_cast<double>(field.minimum)
+            || number > static_cast<double>(field.maximum))
+            return outOfRange(path, field);
+        out = static_cast<std::uint64_t>(number);
     }
 
     template <class Field>
@@ -255,7 +284,7 @@
             return wrongType(path, field);
         out = in.get<double>();
         if (!(out >= static_cast<double>(field.minimum) && out <= static_cast<double>(field.maximum)))
-            addError(path, absl::StrCat("is out of range; allowed: ", field.allowed));
+            outOfRange(path, field);
     }
 
     template <class Field>
@@ -419,8 +448,14 @@
     try {
         in = json::parse(text, nullptr, allowExceptions, ignoreComments);
     } catch (const json::parse_error& error) {
-        return absl::InvalidArgumentError(absl::StrCat(
-            file, ": is not JSON with comments at byte ", error.byte, ": correct the text there"));
+        return absl::InvalidArgumentError(absl::StrCat(file, ": is not JSON with comments at byte ",
+            error.byte, ", ", lineBefore(text, error.byte), ": correct the text there"));
+    } catch (const json::out_of_range& error) {
+        // The library names the number, not its place.
+        std::vector<std::string> quoted = absl::StrSplit(error.what(), '\'');
+        auto place = text.find(quoted.size() > 1 ? quoted[1] : std::string()) + 1;
+        return absl::InvalidArgumentError(
+            absl::StrCat(file, ": a number is too large, ", lineBefore(text, place), ": correct it there"));
     }
     settings_reader reader(file);
     if (!in.is_object()) {
