--- a/tests/forwarding/support/plumfold_scripted_target.cpp
+++ b/tests/forwarding/support/plumfold_scripted_target.cpp
@@ -180,6 +180,7 @@
     static const std::map<std::string, behaviour> behaviours {
         { "whole", &scripted_target::respondComplete },
         { "cut", &scripted_target::respondTruncated },
+        { "head-stops", &scripted_target::stopInHead },
         { "surplus", &scripted_target::respondWithTrailingBytes },
         { "unframed", &scripted_target::respondUntilClose },
         { "after-another", &scripted_target::respondAfterForeignResponse },
@@ -345,6 +346,19 @@
     current.keepAlive = false;
 }
 
+void scripted_target::stopInHead(exchange& current)
+{
+    bool isStream
+        = current.request.path.starts_with("/words/") || current.request.path.starts_with("/notes/");
+    auto framing = isStream ? "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+                            : "Content-Length: 6\r\n";
+    current.send(current.head("200 OK", "Response-Signature: " + m_name + "\r\n" + framing)
+                     .substr(0, m_sentHeadBytes));
+    if (m_resetsInHead)
+        current.reset();
+    current.keepAlive = false;
+}
+
 void scripted_target::respondWithTrailingBytes(exchange& current)
 {
     respondComplete(current);
--- a/tests/forwarding/support/plumfold_scripted_target.hpp
+++ b/tests/forwarding/support/plumfold_scripted_target.hpp
@@ -77,6 +77,14 @@
     /// @return the header lines that are added to all responses.
     std::string responseHeaders() const;
 
+    /// Sets where the behaviour "head-stops" stops in its response, and how the connection ends then.
+    /// @param bytes of the response that are sent.
+    void stopInHead(std::size_t bytes, bool reset)
+    {
+        m_sentHeadBytes = bytes;
+        m_resetsInHead = reset;
+    }
+
     /// Lets the target ask a process for rest from the process' next request on: until the rest ends, it
     /// rejects all its requests. Call setLinkCuts() before, with the process known there.
     void askForRest(int process, std::chrono::milliseconds time);
@@ -148,6 +156,7 @@
 
     void respondComplete(exchange& current);
     void respondTruncated(exchange& current);
+    void stopInHead(exchange& current);
     void respondWithTrailingBytes(exchange& current);
     void respondUntilClose(exchange& current);
     void respondAfterForeignResponse(exchange& current);
@@ -191,6 +200,8 @@
     std::string m_controlBehaviour { "whole" };
     std::atomic<int> m_breakOffInterval { 0 };
     std::atomic<int> m_versionedStreams { 0 };
+    std::atomic<std::size_t> m_sentHeadBytes { 0 };
+    std::atomic<bool> m_resetsInHead { false };
     Poco::Net::ServerSocket m_listener;
     mutable std::mutex m_mutex;
     std::vector<recorded_request> m_requests;
