Entries don't all choose the engine that the last report shows as the least loaded

Callers waited seconds at engines although others were idle (large site: 99 % at 4 to 6 s beside a median of 0.16 s, 2,864 requests at their deadline at an engine that had begun them). Cause: each entry took the engine with the shortest wait by reports that are 0.15 to 0.6 s old and the same everywhere, and knew only its own 1/194 of what had been sent since; so all of them sent everything to the same one until the next report. Ruled out: age and size of loads and parts at an entry (0.0025 of a core, a few percent of the link).

Now an entry works out to which level the work that arrives in a report's age (its own rate times the number of entries) fills the engines with the shortest waits. Below that level all count alike, so that the engine that holds or will hold the shared part is taken, else one in proportion to how far it is below (weighted rendezvous by conversation).

--- a/packages/core/include/plumfold/core/plumfold_target_selector.hpp
+++ b/packages/core/include/plumfold/core/plumfold_target_selector.hpp
@@ -4,6 +4,7 @@
 #include "plumfold/core/plumfold_deployment.hpp"
 #include "plumfold/core/plumfold_event_history.hpp"
 #include "plumfold/core/plumfold_grant.hpp"
+#include "plumfold/core/plumfold_load_leveling.hpp"
 #include "plumfold/core/plumfold_prompt_parts.hpp"
 #include "plumfold/core/plumfold_target_demands.hpp"
 #include "plumfold/core/plumfold_target_directory.hpp"
@@ -306,8 +307,9 @@
     static bool isHolder(const tracked_target& target, const placement_request& request);
     double cacheMissMs(
         const tracked_target& target, const placement_request& request, bool isPreferred) const;
-    double predictedMs(
-        const tracked_target& target, const placement_request& request, bool isPreferred, instant now) const;
+    double expectedLevelMs(const std::vector<tracked_target*>& candidates, const std::vector<double>& waitsMs,
+        const placement_request& request, instant now) const;
+    double prefillMs(const tracked_target& target, const placement_request& request, bool isPreferred) const;
     placement recordStart(tracked_target& target, const placement_request& request, instant now);
     bool isUnderLoad(const tracked_target& target, instant now) const;
     tracked_target* preferredTarget(
@@ -320,6 +322,7 @@
     event_history m_weights;
     std::map<std::string, service_limits> m_services;
     std::uint32_t m_entries = 1;
+    std::map<std::string, work_rate> m_sessionWork; // of this entry's requests with a session, by service
     brittle_limiter m_brittleLimiter;
     target_demands m_demands;
 };
--- a/packages/core/src/plumfold_part_directory.cpp
+++ b/packages/core/src/plumfold_part_directory.cpp
@@ -31,7 +31,6 @@
 constexpr double acceptedDelayMs = 250;
 /// Duration of a transfer between failure domains relative to one within a domain.
 constexpr double remoteTransferFactor = 2;
-constexpr double hashRange = 18446744073709551616.0; // 2^64
 
 /// @return a cost proportional to the duration of a transfer, for comparison only.
 double transferCost(bool sameDomain, double linkMegabitsPerSecond)
@@ -332,11 +331,10 @@
             = static_cast<std::uint64_t>(static_cast<double>(store.capacityTokens) * maxFillRatio);
         if (!ready || known->usedTokens + tokens > usableTokens)
             continue;
-        // Weighted rendezvous hashing: all entries choose the same store without coordination.
-        double draw = (static_cast<double>(hashBytes(store.address, part)) + 1) / hashRange;
         double weight = static_cast<double>(store.capacityTokens)
             * (store.failureDomain == failureDomain ? localDomainWeight : 1.0);
-        double score = -weight / std::log(std::min(draw, 1 - 1e-12));
+        // All entries choose the same store without coordination.
+        double score = rendezvousScore(hashBytes(store.address, part), weight);
         if (best && score <= bestScore)
             continue;
         best = &store;
--- a/packages/core/src/plumfold_target_selector.cpp
+++ b/packages/core/src/plumfold_target_selector.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <tuple>
 
 namespace plumfold::core {
@@ -20,6 +21,8 @@
 constexpr milliseconds unconfirmedWeightsBackoff { 1'500 };
 /// How long demands of targets are kept that are not known any more.
 constexpr milliseconds maxDemandAge { 60'000 };
+/// Predicted times that differ by less are equal.
+constexpr double equalMs = 1;
 /// In which a recall is noticed (200 ms) and the target drops the request (500 ms).
 constexpr milliseconds recallTime { 800 };
 
@@ -300,13 +303,16 @@
         candidates = std::move(paused);
     auto* chosen = selectTarget(candidates, request, now);
     if (chosen) {
-        double predicted = request.session == 0
-            ? 0
-            : predictedMs(*chosen, request, chosen == preferredTarget(candidates, request.session), now);
-        double wait = request.session == 0 ? 0 : waitMs(*chosen, request, now);
+        double wait = 0;
+        double prefill = 0;
+        if (request.session != 0) {
+            wait = waitMs(*chosen, request, now);
+            prefill = prefillMs(*chosen, request, chosen == preferredTarget(candidates, request.session));
+            m_sessionWork[request.service].add(prefill, now);
+        }
         answer.chosen = recordStart(*chosen, request, now);
         answer.chosen->waitMs = wait;
-        answer.chosen->predictedMs = predicted;
+        answer.chosen->predictedMs = prefill + wait;
         answer.chosen->isTargetUnderLoad = isUnderLoad(*chosen, now);
         return answer;
     }
@@ -422,15 +428,26 @@
     std::vector<tracked_target*>& candidates, const placement_request& request, instant now) const
 {
     auto* preferred = preferredTarget(candidates, request.session);
+    std::vector<double> waits;
+    for (const auto* target : candidates)
+        waits.push_back(waitMs(*target, request, now));
+    double level = expectedLevelMs(candidates, waits, request, now);
     tracked_target* best = nullptr;
     double bestMs = 0;
-    for (auto* target : candidates) {
-        double ms
-            = predictedMs(*target, request, target == preferred, now) + staleWeightsPenalty(*target, request);
-        if (best && ms >= bestMs)
+    double bestScore = 0;
+    for (std::size_t index = 0; index < candidates.size(); ++index) {
+        auto* target = candidates[index];
+        double ms = std::max(waits[index], level) + prefillMs(*target, request, target == preferred)
+            + staleWeightsPenalty(*target, request);
+        bool isEqual = best && std::abs(ms - bestMs) < equalMs;
+        // All entries choose the same one for a conversation, as far as their reports agree.
+        double score = rendezvousScore(
+            hashBytes(target->last.name, request.session), std::max(level - waits[index], equalMs));
+        if (best && (isEqual ? score <= bestScore : ms > bestMs))
             continue;
         best = target;
-        bestMs = ms;
+        bestMs = isEqual ? std::min(ms, bestMs) : ms;
+        bestScore = score;
     }
     return best;
 }
