A configuration that is sent again takes no further place in the log of control VMs

Operators send a configuration again while they wait for its acknowledgement, and control VMs send it again to the leader when an attempt takes over 0.7 s. Each time became an entry of the log with the whole text: six repeats of 4,200 routes took 7.26 MB on disk and were sent to each control VM again, which made the next acknowledgement slower.

Now the leader takes a document that is pending for the pending one, replaces one that is not newer by a barrier, and an attempt has time in proportion to the document.

Ruled out as sufficient: a longer attempt alone, since the operator's own repeat brings the whole text as well.

--- a/packages/control/include/plumfold/control/plumfold_control_node.hpp
+++ b/packages/control/include/plumfold/control/plumfold_control_node.hpp
@@ -11,8 +11,11 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <thread>
+#include <utility>
 #include <variant>
+#include <vector>
 
 namespace plumfold::control {
 
@@ -130,7 +133,9 @@
 private:
     struct pending_proposal {
         std::uint64_t term;
-        std::unique_ptr<completion<propose_response>> callback;
+        std::vector<std::unique_ptr<completion<propose_response>>> callbacks;
+        /// Version and digest of the proposed document, if it is one.
+        std::optional<std::pair<std::uint64_t, std::uint64_t>> document;
     };
 
     void run();
@@ -143,6 +148,7 @@
     /// @return false if the log cannot be written.
     bool processOutput();
     void apply(const core::log_entry& entry);
+    bool joinsPendingProposal(propose_event& event);
     void completeWatches();
     watch_response makeWatchResponse(std::uint64_t knownRevision) const;
     bool isCompactionDue() const;
--- a/packages/control/src/plumfold_control_node.cpp
+++ b/packages/control/src/plumfold_control_node.cpp
@@ -1,5 +1,6 @@
 #include "plumfold/control/plumfold_control_node.hpp"
 
+#include "plumfold/core/plumfold_hash.hpp"
 #include "plumfold/runtime/plumfold_clock.hpp"
 #include "plumfold/runtime/plumfold_log.hpp"
 #include "plumfold/wire/plumfold_convert.hpp"
@@ -125,10 +126,12 @@
         return;
     pending_proposal pending = std::move(found->second);
     m_proposals.erase(found);
-    if (pending.term == entry.term)
-        pending.callback->done(propose_response { true, {}, {}, std::move(result), entry.index });
-    else
-        pending.callback->done(rejection("another leader took over: try again"));
+    for (auto& callback : pending.callbacks) {
+        if (pending.term == entry.term)
+            callback->done(propose_response { true, {}, {}, result, entry.index });
+        else
+            callback->done(rejection("another leader took over: try again"));
+    }
 }
 
 propose_response control_node::rejection(std::string message) const
@@ -187,6 +190,23 @@
     m_raft.step(event.message, runtime::now());
 }
 
+/// Documents may be large, and operators send them again while they wait for the response.
+/// @return whether the event proposes a document that is pending; then it gets the same response.
+bool control_node::joinsPendingProposal(propose_event& event)
+{
+    const auto* next = std::get_if<core::adopt_document_command>(&event.command.payload);
+    if (!next)
+        return false;
+    std::pair document(next->document.version, core::hashBytes(next->document.text));
+    auto found = std::find_if(m_proposals.begin(), m_proposals.end(), [&](const auto& each) {
+        return each.second.term == m_raft.term() && each.second.document == document;
+    });
+    if (found == m_proposals.end())
+        return false;
+    found->second.callbacks.push_back(std::move(event.callback));
+    return true;
+}
+
 void control_node::handle(propose_event& event)
 {
     if (m_raft.role() != core::raft_role::leader) {
@@ -197,13 +217,24 @@
         event.callback->done(rejection("the data folder is full: free space on the control VM's disk"));
         return;
     }
+    if (joinsPendingProposal(event))
+        return;
+    pending_proposal pending { m_raft.term(), {}, {} };
+    if (const auto* next = std::get_if<core::adopt_document_command>(&event.command.payload)) {
+        // A document that is not newer changes nothing: only this control VM's lead has to be confirmed.
+        if (next->document.version <= m_state.deployment().document.version)
+            event.command.payload = core::barrier_command {};
+        else
+            pending.document = { next->document.version, core::hashBytes(next->document.text) };
+    }
     event.command.at = m_commandClock.next(runtime::unixNow(), runtime::nowWithSuspension());
     auto index = m_raft.propose(wire::encode<wire::Command>(event.command), runtime::now());
     if (!index) {
         event.callback->done(rejection("this control VM just lost its lead: call the leader"));
         return;
     }
-    m_proposals[*index] = pending_proposal { m_raft.term(), std::move(event.callback) };
+    pending.callbacks.push_back(std::move(event.callback));
+    m_proposals[*index] = std::move(pending);
 }
 
 void control_node::handle(watch_event& event)
--- a/packages/control/src/plumfold_leader_client.cpp
+++ b/packages/control/src/plumfold_leader_client.cpp
@@ -11,8 +11,17 @@
 
 constexpr std::chrono::milliseconds connectTimeout { 250 };
 constexpr std::chrono::milliseconds attemptTimeout { 700 };
+/// Time that the leader has in addition for each byte of a document.
+constexpr std::int64_t documentBytesPerMs = 1'000;
 constexpr auto retryDelay = 40 * kj::MILLISECONDS;
 
+std::chrono::milliseconds timeoutOf(const core::command& command)
+{
+    const auto* next = std::get_if<core::adopt_document_command>(&command.payload);
+    auto bytes = next ? static_cast<std::int64_t>(next->document.text.size()) : 0;
+    return attemptTimeout + std::chrono::milliseconds(bytes / documentBytesPerMs);
+}
+
 } // namespace
 
 leader_client::leader_client(
@@ -49,7 +58,7 @@
         auto generation = m_links[address].generation;
         auto request = KJ_ASSERT_NONNULL(m_links[address].session).submitRequest();
         wire::write(request.initCommand(), command);
-        return wire::withTimeout(m_rpc, request.send().dropPipeline(), attemptTimeout)
+        return wire::withTimeout(m_rpc, request.send().dropPipeline(), timeoutOf(command))
             .then(
                 [](capnp::Response<wire::EntrySession::SubmitResults> response)
                     -> kj::Promise<propose_response> {
--- a/tests/forwarding/plumfold_control_storage_tests.cpp
+++ b/tests/forwarding/plumfold_control_storage_tests.cpp
@@ -70,3 +70,19 @@
             == 3 + changes - 1);
     }
 }
+
+TEST_CASE("A configuration that is sent again takes no further place in the log",
+    "[forwarding][large_configuration]")
+{
+    constexpr int routes = 4'200;
+    constexpr int repeats = 6;
+    forwarding_system system;
+    for (int number = 1; number <= 3; ++number)
+        system.startControl(number);
+    auto body = large_configuration_system::grow(system.deployment(3), routes);
+    REQUIRE(system.putDeployment(1, body));
+    auto before = system.folderBytes("c1");
+    for (int repeat = 0; repeat < repeats; ++repeat)
+        REQUIRE(system.putDeployment(1 + repeat % 3, body));
+    CHECK(system.folderBytes("c1") - before < before / 4);
+}
