--- a/packages/core/src/plumfold_target_prediction.cpp
+++ b/packages/core/src/plumfold_target_prediction.cpp
@@ -43,25 +43,6 @@
     return own / m_options.latencyModel.prefillTokensPerMs + cacheMissMs(target, request, isPreferred);
 }
 
-/// @return the waiting time to which the work that has arrived since the targets' load reports has raised
-/// those with the shortest ones, if all entries spread it evenly; 0 if there are no reports.
-double target_selector::expectedLevelMs(const std::vector<tracked_target*>& candidates,
-    const std::vector<double>& waitsMs, const placement_request& request, instant now) const
-{
-    milliseconds ages { 0 };
-    int reports = 0;
-    for (const auto* target : candidates) {
-        if (!target->load || now - target->loadAt >= m_options.maxLoadAge)
-            continue;
-        ages += std::chrono::duration_cast<milliseconds>(now - target->loadAt);
-        ++reports;
-    }
-    auto work = m_sessionWork.find(request.service);
-    if (reports == 0 || work == m_sessionWork.end())
-        return 0;
-    return levelAfterArrivals(waitsMs, work->second.expected(ages / reports, now) * m_entries);
-}
-
 bool target_selector::isHolder(const tracked_target& target, const placement_request& request)
 {
     const auto& holders = request.holders;
--- a/packages/core/src/plumfold_target_selector.cpp
+++ b/packages/core/src/plumfold_target_selector.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <charconv>
-#include <cmath>
 #include <tuple>
 
 namespace plumfold::core {
@@ -21,8 +20,6 @@
 constexpr milliseconds unconfirmedWeightsBackoff { 1'500 };
 /// How long demands of targets are kept that are not known any more.
 constexpr milliseconds maxDemandAge { 60'000 };
-/// Predicted times that differ by less are equal.
-constexpr double equalMs = 1;
 /// In which a recall is noticed (200 ms) and the target drops the request (500 ms).
 constexpr milliseconds recallTime { 800 };
 
@@ -415,43 +412,6 @@
     return part_source { address, target.last.failureDomain, limits->second.engine->linkMegabitsPerSecond };
 }
 
-/// Rendezvous hashing, so that all entries prefer the same target for a conversation.
-target_selector::tracked_target* target_selector::preferredTarget(
-    const std::vector<tracked_target*>& candidates, std::uint64_t session) const
-{
-    auto score = [&](const tracked_target* target) { return hashBytes(target->last.name, session); };
-    return *std::max_element(candidates.begin(), candidates.end(),
-        [&](const auto* left, const auto* right) { return score(left) < score(right); });
-}
-
-target_selector::tracked_target* target_selector::selectForSession(
-    std::vector<tracked_target*>& candidates, const placement_request& request, instant now) const
-{
-    auto* preferred = preferredTarget(candidates, request.session);
-    std::vector<double> waits;
-    for (const auto* target : candidates)
-        waits.push_back(waitMs(*target, request, now));
-    double level = expectedLevelMs(candidates, waits, request, now);
-    tracked_target* best = nullptr;
-    double bestMs = 0;
-    double bestScore = 0;
-    for (std::size_t index = 0; index < candidates.size(); ++index) {
-        auto* target = candidates[index];
-        double ms = std::max(waits[index], level) + prefillMs(*target, request, target == preferred)
-            + staleWeightsPenalty(*target, request);
-        bool isEqual = best && std::abs(ms - bestMs) < equalMs;
-        // All entries choose the same one for a conversation, as far as their reports agree.
-        double score = rendezvousScore(
-            hashBytes(target->last.name, request.session), std::max(level - waits[index], equalMs));
-        if (best && (isEqual ? score <= bestScore : ms > bestMs))
-            continue;
-        best = target;
-        bestMs = isEqual ? std::min(ms, bestMs) : ms;
-        bestScore = score;
-    }
-    return best;
-}
-
 void target_selector::onAttemptEnded(
     const std::string& target, attempt_result result, std::uint64_t tokens, instant now)
 {
