--- a/tests/forwarding/plumfold_stream_version_tests.cpp
+++ b/tests/forwarding/plumfold_stream_version_tests.cpp
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <functional>
@@ -44,9 +45,13 @@
 /// Control VMs in three failure domains, entries, and targets of two software versions.
 class two_version_system : public forwarding_system {
 public:
-    two_version_system()
+    /// @param isNewVersionLate whether the targets of the new version join only with joinNewVersion().
+    explicit two_version_system(bool isNewVersionLate = false)
     {
         setFailureDomains({ "east", "north", "south" });
+        // No control VM is running yet, so these are not announced.
+        if (isNewVersionLate)
+            startNewVersion();
         for (int number = 1; number <= 3; ++number)
             startControl(number);
         auto body = deployment(3);
@@ -57,8 +62,10 @@
             startEntry(number);
         for (const char* name : { "a1", "a2", "a3" })
             m_started.push_back(&startTarget(name, "shop", {}, "v1"));
-        for (const char* name : { "b1", "b2", "b3" })
-            m_started.push_back(&startTarget(name, "shop", {}, "v2"));
+        if (!isNewVersionLate)
+            startNewVersion();
+        else
+            setSilent("v2", 60s);
         startAnnouncing();
         for (int number = 1; number <= entries; ++number)
             waitForTarget(number);
@@ -70,6 +77,9 @@
             target->breakOffStreams(interval);
     }
 
+    /// Lets the targets of the new version announce themselves and serve.
+    void joinNewVersion() { setSilent("v2", 0ms); }
+
     /// Ends the announcements of all targets of a software version, and their responses.
     void leave(const std::string& version)
     {
@@ -146,6 +156,20 @@
     }
 
 private:
+    void startNewVersion()
+    {
+        for (const char* name : { "b1", "b2", "b3" })
+            m_started.push_back(&startTarget(name, "shop", {}, "v2"));
+    }
+
+    void setSilent(const std::string& version, std::chrono::milliseconds time)
+    {
+        for (auto* target : m_started) {
+            if (target->version() == version)
+                target->fallSilent(time, true);
+        }
+    }
+
     void add(const raw_response& response, caller_stream& stream)
     {
         std::istringstream lines(response.body);
@@ -184,6 +208,51 @@
     CHECK(wentOn >= begun / 2);
 }
 
+/// Suspends an entry while targets of a new software version join, and takes the streams up there that others
+/// have begun meanwhile.
+void checkTakeUpsAfterSuspension(std::chrono::milliseconds suspendedFor, bool isControlVmKilled)
+{
+    CAPTURE(suspendedFor.count(), isControlVmKilled);
+    two_version_system system(true);
+    system.breakOffStreams(1);
+    std::vector<caller_stream> streams(72);
+    system.process("n1").pause();
+    system.joinNewVersion();
+    if (isControlVmKilled)
+        system.process("c1").kill(); // in the failure domain of the entry
+    std::this_thread::sleep_for(1s); // the other entries learn of the new version
+    std::vector<std::thread> callers;
+    for (int caller = 0; caller < 6; ++caller)
+        callers.emplace_back([&, caller] {
+            auto until = std::chrono::steady_clock::now() + suspendedFor - 1s;
+            for (std::size_t index = caller; index < streams.size(); index += 6) {
+                while (streams[index].lastEvent == 0 && std::chrono::steady_clock::now() < until) {
+                    system.attempt(2 + static_cast<int>(index) % (entries - 1), streams[index]);
+                    std::this_thread::sleep_for(20ms);
+                }
+            }
+        });
+    std::this_thread::sleep_for(suspendedFor - 1s);
+    system.process("n1").resume();
+    for (auto& each : callers)
+        each.join();
+    system.breakOffStreams(0);
+    auto begunOnNew = std::count_if(
+        streams.begin(), streams.end(), [](const auto& each) { return each.versions.contains("v2"); });
+    for (int round = 0; round < 3; ++round) {
+        for (auto& stream : streams) {
+            if (stream.lastEvent > 0 && !stream.isComplete)
+                system.attempt(1, stream);
+        }
+    }
+    auto counts = system.counts();
+    CAPTURE(begunOnNew, counts.begun, counts.takeUps, counts.wentOn, counts.gaps);
+    REQUIRE(begunOnNew >= 4);
+    CHECK(counts.joined == 0);
+    CHECK(counts.gaps == 0);
+    CHECK(counts.wentOn > 0);
+}
+
 } // namespace
 
 TEST_CASE_METHOD(two_version_system,
@@ -309,6 +378,20 @@
     CHECK(counts().gaps == 0);
 }
 
+TEST_CASE("No stream joins two software versions at an entry that was suspended while the new one joined",
+    "[forwarding][versions]")
+{
+    checkTakeUpsAfterSuspension(GENERATE(3'000ms, 8'000ms), false);
+}
+
+TEST_CASE(
+    "No stream joins two software versions at an entry that was suspended and lost its control VM while "
+    "the new one joined",
+    "[forwarding][versions]")
+{
+    checkTakeUpsAfterSuspension(GENERATE(3'000ms, 8'000ms), true);
+}
+
 TEST_CASE_METHOD(two_version_system,
     "No stream joins two software versions while entries and control VMs stop, restart and are suspended",
     "[forwarding][versions][soak]")
