--- a/packages/control/src/plumfold_leader_client.cpp
+++ b/packages/control/src/plumfold_leader_client.cpp
@@ -11,7 +11,7 @@
 
 constexpr std::chrono::milliseconds connectTimeout { 250 };
 constexpr std::chrono::milliseconds attemptTimeout { 700 };
-/// Time that the leader has in addition for each byte of a document.
+/// Bytes of a document for which an attempt takes a millisecond longer.
 constexpr std::int64_t documentBytesPerMs = 1'000;
 constexpr auto retryDelay = 40 * kj::MILLISECONDS;
 
