--- a/tests/forwarding/support/plumfold_scripted_streams.cpp
+++ b/tests/forwarding/support/plumfold_scripted_streams.cpp
@@ -26,6 +26,25 @@
     current.send("0\r\n\r\n");
 }
 
+void scripted_target::streamPacedEvents(exchange& current)
+{
+    current.send(
+        current.head("200 OK", "Response-Signature: " + m_name + "\r\nTransfer-Encoding: chunked\r\n"));
+    for (int id = 1; id <= pacedEventCount; ++id) {
+        current.sendChunk("id: " + std::to_string(id) + "\nda");
+        std::this_thread::sleep_for(m_pace.load());
+        current.sendChunk("ta: e" + std::to_string(id) + "\n\n");
+    }
+    current.send("0\r\n\r\n");
+}
+
+void scripted_target::streamCommentsOnly(exchange& current)
+{
+    current.send(
+        current.head("200 OK", "Response-Signature: " + m_name + "\r\nTransfer-Encoding: chunked\r\n"));
+    sendEndlessly(current, "3\r\n:\n\n\r\n", std::chrono::milliseconds(100));
+}
+
 void scripted_target::streamCutMidEvent(exchange& current)
 {
     if (current.isResumed()) {
--- a/tests/forwarding/support/plumfold_scripted_target.cpp
+++ b/tests/forwarding/support/plumfold_scripted_target.cpp
@@ -196,6 +196,8 @@
         { "never", &scripted_target::neverRespond },
         { "drop", &scripted_target::dropConnection },
         { "events", &scripted_target::streamEvents },
+        { "events-paced", &scripted_target::streamPacedEvents },
+        { "comments-only", &scripted_target::streamCommentsOnly },
         { "events-cut", &scripted_target::streamCutMidEvent },
         { "head-cut", &scripted_target::streamCutAfterHead },
         { "events-unframed", &scripted_target::streamUnframed },
--- a/tests/forwarding/support/plumfold_scripted_target.hpp
+++ b/tests/forwarding/support/plumfold_scripted_target.hpp
@@ -77,6 +77,11 @@
     /// @return the header lines that are added to all responses.
     std::string responseHeaders() const;
 
+    /// Number of the events of the behaviour "events-paced".
+    static constexpr int pacedEventCount = 25;
+    /// Sets the time in which the behaviour "events-paced" completes each event.
+    void setPace(std::chrono::milliseconds time) { m_pace = time; }
+
     /// Sets where the behaviour "head-stops" stops in its response, and how the connection ends then.
     /// @param bytes of the response that are sent.
     void stopInHead(std::size_t bytes, bool reset)
@@ -172,6 +177,8 @@
     void neverRespond(exchange& current);
     void dropConnection(exchange& current);
     void streamEvents(exchange& current);
+    void streamPacedEvents(exchange& current);
+    void streamCommentsOnly(exchange& current);
     void streamCutMidEvent(exchange& current);
     void streamCutAfterHead(exchange& current);
     void streamUnframed(exchange& current);
@@ -200,6 +207,7 @@
     std::string m_controlBehaviour { "whole" };
     std::atomic<int> m_breakOffInterval { 0 };
     std::atomic<int> m_versionedStreams { 0 };
+    std::atomic<std::chrono::milliseconds> m_pace { std::chrono::milliseconds(0) };
     std::atomic<std::size_t> m_sentHeadBytes { 0 };
     std::atomic<bool> m_resetsInHead { false };
     Poco::Net::ServerSocket m_listener;
