--- a/tests/runtime/plumfold_settings_number_tests.cpp
+++ b/tests/runtime/plumfold_settings_number_tests.cpp
@@ -5,6 +5,7 @@
 #include <rapidcheck/catch.h>
 
 #include <fstream>
+#include <map>
 #include <regex>
 #include <sstream>
 
