Review, case 2: a withdrawal of an evacuation is carried out seconds late

Cause: a core machine that was frozen carries out a DELETE /evacuations/ZONE that waited in its socket, after the operator has sent it elsewhere and has ordered the evacuation anew. Done: a script with stand-ins for clients, workers and operator.

--- /dev/null
+++ b/review/2/run.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# A withdrawal of an evacuation that a frozen core machine still holds. 0: the rule held, 1: broken, 2: not run.
+folder=$(cd "$(dirname "$0")" && pwd)
+cd "$folder/../.." || exit 2
+exec timeout -k 2 118 target/review/stale_withdrawal "$folder"
