Review, case 4: an acknowledged departure is lost with one process

Cause: DELETE /instances/ID is acknowledged when one core machine holds it in memory. Done: a script that kills its process right after the acknowledgement.

--- /dev/null
+++ b/review/4/run.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# A departure that the killed core machine had acknowledged. 0: the rule held, 1: broken, 2: not run.
+folder=$(cd "$(dirname "$0")" && pwd)
+cd "$folder/../.." || exit 2
+exec timeout -k 2 118 target/review/lost_departure "$folder"
