Review, case 5: streams join two software versions when a worker starts again under its id

Cause: the version of a stream is taken from the last announcement that is known, which is that of the incarnation before.

--- a/review/4/lost_departure.cpp
+++ b/review/4/lost_departure.cpp
@@ -22,7 +22,7 @@
 constexpr double drainTimeoutMs = 2000; // drain-timeout-ms
 constexpr double contactWindowMs = 3000; // contact-window-ms
 constexpr double servedAfterMs = 9000; // drain-timeout-ms and "a little longer (at times many seconds)"
-constexpr int restartMs = 300; // "restarted after a short delay"
+constexpr int restartMs = 500; // "restarted after a short delay"
 constexpr double marginMs = 100;
 
 } // namespace
--- a/review/kit/review_kit.cpp
+++ b/review/kit/review_kit.cpp
@@ -324,6 +324,12 @@
     ::close(m_listener);
 }
 
+void worker::crash()
+{
+    m_crashed = true;
+    end();
+}
+
 std::vector<run> worker::runs() const
 {
     std::lock_guard lock(m_mutex);
@@ -332,10 +338,10 @@
 
 std::string worker::heartbeat(int sequence) const
 {
-    auto out = text("{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"version\":\"v1\",\"slots\":64,"
+    auto out = text("{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"version\":\"%s\",\"slots\":64,"
                     "\"state\":\"ready\",\"cold-remaining-ms\":0,\"sequence\":%d,\"born\":%llu",
-        m_options.service.c_str(), m_options.address.c_str(), m_options.zone.c_str(), sequence,
-        static_cast<unsigned long long>(m_born));
+        m_options.service.c_str(), m_options.address.c_str(), m_options.zone.c_str(),
+        m_options.version.c_str(), sequence, static_cast<unsigned long long>(m_born));
     if (!m_options.model.empty())
         out += ",\"stage\":\"both\",\"models\":[{\"name\":\"" + m_options.model
             + "\",\"version\":1,\"adapters\":[]}]";
@@ -367,6 +373,14 @@
         auto request = in.next();
         if (!request)
             break;
+        bool isStream = m_options.streamEvents > 0 && request->method == "POST" && request->path != "/order"
+            && (request->field("expected-instance").empty()
+                || request->field("expected-instance") == m_options.id);
+        if (isStream) {
+            if (!stream(socket, *request))
+                break;
+            continue;
+        }
         auto response = respond(*request);
         std::string bytes = "HTTP/1.1 " + std::to_string(response.status) + " -\r\n";
         for (const auto& [name, value] : response.fields)
@@ -375,9 +389,35 @@
         if (!sendAll(socket, bytes))
             break;
     }
+    if (m_crashed) {
+        linger reset { 1, 0 };
+        ::setsockopt(socket, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+    }
     ::close(socket);
 }
 
+bool worker::stream(int socket, const message& request)
+{
+    auto id = request.field("request-id");
+    {
+        std::lock_guard lock(m_mutex);
+        m_runs.push_back({ now(), id, request.field("tenant"), request.field("cache-salt"), {} });
+    }
+    auto head = "HTTP/1.1 200 -\r\nRequest-Id: " + id + "\r\nResponse-Signature: s." + id
+        + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+    if (!sendAll(socket, head))
+        return false;
+    for (int event = std::atoi(request.field("last-event-id").c_str()) + 1; event <= m_options.streamEvents;
+         ++event) {
+        for (int waited = 0; waited < m_options.eventMs && !m_crashed; waited += 10)
+            sleepMs(10);
+        auto data = text("id: %d\ndata: %s\n\n", event, m_options.version.c_str());
+        if (m_crashed || !sendAll(socket, text("%zx\r\n", data.size()) + data + "\r\n"))
+            return false;
+    }
+    return sendAll(socket, "0\r\n\r\n");
+}
+
 message worker::respond(const message& request)
 {
     message out;
@@ -588,12 +628,32 @@
     m_silent[id] = true;
 }
 
+void deployment::restartWorker(worker_options options)
+{
+    std::lock_guard lock(m_mutex);
+    auto id = options.id;
+    m_silent[id] = true;
+    m_sequences[id] = 0;
+    m_workers.at(id).reset();
+    m_workers.at(id) = std::make_unique<worker>(std::move(options));
+}
+
+void deployment::resumeHeartbeat(const std::string& id)
+{
+    std::lock_guard lock(m_mutex);
+    m_silent[id] = false;
+}
+
 void deployment::beat()
 {
     while (!m_stopping) {
         double next = now() + heartbeatMs;
-        for (const auto& [id, each] : m_workers) {
+        std::vector<std::string> ids;
+        for (const auto& [id, each] : m_workers)
+            ids.push_back(id);
+        for (const auto& id : ids) {
             std::lock_guard lock(m_mutex);
+            const auto& each = m_workers.at(id);
             if (m_silent[id])
                 continue;
             // The answer names the machine in the worker's zone as heartbeat-address.
--- a/review/kit/review_kit.hpp
+++ b/review/kit/review_kit.hpp
@@ -66,6 +66,9 @@
     std::string address; ///< ip:port
     int workMs = 20;
     std::string model; ///< Empty: no model engine.
+    std::string version = "v1"; ///< Of its software.
+    int streamEvents = 0; ///< Above 0: answers with streams of so many events.
+    int eventMs = 100; ///< Pause between two events of a stream.
 };
 
 /// A sound worker: answers requests, and keeps the prompt parts of a model engine as PROTOCOL.md says.
@@ -78,17 +81,22 @@
     std::string heartbeat(int sequence) const;
     std::vector<run> runs() const;
     void end();
+    /// Ends as a killed process does: all connections are reset, none is accepted any more.
+    void crash();
 
 private:
     void accept();
     void serve(int socket);
     message respond(const message& request);
     message answerRequest(const message& request);
+    /// @return whether the stream was sent to its end.
+    bool stream(int socket, const message& request);
 
     worker_options m_options;
     std::uint64_t m_born = 0;
     int m_listener = -1;
     std::atomic<bool> m_ended { false };
+    std::atomic<bool> m_crashed { false };
     std::thread m_acceptor;
     std::vector<std::thread> m_connections;
     mutable std::mutex m_mutex;
@@ -119,6 +127,9 @@
     void startHeartbeats();
     /// Lets a worker send no more heartbeats.
     void stopHeartbeat(const std::string& id);
+    /// Starts a worker again that has crashed, under its id and at its address. It sends no heartbeat yet.
+    void restartWorker(worker_options options);
+    void resumeHeartbeat(const std::string& id);
 
     /// Calls one core machine as the operator or a worker does.
     int operate(const std::string& who, int core, const std::string& method, const std::string& path,
