Exchange control VMs that are gone for their successors

Seen by callers and operators: after three replacements of single control VMs no change of the configuration is acknowledged, it is not given back, and entries that restart serve nothing, although four control VMs run.

Cause: nothing removed a voter. A machine that comes back at another address is one more voter: four become six, of which three run.

Ruled out: successors that do not become voters (they do, voters grow), and a group that works but is not found (nobody leads).

Change: members report their failure domain, which is kept in the log. A voter that has been silent for memberTimeoutMs is removed if an active voter of its failure domain joined the running group in nobody's place. A member without a leader asks to join, so that one that was removed while it was out of reach returns. Lost learners are removed for silence.

Why this works: each removal is an ordinary single-server change that a quorum of the remaining voters commits, so the group holds as many voters as control VMs run, and no voter leaves for an outage alone.

--- a/packages/control/include/plumfold/control/plumfold_control_node.hpp
+++ b/packages/control/include/plumfold/control/plumfold_control_node.hpp
@@ -104,6 +104,9 @@
 struct control_node_options {
     std::string name; ///< Raft node name.
     std::string address; ///< ip:port at which the node accepts RPC connections.
+    std::string failureDomain;
+    bool isInitialMember = false; ///< See core::raft_options.
+    core::milliseconds memberTimeout { 10'000 }; ///< See core::raft_options.
     core::milliseconds electionTimeout { 400 }; ///< See core::raft_options.
     std::uint64_t snapshotEveryEntries = 10'000; ///< Applied entries after which the log is compacted.
     std::uint64_t snapshotEveryBytes = 16 << 20; ///< Size beyond which the log is compacted, too.
@@ -155,6 +158,7 @@
     void maybeCompact();
     void publishView();
     void logRoleChange();
+    void logMemberChanges(const core::raft_membership& next) const;
     propose_response rejection(std::string message) const;
 
     control_node_options m_options;
--- a/packages/control/src/plumfold_control_node.cpp
+++ b/packages/control/src/plumfold_control_node.cpp
@@ -22,6 +22,9 @@
     core::raft_options raft;
     raft.node = options.name;
     raft.address = options.address;
+    raft.failureDomain = options.failureDomain;
+    raft.isInitialMember = options.isInitialMember;
+    raft.memberTimeout = options.memberTimeout;
     raft.electionTimeout = options.electionTimeout;
     raft.heartbeatInterval = options.electionTimeout / 5;
     raft.seed = options.seed;
@@ -161,6 +164,7 @@
     m_view.isLeader = isLeader;
     m_view.term = m_raft.term();
     m_view.leaderAddress = std::move(leader);
+    logMemberChanges(m_raft.members());
     m_view.members = m_raft.members();
     m_view.leaseHolders = std::move(leaseHolders);
     m_view.leaseEnds = m_state.leaseEnds();
@@ -180,6 +184,26 @@
         .with("voters", m_raft.members().voters());
 }
 
+void control_node::logMemberChanges(const core::raft_membership& next) const
+{
+    auto log = [&](const char* event, const core::raft_member& member) {
+        runtime::log_event(event)
+            .with("member", member.node)
+            .with("failure_domain", member.failureDomain)
+            .with("voter", member.voter ? "true" : "false")
+            .with("voters", next.voters());
+    };
+    for (const auto& member : m_view.members.members) {
+        if (!next.find(member.node))
+            log("member_removed", member);
+    }
+    for (const auto& member : next.members) {
+        const auto* known = m_view.members.find(member.node);
+        if (!known || !(*known == member))
+            log("member_changed", member);
+    }
+}
+
 void control_node::handle(transfer_leadership_event&)
 {
     m_raft.transferLeadership(runtime::now());
--- a/packages/control/src/plumfold_control_role.cpp
+++ b/packages/control/src/plumfold_control_role.cpp
@@ -18,6 +18,7 @@
 
 namespace {
 
+constexpr int minElectionTimeoutsOfLoss = 4;
 constexpr auto feedInterval = 40 * kj::MILLISECONDS;
 
 } // namespace
@@ -39,7 +40,12 @@
         bool hasSeeds = !m_settings.control->seeds.empty();
         options.name = hasSeeds ? m_settings.control->address : m_settings.process.name;
         options.address = m_settings.control->address;
+        options.failureDomain = m_settings.process.failureDomain;
+        options.isInitialMember = m_settings.control->firstStart;
         options.electionTimeout = core::milliseconds(m_settings.control->electionTimeoutMs);
+        // A member that only waits for a new leader is not lost.
+        options.memberTimeout = std::max(core::milliseconds(m_settings.control->memberTimeoutMs),
+            minElectionTimeoutsOfLoss * options.electionTimeout);
         options.snapshotEveryEntries = m_settings.control->snapshotEveryEntries;
         options.seed = runtime::randomNumber();
         auto send = [this](std::vector<core::raft_message> messages) {
--- a/packages/core/include/plumfold/core/plumfold_raft_node.hpp
+++ b/packages/core/include/plumfold/core/plumfold_raft_node.hpp
@@ -14,6 +14,12 @@
 struct raft_options {
     node_name node;
     std::string address;
+    std::string failureDomain;
+    /// The node starts together with the group. One that joins a running group may take the place of a lost
+    /// voter of its failure domain.
+    bool isInitialMember = false;
+    /// Silence after which a member counts as lost.
+    milliseconds memberTimeout { 10'000 };
     milliseconds electionTimeout { 300 }; ///< Minimum; each timeout is drawn at random up to twice this.
     milliseconds heartbeatInterval { 60 };
     std::size_t maxEntriesPerAppend = 256;
@@ -36,8 +42,8 @@
 };
 
 /// One node of a Raft group, with pre-vote, check-quorum, learners, single-server membership changes,
-/// snapshots and leadership transfer. It performs no I/O and reads no clock: time and messages are passed in,
-/// and takeOutput() returns what to persist, send and apply.
+/// exchange of lost voters, snapshots and leadership transfer. It performs no I/O and reads no clock: time
+/// and messages are passed in, and takeOutput() returns what to persist, send and apply.
 class raft_node {
 public:
     /// @param state the persisted state. Without members, as in an empty data folder, the node cannot start
@@ -127,6 +133,14 @@
     void collectCommitted();
     void checkQuorum(instant now);
     void promoteCaughtUpLearner(instant now);
+    void maintainMembership(instant now);
+    void sendJoin(instant now);
+    bool isRegistered() const;
+    bool isActive(const node_name& node, instant now) const;
+    milliseconds silenceOf(const node_name& node, instant now) const;
+    const raft_member* findSuccessor(const raft_member& lost, instant now) const;
+    std::optional<raft_membership> withoutLostMember(instant now) const;
+    bool mayChangeMembership() const;
     bool changeMembership(raft_membership next, instant now);
     bool isQuorum(const std::set<node_name>& nodes) const;
     bool isCandidateLogUpToDate(const raft_message& message) const;
--- a/packages/core/include/plumfold/core/plumfold_raft_types.hpp
+++ b/packages/core/include/plumfold/core/plumfold_raft_types.hpp
@@ -16,6 +16,9 @@
     std::uint64_t incarnation = 0;
     bool voter = false; ///< Learners receive the log but do not count towards the quorum.
     std::string address;
+    std::string failureDomain; ///< Empty until the member has reported it.
+    /// It joined a running group, and no lost voter has been removed in exchange yet.
+    bool isAddition = false;
     bool operator==(const raft_member&) const = default;
 };
 
@@ -75,7 +78,9 @@
     append_response,
     snapshot,
     timeout_now, ///< Leadership transfer: the receiver starts an election at once.
-    join, ///< A node that is no member under its current incarnation asks to be added as a learner.
+    /// Asks to be added as a learner, from a node that is no member under its current incarnation or may have
+    /// been removed, or reports the sender's failure domain.
+    join,
 };
 
 /// One message between two nodes. Fields that a kind does not use keep their defaults.
@@ -94,6 +99,8 @@
     std::vector<log_entry> entries;
     std::optional<raft_snapshot> snapshot;
     std::string address; ///< join: address at which the sender accepts connections.
+    std::string failureDomain; ///< join: failure domain of the sender.
+    bool isInitial = false; ///< join: the sender starts together with the group, in nobody's place.
 };
 
 /// Role of a node in its current term.
--- a/packages/core/src/plumfold_raft_messages.cpp
+++ b/packages/core/src/plumfold_raft_messages.cpp
@@ -210,13 +210,25 @@
         return;
     }
     const auto* member = m_members.find(message.from);
-    if (member && member->incarnation == message.fromIncarnation)
-        return;
     raft_membership next = m_members;
+    if (member && member->incarnation == message.fromIncarnation) {
+        bool isNewDomain = !message.failureDomain.empty() && member->failureDomain != message.failureDomain;
+        if (!isNewDomain)
+            return;
+        for (auto& each : next.members) {
+            if (each.node == message.from)
+                each.failureDomain = message.failureDomain;
+        }
+        changeMembership(std::move(next), now);
+        return;
+    }
+    // A node that has lost its disk takes its own place.
+    bool isAddition = member ? member->isAddition : !message.isInitial;
     std::erase_if(next.members, [&](const auto& m) { return m.node == message.from; });
     if (next.voters() == 0)
         return;
-    next.members.push_back({ message.from, message.fromIncarnation, false, message.address });
+    next.members.push_back(
+        { message.from, message.fromIncarnation, false, message.address, message.failureDomain, isAddition });
     if (changeMembership(std::move(next), now))
         m_progress[message.from] = progress { 0, lastIndex() + 1, now, now, false };
 }
--- a/packages/core/src/plumfold_raft_node.cpp
+++ b/packages/core/src/plumfold_raft_node.cpp
@@ -7,7 +7,6 @@
 
 namespace {
 
-constexpr milliseconds joinInterval { 500 };
 constexpr milliseconds snapshotRetryInterval { 1000 };
 
 } // namespace
@@ -84,83 +83,6 @@
     m_snapshot = snapshot;
 }
 
-// ---------------------------------------------------------------- membership
-
-bool raft_node::isMember() const
-{
-    const auto* self = m_members.find(m_options.node);
-    return self && self->incarnation == m_incarnation;
-}
-
-bool raft_node::isVoter() const
-{
-    const auto* self = m_members.find(m_options.node);
-    return self && self->incarnation == m_incarnation && self->voter;
-}
-
-bool raft_node::isFromCurrentVoter(const raft_message& message) const
-{
-    const auto* member = m_members.find(message.from);
-    return member && member->voter && member->incarnation == message.fromIncarnation;
-}
-
-bool raft_node::isQuorum(const std::set<node_name>& nodes) const
-{
-    std::size_t count = 0;
-    for (const auto& member : m_members.members)
-        count += member.voter && nodes.contains(member.node);
-    return count * 2 > m_members.voters();
-}
-
-std::string raft_node::leaderAddress() const
-{
-    const auto* member = m_members.find(m_leader);
-    return member ? member->address : std::string();
-}
-
-bool raft_node::membershipChangePending() const
-{
-    return m_membershipIndex > m_commitIndex;
-}
-
-bool raft_node::changeMembership(raft_membership next, instant now)
-{
-    // Single-server changes are safe only after the leader has committed an entry of its own term.
-    if (m_role != raft_role::leader || membershipChangePending() || termAt(m_commitIndex) != m_hard.term)
-        return false;
-    log_entry entry;
-    entry.term = m_hard.term;
-    entry.index = lastIndex() + 1;
-    entry.kind = entry_kind::membership;
-    entry.members = std::move(next);
-    append(std::move(entry));
-    for (const auto& member : m_members.members) {
-        auto [place, isNew] = m_progress.try_emplace(member.node);
-        if (isNew) {
-            place->second.nextIndex = lastIndex() + 1;
-            place->second.lastResponse = now;
-        }
-    }
-    broadcastAppend(now);
-    return true;
-}
-
-void raft_node::promoteCaughtUpLearner(instant now)
-{
-    for (const auto& member : m_members.members) {
-        if (member.voter || m_progress[member.node].matchIndex < m_commitIndex)
-            continue;
-        bool recentlyActive = now - m_progress[member.node].lastResponse < m_options.electionTimeout;
-        if (!recentlyActive || m_progress[member.node].matchIndex == 0)
-            continue;
-        raft_membership next = m_members;
-        for (auto& candidate : next.members)
-            candidate.voter = candidate.voter || candidate.node == member.node;
-        changeMembership(std::move(next), now);
-        return;
-    }
-}
-
 bool raft_node::bootstrap(instant now)
 {
     if (!m_members.members.empty() || lastIndex() != 0)
@@ -172,7 +94,8 @@
     entry.term = 1;
     entry.index = 1;
     entry.kind = entry_kind::membership;
-    entry.members.members.push_back({ m_options.node, m_incarnation, true, m_options.address });
+    entry.members.members.push_back(
+        { m_options.node, m_incarnation, true, m_options.address, m_options.failureDomain, false });
     append(std::move(entry));
     becomeLeader(now);
     return true;
@@ -192,18 +115,11 @@
         checkQuorum(now);
         if (m_role == raft_role::leader && now >= m_nextHeartbeat)
             broadcastAppend(now);
+        if (m_role == raft_role::leader)
+            maintainMembership(now);
         return;
     }
-    if (!isMember()) {
-        if (now < m_nextJoin)
-            return;
-        m_nextJoin = now + joinInterval;
-        raft_message join;
-        join.kind = message_kind::join;
-        join.address = m_options.address;
-        send(std::move(join)); // no receiver: the caller sends it to all known control VMs
-        return;
-    }
+    sendJoin(now);
     if (isVoter() && now >= m_electionDeadline)
         campaign(true, now);
 }
--- a/packages/plumfold/src/plumfold_status_commands.cpp
+++ b/packages/plumfold/src/plumfold_status_commands.cpp
@@ -19,8 +19,8 @@
 {
     json members = json::array();
     for (const auto& member : report.members)
-        members.push_back(
-            { { "node", member.node }, { "voter", member.voter }, { "address", member.address } });
+        members.push_back({ { "node", member.node }, { "voter", member.voter }, { "address", member.address },
+            { "failure_domain", member.failureDomain } });
     json entries = json::array();
     for (const auto& entry : report.entries) {
         entries.push_back({ { "name", entry.name }, { "failure_domain", entry.failureDomain },
--- a/packages/runtime/src/plumfold_settings_fields.cpp
+++ b/packages/runtime/src/plumfold_settings_fields.cpp
@@ -86,6 +86,7 @@
         durationField("sharedLimitLeaseMs", &control_settings::sharedLimitLeaseMs, 1000, 60'000),
         { "operators", &control_settings::operators, "a list of {name, tokenHash, mayChange}" },
         durationField("electionTimeoutMs", &control_settings::electionTimeoutMs, 50, 60'000),
+        durationField("memberTimeoutMs", &control_settings::memberTimeoutMs, 0, 3'600'000),
         { "snapshotEveryEntries", &control_settings::snapshotEveryEntries, "log entries, at least 10", false,
             false, 10 },
         { "maxDataBytes", &control_settings::maxDataBytes, "bytes; 0 for no limit" },
--- a/packages/wire/schema/plumfold.capnp
+++ b/packages/wire/schema/plumfold.capnp
@@ -44,7 +44,14 @@
 
 # ---------------------------------------------------------------- replicated log
 
-struct Member { node @0 :Text; incarnation @1 :UInt64; voter @2 :Bool; address @3 :Text; }
+struct Member {
+  node @0 :Text;
+  incarnation @1 :UInt64;
+  voter @2 :Bool;
+  address @3 :Text;
+  failureDomain @4 :Text;
+  addition @5 :Bool;
+}
 struct LogEntry { term @0 :UInt64; index @1 :UInt64; kind @2 :UInt8; payload @3 :Data; }
 struct RaftSnapshot { index @0 :UInt64; term @1 :UInt64; members @2 :List(Member); state @3 :Data; }
 struct RaftMessage {
@@ -60,6 +67,8 @@
   entries @9 :List(LogEntry);
   snapshot @10 :RaftSnapshot;
   hasSnapshot @11 :Bool;
+  failureDomain @12 :Text;
+  initial @13 :Bool;
 }
 struct Membership { members @0 :List(Member); }
 
--- a/packages/wire/src/plumfold_convert_raft.cpp
+++ b/packages/wire/src/plumfold_convert_raft.cpp
@@ -17,12 +17,14 @@
     out.setIncarnation(value.incarnation);
     out.setVoter(value.voter);
     out.setAddress(value.address);
+    out.setFailureDomain(value.failureDomain);
+    out.setAddition(value.isAddition);
 }
 
 core::raft_member read(Member::Reader in)
 {
-    return core::raft_member { text(in.getNode()), in.getIncarnation(), in.getVoter(),
-        text(in.getAddress()) };
+    return core::raft_member { text(in.getNode()), in.getIncarnation(), in.getVoter(), text(in.getAddress()),
+        text(in.getFailureDomain()), in.getAddition() };
 }
 
 namespace {
@@ -101,6 +103,8 @@
     out.setHasSnapshot(value.snapshot.has_value());
     if (value.snapshot)
         write(out.initSnapshot(), *value.snapshot);
+    out.setFailureDomain(value.failureDomain);
+    out.setInitial(value.isInitial);
 }
 
 core::raft_message read(RaftMessage::Reader in)
@@ -121,6 +125,8 @@
     value.entries = readList(in.getEntries());
     if (in.getHasSnapshot())
         value.snapshot = read(in.getSnapshot());
+    value.failureDomain = text(in.getFailureDomain());
+    value.isInitial = in.getInitial();
     KJ_REQUIRE(value.kind != core::message_kind::snapshot || value.snapshot,
         "a snapshot message without a snapshot");
     return value;
--- a/tests/core/support/plumfold_raft_cluster.cpp
+++ b/tests/core/support/plumfold_raft_cluster.cpp
@@ -11,6 +11,8 @@
 
 constexpr milliseconds tick { 10 };
 constexpr int maxSettlingTicks = 2000;
+constexpr int failureDomains = 2;
+constexpr milliseconds memberTimeout { 500 };
 
 } // namespace
 
@@ -22,6 +24,7 @@
     for (int index = 1; index <= nodes; ++index) {
         std::string name(1, static_cast<char>('a' + index - 1));
         m_nodes[name].disk.incarnation = m_nextIncarnation++;
+        m_nodes[name].failureDomain = std::to_string(index % failureDomains);
     }
     for (auto& [name, each] : m_nodes)
         startNode(name);
@@ -43,9 +46,8 @@
 
 std::string raft_cluster::randomNode()
 {
-    auto it = m_nodes.begin();
-    std::advance(it, m_random() % m_nodes.size());
-    return it->first;
+    auto names = present();
+    return names[m_random() % names.size()];
 }
 
 void raft_cluster::startNode(const std::string& name)
@@ -54,6 +56,9 @@
     core::raft_options options;
     options.node = name;
     options.address = name;
+    options.failureDomain = each.failureDomain;
+    options.isInitialMember = each.isInitial;
+    options.memberTimeout = memberTimeout;
     options.electionTimeout = milliseconds(150);
     options.heartbeatInterval = milliseconds(30);
     options.maxEntriesPerAppend = 4;
@@ -77,6 +82,54 @@
     startNode(name);
 }
 
+std::string raft_cluster::addSuccessor(const std::string& name)
+{
+    std::string next = name + std::to_string(m_nodes.size());
+    simulated_node& each = m_nodes[next];
+    each.disk.incarnation = m_nextIncarnation++;
+    each.failureDomain = m_nodes.at(name).failureDomain;
+    each.isInitial = false;
+    startNode(next);
+    return next;
+}
+
+void raft_cluster::retire(const std::string& name)
+{
+    crash(name);
+    m_nodes.at(name).isRetired = true;
+}
+
+std::vector<std::string> raft_cluster::present() const
+{
+    std::vector<std::string> names;
+    for (const auto& [name, each] : m_nodes) {
+        if (!each.isRetired)
+            names.push_back(name);
+    }
+    return names;
+}
+
+std::vector<std::string> raft_cluster::voterNames() const
+{
+    std::vector<std::string> names;
+    auto leading = leader();
+    if (!leading)
+        return names;
+    for (const auto& member : m_nodes.at(*leading).node->members().members) {
+        if (member.voter)
+            names.push_back(member.node);
+    }
+    std::sort(names.begin(), names.end());
+    return names;
+}
+
+/// @return whether the voters are exactly the nodes that have not been retired.
+bool raft_cluster::isWhole() const
+{
+    auto names = present();
+    return voters() == names.size() && voterNames() == names;
+}
+
 std::size_t raft_cluster::voters() const
 {
     std::size_t most = 0;
@@ -86,7 +139,8 @@
             continue;
         std::size_t count = 0;
         for (const auto& member : each.node->members().members)
-            count += member.voter && member.incarnation == m_nodes.at(member.node).disk.incarnation;
+            count += member.voter && member.incarnation == m_nodes.at(member.node).disk.incarnation
+                && !m_nodes.at(member.node).isRetired;
         most = std::max(most, count);
     }
     return most;
@@ -224,15 +278,8 @@
         restart(name);
     else if (each.node && chance(m_faults.crash))
         crash(name);
-    // A disk is lost only while all nodes are voters, so that a quorum still holds every acknowledged
-    // command.
-    bool mayLoseDisk = voters() == m_nodes.size() && m_committed.size() > 0;
-    auto leading = leader();
-    if (mayLoseDisk && leading && *leading != name && chance(m_faults.loseDisk)) {
-        crash(name);
-        restart(name, true);
-        ++m_disksLost;
-    }
+    injectLoss(name);
+    injectReplacement(name);
     if (chance(m_faults.partition))
         m_blockedLinks.insert({ randomNode(), randomNode() });
     if (chance(m_faults.partition))
@@ -242,20 +289,43 @@
     run(static_cast<int>(tick.count()));
 }
 
+// A disk is lost only while all nodes are voters, so that a quorum still holds every acknowledged command.
+void raft_cluster::injectLoss(const std::string& name)
+{
+    auto leading = leader();
+    bool mayLoseDisk = m_faults.loseDisk > 0 && isWhole() && m_committed.size() > 0;
+    if (!mayLoseDisk || !leading || *leading == name || !chance(m_faults.loseDisk))
+        return;
+    crash(name);
+    restart(name, true);
+    ++m_disksLost;
+}
+
+// The successor of one may start before the node ends, as in a planned replacement, or after it.
+void raft_cluster::injectReplacement(const std::string& name)
+{
+    bool isDue = m_faults.replace > 0 && isWhole() && chance(m_faults.replace);
+    if (!isDue)
+        return;
+    ++m_replaced;
+    if (chance(50))
+        retire(name);
+    addSuccessor(name);
+    run(static_cast<int>(m_random() % 300));
+    retire(name);
+}
+
 void raft_cluster::heal()
 {
     m_faults = {};
     m_blockedLinks.clear();
     for (auto& [name, each] : m_nodes) {
         each.pausedUntil = {};
-        if (!each.node)
+        if (!each.node && !each.isRetired)
             restart(name);
     }
-    for (int count = 0; count < maxSettlingTicks; ++count) {
+    for (int count = 0; count < maxSettlingTicks && !isWhole(); ++count)
         run(static_cast<int>(tick.count()));
-        if (voters() == m_nodes.size() && leader())
-            break;
-    }
     run(1000);
 }
 
--- a/tests/core/support/plumfold_raft_cluster.hpp
+++ b/tests/core/support/plumfold_raft_cluster.hpp
@@ -22,6 +22,7 @@
     int partition = 0; ///< Blocks one direction between two nodes, or clears all such blocks.
     int crash = 0;
     int loseDisk = 0; ///< Restarts a node with an empty disk.
+    int replace = 0; ///< Ends a node for good and starts another one in its failure domain.
     int pause = 0; ///< Suspends a node while time advances, as SIGSTOP does.
 };
 
@@ -43,11 +44,21 @@
     std::size_t acknowledged() const { return m_acknowledged.size(); }
     /// @return whether every acknowledged command has been applied.
     bool allAcknowledgedApplied() const;
+    int replaced() const { return m_replaced; }
     std::uint64_t elections() const { return m_leaders.size(); }
     /// @return the leader with the highest term, if any.
     std::optional<std::string> leader() const;
     void crash(const std::string& name);
     void restart(const std::string& name, bool diskLost = false);
+    /// Starts another node in the failure domain of a node.
+    /// @return its name.
+    std::string addSuccessor(const std::string& name);
+    /// Ends a node for good.
+    void retire(const std::string& name);
+    /// @return the names of the nodes that have not been retired.
+    std::vector<std::string> present() const;
+    /// @return the names of the leader's voters in order; empty without a leader.
+    std::vector<std::string> voterNames() const;
     void run(int milliseconds);
     /// @return the number of voters under their current incarnation, as known to the leader.
     std::size_t voters() const;
@@ -64,6 +75,9 @@
         core::raft_disk_state disk;
         std::uint64_t applied = 0;
         core::instant pausedUntil {};
+        std::string failureDomain;
+        bool isInitial = true;
+        bool isRetired = false;
     };
 
     void startNode(const std::string& name);
@@ -73,6 +87,9 @@
     void apply(const std::string& name, const core::log_entry& entry);
     bool chance(int percent);
     std::string randomNode();
+    bool isWhole() const;
+    void injectLoss(const std::string& name);
+    void injectReplacement(const std::string& name);
 
     std::mt19937_64 m_random;
     fault_rates m_faults;
@@ -87,6 +104,7 @@
     std::map<std::pair<std::string, std::uint64_t>, std::pair<std::uint64_t, std::string>> m_proposed;
     std::uint64_t m_nextIncarnation = 1;
     int m_disksLost = 0;
+    int m_replaced = 0;
 };
 
 } // namespace plumfold::tests
--- a/tests/forwarding/support/plumfold_forwarding_system.cpp
+++ b/tests/forwarding/support/plumfold_forwarding_system.cpp
@@ -20,7 +20,6 @@
 
 using json = nlohmann::json;
 
-constexpr int controlVms = 3;
 constexpr int receiveTimeoutSeconds = 10;
 constexpr int firstTargetHost = 140;
 constexpr int rpcPort = 7000;
@@ -159,10 +158,10 @@
     return m_network + '.' + std::to_string(host) + ':' + std::to_string(port);
 }
 
-std::vector<std::string> forwarding_system::seeds() const
+std::vector<std::string> forwarding_system::platformAddresses(const std::vector<int>& controls) const
 {
     std::vector<std::string> all;
-    for (int number = 1; number <= controlVms; ++number)
+    for (int number : controls)
         all.push_back(address(10 + number, platformPort));
     return all;
 }
@@ -189,9 +188,11 @@
     auto process = processSettings(name, number);
     process["dataFolder"] = (m_folder / name).string();
     json control { { "address", controlAddress(number) },
-        { "platformAddress", address(10 + number, platformPort) }, { "seeds", seeds() },
+        { "platformAddress", address(10 + number, platformPort) }, { "seeds", platformAddresses(m_seeds) },
         { "rpcPort", rpcPort }, { "firstStart", firstStart }, { "electionTimeoutMs", 300 },
         { "sharedLimitLeaseMs", m_sharedLimitLease.count() } };
+    if (m_memberTimeout)
+        control["memberTimeoutMs"] = m_memberTimeout->count();
     if (m_firstControlListener > 0)
         control["listenAddress"] = address(m_firstControlListener + number, rpcPort);
     start(name, { { "process", process }, { "control", control } });
@@ -219,7 +220,7 @@
             { "forwarding",
                 { { "callerAddress", callerAddress(number) },
                     { "readinessAddress", address(20 + number, 8001) },
-                    { "relayAddress", address(20 + number, 8002) }, { "control", seeds() },
+                    { "relayAddress", address(20 + number, 8002) }, { "control", platformAddresses(m_seeds) },
                     { "controlPort", rpcPort }, { "weightsBoundMs", m_weightsBound.count() } } } });
 }
 
@@ -264,7 +265,7 @@
     if (auto weights = announced.server->weights())
         body["models"] = { { { "name", weights->model }, { "version", weights->version },
             { "adapters", json::array() } } };
-    for (int control = 1; control <= controlVms; ++control) {
+    for (int control : m_seeds) {
         if (call(control, "PUT", "/instances/" + target, body.dump()).first == 200)
             return;
     }
@@ -364,10 +365,7 @@
 void forwarding_system::rewriteSeeds(const std::string& name, const std::vector<int>& controls)
 {
     auto settings = m_settings.at(name);
-    std::vector<std::string> addresses;
-    for (int number : controls)
-        addresses.push_back(address(10 + number, platformPort));
-    settings["forwarding"]["control"] = addresses;
+    settings["forwarding"]["control"] = platformAddresses(controls);
     std::ofstream(m_folder / (name + ".json")) << settings.dump(2);
 }
 
--- a/tests/forwarding/support/plumfold_forwarding_system.hpp
+++ b/tests/forwarding/support/plumfold_forwarding_system.hpp
@@ -56,6 +56,10 @@
     void setFailureDomains(std::vector<std::string> names) { m_failureDomains = std::move(names); }
     /// Sets how long control VMs that are started later hold the lease of the shared limits.
     void setSharedLimitLease(std::chrono::milliseconds time) { m_sharedLimitLease = time; }
+    /// Sets the control VMs that processes which are started later know first, and that targets call.
+    void setSeeds(std::vector<int> numbers) { m_seeds = std::move(numbers); }
+    /// Sets the silence after which control VMs that are started later count another one as lost.
+    void setMemberTimeout(std::chrono::milliseconds time) { m_memberTimeout = time; }
     /// Sets the time limit for starting requests on old weights of entries that are started later.
     void setWeightsBound(std::chrono::milliseconds time) { m_weightsBound = time; }
     /// Lets control VMs that are started later listen for RPC at another host than their address names.
@@ -109,13 +113,15 @@
 
 private:
     void start(const std::string& name, const nlohmann::json& settings);
-    std::vector<std::string> seeds() const;
+    std::vector<std::string> platformAddresses(const std::vector<int>& controls) const;
 
     nlohmann::json processSettings(const std::string& name, int number) const;
 
     std::filesystem::path m_folder;
     std::vector<std::string> m_failureDomains { "east" };
     std::chrono::milliseconds m_sharedLimitLease { 6'000 };
+    std::vector<int> m_seeds { 1, 2, 3 };
+    std::optional<std::chrono::milliseconds> m_memberTimeout;
     std::chrono::milliseconds m_weightsBound { 10'000 };
     std::string m_network;
     int m_firstControlListener = 0; // 0: control VMs listen at their own address
