Do not count the entries of control VMs that are gone

Seen: after a control VM has gone, the number of entries that control VMs report stays too high for ever, by those that followed it. Entries divide slots of brittle targets and the level of loads by that number.

Cause: the state of a peer was kept without a limit in time.

Conclusion: a peer that is silent for five seconds counts nowhere.

--- a/packages/control/src/plumfold_deployment_feed.cpp
+++ b/packages/control/src/plumfold_deployment_feed.cpp
@@ -21,6 +21,11 @@
 constexpr core::milliseconds maxPartsAge { 10'000 };
 constexpr core::milliseconds maxDemandAge { 60'000 }; // of targets that are not known any more
 
+bool isPresent(const control_peer_state& peer)
+{
+    return runtime::now() - peer.lastSeenAt < peerTimeout;
+}
+
 const char* stateName(core::target_state state)
 {
     constexpr const char* names[] = { "ready", "leaving", "silent" };
@@ -347,10 +352,9 @@
 std::vector<core::entry_address> deployment_feed::helpersOf(
     const std::string& entry, const std::string& failureDomain) const
 {
-    auto now = runtime::now();
     auto known = followers();
     for (const auto& [address, state] : m_peers) {
-        if (now - state.lastSeenAt < peerTimeout)
+        if (isPresent(state))
             known.insert(known.end(), state.followers.begin(), state.followers.end());
     }
     // An entry that changes its control VM is listed by both for a time.
@@ -412,6 +416,7 @@
     m_parts.expire(now, maxPartsAge);
     std::erase_if(
         m_loadReports, [&](const auto& each) { return now - each.second.sentAt > maxLoadReportAge; });
+    std::erase_if(m_peers, [](const auto& each) { return !isPresent(each.second); });
     std::erase_if(
         m_followers, [&](const auto& each) { return now - each.second.lastSeenAt > followerTimeout; });
     if (!silent.empty())
@@ -421,9 +426,8 @@
 std::map<std::string, std::string> deployment_feed::controlDomains() const
 {
     std::map<std::string, std::string> domains;
-    auto now = runtime::now();
     for (const auto& [address, state] : m_peers) {
-        if (now - state.lastSeenAt < peerTimeout)
+        if (isPresent(state))
             domains[address] = state.failureDomain;
     }
     domains[m_settings.control->address] = m_settings.process.failureDomain;
@@ -433,8 +437,10 @@
 std::uint32_t deployment_feed::entryCount() const
 {
     auto count = static_cast<std::uint32_t>(m_followers.size());
-    for (const auto& [address, state] : m_peers)
-        count += state.entries;
+    for (const auto& [address, state] : m_peers) {
+        if (isPresent(state))
+            count += state.entries;
+    }
     return std::max(count, 1u);
 }
 
