Do not call the addresses of former control VMs

Seen: control VMs go on calling the address of one that was replaced, with the cluster secret, several times a second. The address may belong to another process by then.

Cause: links to members were added and never dropped.

Change: only members are shared with, once any are known. Messages to a node that the group has just added still open a link by its name.

Evidence: forwarding "The address of a control VM that was replaced is not called any more" fails with the check taken out and passes with it, as does the replacement of all control VMs beside it.

--- a/packages/control/src/plumfold_control_role.cpp
+++ b/packages/control/src/plumfold_control_role.cpp
@@ -56,7 +56,7 @@
         };
         auto onViewChanged = [this](control_view view) {
             m_rpc.post([this, view = std::move(view)] {
-                m_links->addMembers(view.members);
+                m_links->setMembers(view.members);
                 m_feed->update(view);
                 if (m_crashes)
                     m_crashes->followLog();
--- a/packages/control/src/plumfold_peer_links.cpp
+++ b/packages/control/src/plumfold_peer_links.cpp
@@ -54,18 +54,26 @@
         sendTo(found->second, message);
 }
 
-void peer_links::addMembers(const core::raft_membership& members)
+void peer_links::setMembers(const core::raft_membership& members)
 {
+    m_hasMembers = !members.members.empty();
+    for (auto& [name, each] : m_links)
+        each.isMember = false;
     for (const auto& member : members.members) {
-        if (member.address != m_ownAddress)
-            m_links[member.node].address = member.address;
+        if (member.address == m_ownAddress)
+            continue;
+        auto& each = m_links[member.node];
+        each.address = member.address;
+        each.isMember = true;
     }
 }
 
 void peer_links::share(const deployment_feed& feed, const crash_judge& crashes)
 {
-    for (auto& [name, each] : m_links)
-        shareWith(each, feed, crashes);
+    for (auto& [name, each] : m_links) {
+        if (each.isMember || !m_hasMembers)
+            shareWith(each, feed, crashes);
+    }
 }
 
 void peer_links::shareWith(link& to, const deployment_feed& feed, const crash_judge& crashes)
--- a/packages/control/src/plumfold_peer_links.hpp
+++ b/packages/control/src/plumfold_peer_links.hpp
@@ -23,8 +23,9 @@
     /// Sends a message to its receiver, or to all peers if it names none.
     void send(const core::raft_message& message);
 
-    /// Adds new members of the group and updates the addresses of known ones.
-    void addMembers(const core::raft_membership& members);
+    /// Replaces the members of the group. Only members are shared with, once any are known: the address of a
+    /// former one may belong to another process.
+    void setMembers(const core::raft_membership& members);
 
     /// Sends each peer the changes of targets and KV parts that it has not received yet, and the loads of
     /// targets. Covers only what this control VM has received directly, not from peers; but all of what it
@@ -37,6 +38,7 @@
         kj::Own<wire::rpc_connection> connection;
         kj::Maybe<wire::ControlPeer::Client> peer;
         bool connecting = false;
+        bool isMember = false;
         unsigned inFlight = 0;
         std::uint64_t generation = 0; // of the connection; late failures of a previous one are ignored
         bool shareInFlight = false;
@@ -59,6 +61,7 @@
     std::string m_failureDomain;
     std::string m_secret;
     std::map<std::string, link> m_links;
+    bool m_hasMembers = false;
     wire::task_group m_tasks;
 };
 
--- a/tests/forwarding/plumfold_replaced_control_tests.cpp
+++ b/tests/forwarding/plumfold_replaced_control_tests.cpp
@@ -1,5 +1,6 @@
 #include "support/plumfold_forwarding_system.hpp"
 
+#include <Poco/Net/ServerSocket.h>
 #include <catch2/catch.hpp>
 
 #include <algorithm>
@@ -26,6 +27,7 @@
         setMemberTimeout(memberTimeout);
         for (int number = 1; number <= controlVms; ++number)
             startControl(number);
+        eventually([&] { return logOf("c1").find("voters=4") != std::string::npos; });
         startEntry(1);
         startTarget("t1");
     }
@@ -49,6 +51,15 @@
 
 } // namespace
 
+// Guards against calls, with the cluster secret, to whoever has the address of a former control VM.
+TEST_CASE_METHOD(replaced_control_system,
+    "The address of a control VM that was replaced is not called any more", "[forwarding][lost_voter]")
+{
+    replace(4);
+    Poco::Net::ServerSocket stranger { Poco::Net::SocketAddress(controlAddress(4)) };
+    CHECK_FALSE(stranger.poll(Poco::Timespan(2, 0), Poco::Net::Socket::SELECT_READ));
+}
+
 // Guards against voters that are gone and count towards the quorum for ever.
 TEST_CASE_METHOD(replaced_control_system,
     "Control VMs that are all replaced one after the other keep a quorum", "[forwarding][lost_voter]")
