--- a/packages/control/include/plumfold/control/plumfold_control_node.hpp
+++ b/packages/control/include/plumfold/control/plumfold_control_node.hpp
@@ -106,7 +106,7 @@
     std::string address; ///< ip:port at which the node accepts RPC connections.
     std::string failureDomain;
     bool isInitialMember = false; ///< See core::raft_options.
-    core::milliseconds memberTimeout { 10'000 }; ///< See core::raft_options.
+    core::milliseconds memberTimeout { 4'000 }; ///< See core::raft_options.
     core::milliseconds electionTimeout { 400 }; ///< See core::raft_options.
     std::uint64_t snapshotEveryEntries = 10'000; ///< Applied entries after which the log is compacted.
     std::uint64_t snapshotEveryBytes = 16 << 20; ///< Size beyond which the log is compacted, too.
--- a/packages/core/include/plumfold/core/plumfold_raft_node.hpp
+++ b/packages/core/include/plumfold/core/plumfold_raft_node.hpp
@@ -19,7 +19,7 @@
     /// voter of its failure domain.
     bool isInitialMember = false;
     /// Silence after which a member counts as lost.
-    milliseconds memberTimeout { 10'000 };
+    milliseconds memberTimeout { 4'000 };
     milliseconds electionTimeout { 300 }; ///< Minimum; each timeout is drawn at random up to twice this.
     milliseconds heartbeatInterval { 60 };
     std::size_t maxEntriesPerAppend = 256;
--- a/packages/runtime/include/plumfold/runtime/plumfold_settings.hpp
+++ b/packages/runtime/include/plumfold/runtime/plumfold_settings.hpp
@@ -100,7 +100,7 @@
     std::uint64_t electionTimeoutMs = 400;
     /// Silence after which a control VM that joined later takes the place of a lost one of its failure
     /// domain.
-    std::uint64_t memberTimeoutMs = 10'000;
+    std::uint64_t memberTimeoutMs = 4'000;
     std::uint64_t snapshotEveryEntries = 10'000;
     std::uint64_t maxDataBytes = 0; ///< Changes are rejected above it; 0 for no limit but the disk's.
 };
