Refuse orders that may have waited behind later ones

Seen by operators: an evacuation that was acknowledged is undone seconds later, and requests reach the targets of the failure domain for good, after a control VM that had stood still went on.

Cause: the control VM carried out a withdrawal that it found in its socket, which its caller had given up and sent again elsewhere seconds before. Orders carry no number, so the last one to arrive won.

Ruled out: a lost second evacuation, and entries that miss it: after the late call the failure domain is in service at all control VMs.

Change: evacuations, withdrawals and departures that may have waited for 0.7 s, according to the kernel or to the time for which the process stood still, are refused as not carried out. Behind that, an order names the last order for its failure domain that its receiver knew, and the leader rejects it if it knows a later one.

Why this works: callers give up after a second and only then order anything else. So what is read earlier than that is not outdated, and what is known at that moment is older than any later order.

--- a/packages/control/include/plumfold/control/plumfold_control_node.hpp
+++ b/packages/control/include/plumfold/control/plumfold_control_node.hpp
@@ -47,6 +47,7 @@
     std::map<std::string, std::string> leaseHolders; ///< Latest holder of each lease, by its name.
     std::map<std::string, core::unix_milliseconds> leaseEnds; ///< When each lease expires, by its name.
     std::vector<core::verdict> verdicts; ///< Includes those that were withdrawn.
+    std::map<std::string, std::uint64_t> inServiceOrders; ///< See core::control_state::inServiceOrders().
 };
 
 /// Response to a watch.
@@ -139,6 +140,8 @@
         std::vector<std::unique_ptr<completion<propose_response>>> callbacks;
         /// Version and digest of the proposed document, if it is one.
         std::optional<std::pair<std::uint64_t, std::uint64_t>> document;
+        /// Failure domain that the proposed command takes out of service or returns to it; empty: none.
+        std::string failureDomain;
     };
 
     void run();
@@ -152,6 +155,7 @@
     bool processOutput();
     void apply(const core::log_entry& entry);
     bool joinsPendingProposal(propose_event& event);
+    bool mayFollowLaterOrder(const core::set_in_service_command& order) const;
     void completeWatches();
     watch_response makeWatchResponse(std::uint64_t knownRevision) const;
     bool isCompactionDue() const;
--- a/packages/control/src/plumfold_control_node.cpp
+++ b/packages/control/src/plumfold_control_node.cpp
@@ -118,7 +118,7 @@
     if (entry.kind == core::entry_kind::command) {
         auto command = wire::decode<wire::Command>(entry.payload);
         m_commandClock.observe(command.at, runtime::nowWithSuspension());
-        result = m_state.apply(command);
+        result = m_state.apply(command, entry.index);
     }
     if (entry.kind == core::entry_kind::membership)
         m_appliedMembers = entry.members;
@@ -169,6 +169,7 @@
     m_view.leaseHolders = std::move(leaseHolders);
     m_view.leaseEnds = m_state.leaseEnds();
     m_view.verdicts = m_state.verdicts();
+    m_view.inServiceOrders = m_state.inServiceOrders();
     m_onViewChanged(m_view);
 }
 
@@ -231,6 +232,23 @@
     return true;
 }
 
+/// An order may have waited, at a control VM that stood still or on a link that was cut, while its operator
+/// sent it again elsewhere and then gave another one.
+/// @return whether the state may hold an order that its receiver did not know.
+bool control_node::mayFollowLaterOrder(const core::set_in_service_command& order) const
+{
+    if (!order.lastKnownOrder)
+        return false;
+    // Until an entry of its own term is applied, a leader may not know all orders.
+    if (m_appliedTerm != m_raft.term())
+        return true;
+    bool isPending = std::any_of(m_proposals.begin(), m_proposals.end(),
+        [&](const auto& each) { return each.second.failureDomain == order.failureDomain; });
+    const auto& orders = m_state.inServiceOrders();
+    auto latest = orders.find(order.failureDomain);
+    return isPending || *order.lastKnownOrder != (latest == orders.end() ? 0 : latest->second);
+}
+
 void control_node::handle(propose_event& event)
 {
     if (m_raft.role() != core::raft_role::leader) {
@@ -243,7 +261,14 @@
     }
     if (joinsPendingProposal(event))
         return;
-    pending_proposal pending { m_raft.term(), {}, {} };
+    pending_proposal pending { m_raft.term(), {}, {}, {} };
+    if (const auto* order = std::get_if<core::set_in_service_command>(&event.command.payload)) {
+        if (mayFollowLaterOrder(*order)) {
+            event.callback->done(rejection("another order for the failure domain came first"));
+            return;
+        }
+        pending.failureDomain = order->failureDomain;
+    }
     if (const auto* next = std::get_if<core::adopt_document_command>(&event.command.payload)) {
         // A document that is not newer changes nothing: only this control VM's lead has to be confirmed.
         if (next->document.version <= m_state.deployment().document.version)
--- a/packages/control/src/plumfold_deployment_feed.cpp
+++ b/packages/control/src/plumfold_deployment_feed.cpp
@@ -12,8 +12,6 @@
 
 namespace {
 
-/// A longer gap between ticks means that this process or its VM was suspended.
-constexpr core::milliseconds maxTickGap { 1'000 };
 constexpr core::milliseconds followerTimeout { 5'000 };
 constexpr core::milliseconds peerTimeout { 5'000 };
 constexpr core::milliseconds maxTargetAge { 60'000 }; // of leaving and silent targets
@@ -402,9 +400,8 @@
 {
     auto now = runtime::now();
     // A suspended process receives no announcements, so their absence does not mean that targets are silent.
-    if (now - m_lastTick > maxTickGap)
+    if (m_pauses.tick(runtime::nowWithSuspension()))
         m_directory.restartAnnouncementTimeouts(now);
-    m_lastTick = now;
     auto announcementTimeout = core::milliseconds(m_settings.control->targetSilenceMs);
     auto silent = m_directory.detectSilent(now, announcementTimeout);
     for (const auto& name : silent)
@@ -423,6 +420,11 @@
         wake();
 }
 
+core::milliseconds deployment_feed::possibleWait() const
+{
+    return m_pauses.possibleWait(runtime::nowWithSuspension());
+}
+
 std::map<std::string, std::string> deployment_feed::controlDomains() const
 {
     std::map<std::string, std::string> domains;
--- a/packages/control/src/plumfold_deployment_feed.hpp
+++ b/packages/control/src/plumfold_deployment_feed.hpp
@@ -7,6 +7,7 @@
 #include "plumfold/core/plumfold_crash_screen.hpp"
 #include "plumfold/core/plumfold_event_history.hpp"
 #include "plumfold/core/plumfold_part_directory.hpp"
+#include "plumfold/core/plumfold_pause_detector.hpp"
 #include "plumfold/core/plumfold_relay_helpers.hpp"
 #include "plumfold/core/plumfold_target_demands.hpp"
 #include "plumfold/core/plumfold_target_directory.hpp"
@@ -94,6 +95,10 @@
     /// Applies the timeouts: marks targets as silent and removes stale data. Call it periodically.
     void tick();
 
+    /// @return for how long a message that is read now may have waited at most because this process stood
+    /// still.
+    core::milliseconds possibleWait() const;
+
     const core::target_directory& directory() const { return m_directory; }
     /// @return a number that differs for different verdicts; 0 for none.
     std::uint64_t verdictsDigest() const { return m_verdictsDigest; }
@@ -177,7 +182,7 @@
     std::uint64_t m_id;
     control_view m_view;
     document_catalog m_document;
-    core::instant m_lastTick {};
+    core::pause_detector m_pauses;
     core::target_directory m_directory;
     core::part_directory m_parts;
     core::target_demands m_demands;
--- a/packages/control/src/plumfold_leader_client.cpp
+++ b/packages/control/src/plumfold_leader_client.cpp
@@ -2,6 +2,7 @@
 
 #include "plumfold_kj_completion.hpp"
 
+#include "plumfold/runtime/plumfold_clock.hpp"
 #include "plumfold/wire/plumfold_convert.hpp"
 #include "plumfold/wire/plumfold_entry_session.hpp"
 
@@ -13,7 +14,7 @@
 constexpr std::chrono::milliseconds attemptTimeout { 700 };
 /// Bytes of a document for which an attempt takes a millisecond longer.
 constexpr std::int64_t documentBytesPerMs = 1'000;
-constexpr auto retryDelay = 40 * kj::MILLISECONDS;
+constexpr core::milliseconds retryDelay { 40 };
 
 std::chrono::milliseconds timeoutOf(const core::command& command)
 {
@@ -98,24 +99,37 @@
     return submitTo(view.leaderAddress, command);
 }
 
-kj::Promise<propose_response> leader_client::submitUntil(core::command command, kj::TimePoint deadline)
+kj::Promise<propose_response> leader_client::submitUntil(
+    std::function<core::command()> makeCommand, core::instant deadline)
 {
-    auto attempt = submitOnce(command).catch_([](kj::Exception&&) { return propose_response {}; });
-    return attempt.then(
-        [this, command, deadline](propose_response response) mutable -> kj::Promise<propose_response> {
-            if (response.accepted)
-                return kj::mv(response);
-            KJ_REQUIRE(m_rpc.timer().now() + retryDelay < deadline, "no leader accepted the command in time");
-            return m_rpc.timer().afterDelay(retryDelay).then([this, command, deadline] {
-                return submitUntil(command, deadline);
+    // This process may have stood still since the last attempt.
+    KJ_REQUIRE(runtime::nowWithSuspension() < deadline, "no leader accepted the command in time");
+    auto attempt = submitOnce(makeCommand()).catch_([](kj::Exception&&) { return propose_response {}; });
+    return attempt.then([this, makeCommand = std::move(makeCommand), deadline](
+                            propose_response response) mutable -> kj::Promise<propose_response> {
+        if (response.accepted)
+            return kj::mv(response);
+        auto delay = retryDelay.count() * kj::MILLISECONDS;
+        return m_rpc.timer().afterDelay(delay).then(
+            [this, makeCommand = std::move(makeCommand), deadline]() mutable {
+                return submitUntil(std::move(makeCommand), deadline);
             });
-        });
+    });
 }
 
 kj::Promise<propose_response> leader_client::submit(core::command command, kj::Duration timeout)
 {
-    auto deadline = m_rpc.timer().now() + timeout;
-    return m_rpc.timer().timeoutAfter(timeout, submitUntil(std::move(command), deadline));
+    auto deadline = runtime::nowWithSuspension() + core::milliseconds(timeout / kj::MILLISECONDS);
+    return submit([command = std::move(command)] { return command; }, deadline);
+}
+
+kj::Promise<propose_response> leader_client::submit(
+    std::function<core::command()> makeCommand, core::instant deadline)
+{
+    auto left = std::chrono::ceil<core::milliseconds>(deadline - runtime::nowWithSuspension());
+    auto timeout = std::max<std::int64_t>(left.count(), 0) * kj::MILLISECONDS;
+    return m_rpc.timer().timeoutAfter(
+        timeout, kj::evalNow([&] { return submitUntil(std::move(makeCommand), deadline); }));
 }
 
 kj::Promise<void> leader_client::confirm(kj::Duration timeout)
--- a/packages/control/src/plumfold_leader_client.hpp
+++ b/packages/control/src/plumfold_leader_client.hpp
@@ -16,6 +16,11 @@
     /// the command may have been applied.
     kj::Promise<propose_response> submit(core::command command, kj::Duration timeout);
 
+    /// Does the same with a command that depends on what this control VM knows.
+    /// @param makeCommand called for each attempt.
+    /// @param deadline in the time of runtime::nowWithSuspension(); no attempt begins after it.
+    kj::Promise<propose_response> submit(std::function<core::command()> makeCommand, core::instant deadline);
+
     /// Commits a barrier and waits until this control VM has applied it, and thereby every command that was
     /// committed before this call.
     /// @param timeout for the commit, and again for applying it.
@@ -23,7 +28,8 @@
     kj::Promise<void> confirm(kj::Duration timeout);
 
 private:
-    kj::Promise<propose_response> submitUntil(core::command command, kj::TimePoint deadline);
+    kj::Promise<propose_response> submitUntil(
+        std::function<core::command()> makeCommand, core::instant deadline);
     kj::Promise<propose_response> submitOnce(const core::command& command);
     kj::Promise<propose_response> submitTo(const std::string& address, const core::command& command);
 
--- a/packages/control/src/plumfold_platform_api_server.cpp
+++ b/packages/control/src/plumfold_platform_api_server.cpp
@@ -6,10 +6,13 @@
 #include "plumfold/runtime/plumfold_log.hpp"
 
 #include <Poco/Net/HTTPRequestHandler.h>
-#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/HTTPServerResponse.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <optional>
+
 namespace plumfold::control {
 
 namespace {
@@ -23,6 +26,8 @@
 /// Longer limit for bodies above largeBodyBytes, such as a configuration with many routes.
 constexpr auto largeResponseTimeout = 1500 * kj::MILLISECONDS;
 constexpr std::size_t largeBodyBytes = 64 << 10;
+/// A call that has waited for longer may have been given up by its caller, and followed by others.
+constexpr core::milliseconds maxWait { 700 };
 
 struct api_response {
     HTTPResponse::HTTPStatus status = HTTPResponse::HTTP_OK;
@@ -39,9 +44,12 @@
 /// Executes one call on a thread of the listener and returns its response.
 class call_visitor {
 public:
-    call_visitor(platform_api_context& context, std::string body)
+    /// @param waited how long the call had been waiting when it was read, according to the kernel.
+    call_visitor(platform_api_context& context, std::string body, core::milliseconds waited)
         : m_context(context)
         , m_body(std::move(body))
+        , m_readAt(runtime::nowWithSuspension())
+        , m_waited(waited)
     {
     }
 
@@ -56,6 +64,9 @@
 
     api_response operator()(const platform::leave_call& call)
     {
+        // The target may have started again under its name since.
+        if (auto outdated = checkWait())
+            return *outdated;
         m_context.rpc.run([&] { m_context.feed.onTargetLeft(call.target); });
         return {};
     }
@@ -90,7 +101,22 @@
 
     api_response operator()(const platform::set_in_service_call& call)
     {
-        return submit(core::set_in_service_command { call.failureDomain, call.inService });
+        if (auto outdated = checkWait())
+            return *outdated;
+        auto makeCommand = [this, call] {
+            const auto& orders = m_context.feed.view().inServiceOrders;
+            auto latest = orders.find(call.failureDomain);
+            core::set_in_service_command command { call.failureDomain, call.inService, {} };
+            command.lastKnownOrder = latest == orders.end() ? 0 : latest->second;
+            return core::command { 0, std::move(command) };
+        };
+        auto deadline = m_readAt + core::milliseconds(responseTimeout / kj::MILLISECONDS) - m_waited;
+        try {
+            m_context.rpc.run([&] { return m_context.leader.submit(makeCommand, deadline).ignoreResult(); });
+            return {};
+        } catch (const kj::Exception& exception) {
+            return unavailableResponse(exception);
+        }
     }
 
     api_response operator()(const platform::set_weight_version_call& call)
@@ -110,6 +136,17 @@
     }
 
 private:
+    /// @return the response to a call that has waited for so long that a later one may have been carried out.
+    std::optional<api_response> checkWait()
+    {
+        m_waited = std::max(m_waited, m_context.rpc.run([&] { return m_context.feed.possibleWait(); }));
+        if (m_waited < maxWait)
+            return std::nullopt;
+        runtime::log_event("call_outdated", runtime::log_level::warning).with("waited_ms", m_waited.count());
+        return errorResponse(HTTPResponse::HTTP_SERVICE_UNAVAILABLE,
+            "the call may have waited until its caller gave up: it was not carried out, try again");
+    }
+
     template <class Command> api_response submit(Command command)
     {
         try {
@@ -134,6 +171,8 @@
 
     platform_api_context& m_context;
     std::string m_body;
+    core::instant m_readAt; // in the time of runtime::nowWithSuspension()
+    core::milliseconds m_waited;
 };
 
 class api_request_handler final : public Poco::Net::HTTPRequestHandler {
@@ -147,6 +186,8 @@
         Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response) override
     {
         auto receivedAt = runtime::now();
+        auto& connection = dynamic_cast<Poco::Net::HTTPServerRequestImpl&>(request).socket();
+        auto waited = runtime::sinceLastData(connection);
         auto body = runtime::readBody(request.stream(), maxCallBytes);
         api_response apiResponse
             = errorResponse(HTTPResponse::HTTP_REQUEST_ENTITY_TOO_LARGE, "the body is too large");
@@ -154,7 +195,7 @@
         if (body) {
             auto call = platform::decodeControlCall(request.getMethod(), request.getURI(), *body);
             isAnnouncement = std::holds_alternative<platform::announce_call>(call);
-            apiResponse = std::visit(call_visitor(m_context, std::move(*body)), call);
+            apiResponse = std::visit(call_visitor(m_context, std::move(*body), waited), call);
         }
         // Each target announces itself every second; the feed logs changes.
         if (!isAnnouncement) {
--- a/packages/core/include/plumfold/core/plumfold_control_state.hpp
+++ b/packages/core/include/plumfold/core/plumfold_control_state.hpp
@@ -80,6 +80,7 @@
     std::vector<lease_state> leases;
     std::uint64_t lastFence = 0; ///< The last fencing token issued.
     deployment_state deployment;
+    std::map<std::string, std::uint64_t> inServiceOrders; ///< See control_state::inServiceOrders().
 };
 
 /// The state machine behind the replicated log. It is deterministic: the same commands in the same order give
@@ -90,8 +91,9 @@
     explicit control_state(control_snapshot snapshot);
 
     /// Applies a committed command.
+    /// @param logIndex its place in the log.
     /// @return the result for the caller that submitted the command.
-    command_result apply(const command& next);
+    command_result apply(const command& next, std::uint64_t logIndex = 0);
 
     control_snapshot snapshot() const;
 
@@ -106,6 +108,9 @@
     std::map<std::string, std::string> leaseHolders() const;
     /// @return when each lease expires, by its name.
     std::map<std::string, unix_milliseconds> leaseEnds() const;
+    /// @return the log index of the last set_in_service_command for each failure domain, whether or not it
+    /// changed anything.
+    const std::map<std::string, std::uint64_t>& inServiceOrders() const { return m_inServiceOrders; }
     const std::deque<audit_record>& audit() const { return m_audit; }
 
 private:
@@ -138,6 +143,7 @@
     std::map<std::string, lease_state> m_leases;
     std::uint64_t m_lastFence = 0;
     deployment_state m_deployment;
+    std::map<std::string, std::uint64_t> m_inServiceOrders;
 };
 
 } // namespace plumfold::core
--- a/packages/core/include/plumfold/core/plumfold_deployment_state.hpp
+++ b/packages/core/include/plumfold/core/plumfold_deployment_state.hpp
@@ -3,6 +3,7 @@
 #include <compare>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -45,6 +46,9 @@
 struct set_in_service_command {
     std::string failureDomain;
     bool inService = true;
+    /// Log index of the last such command for the failure domain that was known when the operator's call was
+    /// received; 0: none. The leader rejects the command if it knows a later one. Nothing: no condition.
+    std::optional<std::uint64_t> lastKnownOrder;
 };
 struct set_current_weights_command {
     std::string model;
--- a/packages/core/src/plumfold_control_state.cpp
+++ b/packages/core/src/plumfold_control_state.cpp
@@ -46,6 +46,7 @@
         m_leases[each.name] = each;
     m_lastFence = snapshot.lastFence;
     m_deployment = std::move(snapshot.deployment);
+    m_inServiceOrders = std::move(snapshot.inServiceOrders);
 }
 
 control_snapshot control_state::snapshot() const
@@ -67,12 +68,15 @@
         out.leases.push_back(each);
     out.lastFence = m_lastFence;
     out.deployment = m_deployment;
+    out.inServiceOrders = m_inServiceOrders;
     return out;
 }
 
-command_result control_state::apply(const command& next)
+command_result control_state::apply(const command& next, std::uint64_t logIndex)
 {
     expire(next.at);
+    if (const auto* order = std::get_if<set_in_service_command>(&next.payload))
+        m_inServiceOrders[order->failureDomain] = logIndex;
     return std::visit([&](const auto& payload) { return applyCommand(payload, next.at); }, next.payload);
 }
 
--- a/packages/runtime/include/plumfold/runtime/plumfold_http.hpp
+++ b/packages/runtime/include/plumfold/runtime/plumfold_http.hpp
@@ -63,6 +63,10 @@
 /// from a connected socket does not apply its own timeouts to it.
 void setIoTimeout(Poco::Net::StreamSocket& socket, core::milliseconds timeout);
 
+/// @return the time since a connected socket last received data, as its kernel knows it; 0 if the kernel
+/// does not tell. It goes on while this process stands still.
+core::milliseconds sinceLastData(const Poco::Net::StreamSocket& socket);
+
 /// Parses ip:port.
 /// @throws Poco::Exception when it is malformed.
 Poco::Net::SocketAddress socketAddress(const std::string& address);
--- a/packages/runtime/src/plumfold_http.cpp
+++ b/packages/runtime/src/plumfold_http.cpp
@@ -10,7 +10,10 @@
 #include <Poco/ThreadPool.h>
 
 #include <algorithm>
+#include <cstddef>
 #include <istream>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 namespace plumfold::runtime {
 
@@ -70,6 +73,15 @@
     socket.setSendTimeout(time);
 }
 
+core::milliseconds sinceLastData(const Poco::Net::StreamSocket& socket)
+{
+    tcp_info info {};
+    socklen_t length = sizeof(info);
+    bool isKnown = ::getsockopt(socket.impl()->sockfd(), IPPROTO_TCP, TCP_INFO, &info, &length) == 0
+        && length > offsetof(tcp_info, tcpi_last_data_recv);
+    return core::milliseconds(isKnown ? info.tcpi_last_data_recv : 0);
+}
+
 std::unique_ptr<std::string> readBody(std::istream& in, std::size_t maxBytes)
 {
     constexpr std::size_t chunkBytes = 16384;
--- a/packages/wire/schema/plumfold.capnp
+++ b/packages/wire/schema/plumfold.capnp
@@ -113,7 +113,13 @@
   }
 }
 struct DeploymentDocument { version @0 :UInt64; text @1 :Text; }
-struct InServiceCommand { failureDomain @0 :Text; inService @1 :Bool; }
+struct InServiceCommand {
+  failureDomain @0 :Text;
+  inService @1 :Bool;
+  conditional @2 :Bool;      # only if lastKnownOrder is still the last order
+  lastKnownOrder @3 :UInt64;
+}
+struct InServiceOrder { failureDomain @0 :Text; logIndex @1 :UInt64; }
 struct NamedWeights { model @0 :Text; version @1 :UInt64; }
 struct ReturnToService { failureDomain @0 :Text; revision @1 :UInt64; }
 # See core::event_age.
@@ -168,6 +174,7 @@
   leases @9 :List(LeaseState);
   lastFence @10 :UInt64;
   deployment @11 :DeploymentState;
+  inServiceOrders @12 :List(InServiceOrder);
 }
 
 # ---------------------------------------------------------------- control's interfaces
--- a/packages/wire/src/plumfold_convert_commands.cpp
+++ b/packages/wire/src/plumfold_convert_commands.cpp
@@ -107,6 +107,8 @@
     auto to = out.initSetInService();
     to.setFailureDomain(value.failureDomain);
     to.setInService(value.inService);
+    to.setConditional(value.lastKnownOrder.has_value());
+    to.setLastKnownOrder(value.lastKnownOrder.value_or(0));
 }
 
 void writeCommand(Command::Builder out, const core::set_current_weights_command& value)
@@ -359,6 +361,12 @@
     writeList(out.initLeases(value.leases.size()), value.leases);
     out.setLastFence(value.lastFence);
     write(out.initDeployment(), value.deployment);
+    auto orders = out.initInServiceOrders(value.inServiceOrders.size());
+    unsigned index = 0;
+    for (const auto& [failureDomain, logIndex] : value.inServiceOrders) {
+        orders[index].setFailureDomain(failureDomain);
+        orders[index++].setLogIndex(logIndex);
+    }
 }
 
 core::control_snapshot read(ControlSnapshot::Reader in)
@@ -376,6 +384,8 @@
     value.leases = readList(in.getLeases());
     value.lastFence = in.getLastFence();
     value.deployment = read(in.getDeployment());
+    for (auto order : in.getInServiceOrders())
+        value.inServiceOrders[text(order.getFailureDomain())] = order.getLogIndex();
     return value;
 }
 
