Keep departures of targets in the replicated log

Seen by callers: requests reach a target that has left until it ends, after the control VM that acknowledged the departure was killed.

Cause: the acknowledgement was given from the memory of one process; others heard of it up to 40 ms later, and nothing of it was on a disk. A control VM that had just started also acknowledged the departure of a target that it did not know, and did nothing.

Ruled out: late announcements and forgetful entries, for a kill of one: only the killed control VM logs target_left. For a kill of all of them both hold, and are covered.

Change: a departure, and the first announcement that says so, is acknowledged once a lease in the log stands for it. Control VMs hand it to entries with what targets ask of their callers, whatever is announced later. Without a quorum, or if the target may only be unknown yet, the call is refused, and the target calls another control VM.

--- a/packages/control/include/plumfold/control/plumfold_control_node.hpp
+++ b/packages/control/include/plumfold/control/plumfold_control_node.hpp
@@ -44,8 +44,8 @@
     std::uint64_t term = 0;
     std::string leaderAddress; ///< Empty while no leader is known.
     core::raft_membership members;
-    std::map<std::string, std::string> leaseHolders; ///< Latest holder of each lease, by its name.
-    std::map<std::string, core::unix_milliseconds> leaseEnds; ///< When each lease expires, by its name.
+    /// Latest state of each lease, by its name. Another map whenever a lease has changed.
+    std::shared_ptr<const std::map<std::string, core::lease_state>> leases;
     std::vector<core::verdict> verdicts; ///< Includes those that were withdrawn.
     std::map<std::string, std::uint64_t> inServiceOrders; ///< See core::control_state::inServiceOrders().
 };
@@ -168,6 +168,7 @@
     control_node_options m_options;
     std::unique_ptr<durable_log> m_log;
     core::control_state m_state;
+    bool m_haveLeasesChanged = true; // since the view was last published
     std::uint64_t m_appliedIndex = 0;
     std::uint64_t m_appliedTerm = 0;
     core::raft_membership m_appliedMembers;
--- a/packages/control/src/plumfold_control_node.cpp
+++ b/packages/control/src/plumfold_control_node.cpp
@@ -101,6 +101,7 @@
         }
         if (output.install) {
             m_state = core::control_state(wire::decode<wire::ControlSnapshot>(output.install->state));
+            m_haveLeasesChanged = true;
             m_appliedIndex = output.install->index;
             m_appliedTerm = output.install->term;
             m_appliedMembers = output.install->members;
@@ -119,6 +120,8 @@
         auto command = wire::decode<wire::Command>(entry.payload);
         m_commandClock.observe(command.at, runtime::nowWithSuspension());
         result = m_state.apply(command, entry.index);
+        m_haveLeasesChanged
+            = m_haveLeasesChanged || std::holds_alternative<core::lease_command>(command.payload);
     }
     if (entry.kind == core::entry_kind::membership)
         m_appliedMembers = entry.members;
@@ -150,11 +153,10 @@
     bool isCaughtUp = m_raft.isCaughtUp(runtime::now());
     bool isLeader = m_raft.role() == core::raft_role::leader;
     std::string leader = m_raft.leaderAddress();
-    auto leaseHolders = m_state.leaseHolders();
     bool sameDeployment = m_view.deployment && m_view.deployment->revision == m_state.deployment().revision;
     bool same = sameDeployment && m_view.appliedIndex == m_appliedIndex && m_view.isCaughtUp == isCaughtUp
         && m_view.isLeader == isLeader && m_view.term == m_raft.term() && m_view.leaderAddress == leader
-        && m_view.members == m_raft.members() && m_view.leaseHolders == leaseHolders;
+        && m_view.members == m_raft.members() && !m_haveLeasesChanged;
     if (same)
         return;
     if (!sameDeployment)
@@ -166,8 +168,8 @@
     m_view.leaderAddress = std::move(leader);
     logMemberChanges(m_raft.members());
     m_view.members = m_raft.members();
-    m_view.leaseHolders = std::move(leaseHolders);
-    m_view.leaseEnds = m_state.leaseEnds();
+    if (std::exchange(m_haveLeasesChanged, false))
+        m_view.leases = std::make_shared<const std::map<std::string, core::lease_state>>(m_state.leases());
     m_view.verdicts = m_state.verdicts();
     m_view.inServiceOrders = m_state.inServiceOrders();
     m_onViewChanged(m_view);
--- a/packages/control/src/plumfold_control_role.cpp
+++ b/packages/control/src/plumfold_control_role.cpp
@@ -68,6 +68,7 @@
             m_leader = std::make_unique<leader_client>(m_rpc, m_settings, *m_node, *m_feed);
             m_sharedLimits = std::make_unique<shared_limit_issuer>(m_settings, *m_feed, *m_leader);
             m_crashes = std::make_unique<crash_judge>(*m_feed, *m_leader);
+            m_departures = std::make_unique<departure_recorder>(*m_feed, *m_leader);
             m_versions = std::make_unique<software_versions>(*m_feed, *m_leader);
             m_context = std::make_unique<service_context>(
                 service_context { m_settings, *m_node, m_rpc, *m_feed, *m_leader, *m_sharedLimits, *m_crashes,
@@ -79,7 +80,7 @@
         if (m_settings.control->platformAddress.empty())
             return;
         m_apiServer = std::make_unique<platform_api_server>(
-            platform_api_context { m_rpc, m_settings, *m_feed, *m_leader });
+            platform_api_context { m_rpc, m_settings, *m_feed, *m_leader, *m_departures });
         m_weights = std::make_unique<weight_rollout_thread>(m_rpc, m_settings, *m_feed, *m_leader);
         m_parts = std::make_unique<part_pollers>(m_rpc, *m_feed);
         m_loads = std::make_unique<load_poller>(m_rpc, *m_feed);
@@ -98,6 +99,7 @@
         m_rpc.run([&] {
             m_tasks.reset();
             m_versions.reset();
+            m_departures.reset();
             m_crashes.reset();
             m_sharedLimits.reset();
             m_leader.reset();
@@ -129,6 +131,7 @@
     std::unique_ptr<leader_client> m_leader;
     std::unique_ptr<shared_limit_issuer> m_sharedLimits;
     std::unique_ptr<crash_judge> m_crashes;
+    std::unique_ptr<departure_recorder> m_departures;
     std::unique_ptr<software_versions> m_versions;
     std::unique_ptr<wire::task_group> m_tasks;
     std::unique_ptr<service_context> m_context;
--- a/packages/control/src/plumfold_deployment_feed.cpp
+++ b/packages/control/src/plumfold_deployment_feed.cpp
@@ -1,5 +1,6 @@
 #include "plumfold_deployment_feed.hpp"
 
+#include "plumfold/core/plumfold_departure.hpp"
 #include "plumfold/core/plumfold_hash.hpp"
 #include "plumfold/platform/plumfold_platform_deployment.hpp"
 #include "plumfold/runtime/plumfold_clock.hpp"
@@ -43,6 +44,7 @@
     , m_id(runtime::randomNumber() | 1)
 {
     m_view.deployment = std::make_shared<const core::deployment_state>();
+    m_view.leases = std::make_shared<const std::map<std::string, core::lease_state>>();
 }
 
 void deployment_feed::update(control_view view)
@@ -59,7 +61,10 @@
             .with("term", view.term)
             .with("leader", view.leaderAddress);
     bool newDocument = view.deployment->document.version != m_view.deployment->document.version;
+    bool hasNewLeases = view.leases != m_view.leases;
     m_view = std::move(view);
+    if (hasNewLeases)
+        applyDepartures();
     auto now = runtime::nowWithSuspension();
     m_weights.observeLatest(m_view.deployment->weights, now);
     m_returns.observeLatest(m_view.deployment->returns, now);
@@ -188,13 +193,13 @@
 {
     auto domains = controlDomains();
     auto assignee = assigneeOf(failureDomain);
-    auto lease = m_view.leaseHolders.find(sharedLimitLeaseName(failureDomain));
-    if (lease == m_view.leaseHolders.end())
+    auto lease = m_view.leases->find(sharedLimitLeaseName(failureDomain));
+    if (lease == m_view.leases->end())
         return assignee;
-    auto holder = domains.find(lease->second);
+    auto holder = domains.find(lease->second.holder);
     bool isLocalBetter
         = holder != domains.end() && holder->second != failureDomain && domains[assignee] == failureDomain;
-    return holder == domains.end() || isLocalBetter ? assignee : lease->second;
+    return holder == domains.end() || isLocalBetter ? assignee : lease->second.holder;
 }
 
 double deployment_feed::coldRequestsPerSecond(const std::string& service) const
@@ -289,6 +294,16 @@
         wake();
 }
 
+/// A target that has left stays so, whichever of its announcements arrive late and whatever processes have
+/// ended since.
+void deployment_feed::applyDepartures()
+{
+    std::vector<core::target_demand> leaving;
+    for (const auto& each : core::departuresOf(*m_view.leases))
+        leaving.push_back({ each.target, each.startedAt, 0, std::nullopt, true });
+    applyDemands(leaving);
+}
+
 /// An announcement that says "ready" is older than a response that says otherwise.
 void deployment_feed::markLeavingTargets()
 {
--- a/packages/control/src/plumfold_deployment_feed.hpp
+++ b/packages/control/src/plumfold_deployment_feed.hpp
@@ -174,6 +174,7 @@
     void wake();
     void updateTargetClock(std::uint64_t clock);
     void markLeavingTargets();
+    void applyDepartures();
     void updateServices();
     void logTarget(const char* event, const core::target_announcement& target);
 
--- a/packages/control/src/plumfold_platform_api_server.cpp
+++ b/packages/control/src/plumfold_platform_api_server.cpp
@@ -11,6 +11,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <functional>
 #include <optional>
 
 namespace plumfold::control {
@@ -59,6 +60,12 @@
             m_context.feed.onAnnouncement(call.target);
             return m_context.feed.announceAddressIn(call.target.failureDomain);
         });
+        if (call.target.state == core::target_state::leaving) {
+            core::departure left { call.target.name, call.target.startedAt };
+            auto recorded = await([&] { return m_context.departures.record(left, deadline()); });
+            if (recorded.status != HTTPResponse::HTTP_OK)
+                return recorded;
+        }
         return { HTTPResponse::HTTP_OK, platform::encodeAnnounceResponse(nextAddress) };
     }
 
@@ -67,8 +74,11 @@
         // The target may have started again under its name since.
         if (auto outdated = checkWait())
             return *outdated;
-        m_context.rpc.run([&] { m_context.feed.onTargetLeft(call.target); });
-        return {};
+        return await([&] {
+            // The entries need not wait for the log.
+            m_context.feed.onTargetLeft(call.target);
+            return m_context.departures.recordKnown(call.target, deadline());
+        });
     }
 
     api_response operator()(const platform::put_deployment_call&)
@@ -110,13 +120,7 @@
             command.lastKnownOrder = latest == orders.end() ? 0 : latest->second;
             return core::command { 0, std::move(command) };
         };
-        auto deadline = m_readAt + core::milliseconds(responseTimeout / kj::MILLISECONDS) - m_waited;
-        try {
-            m_context.rpc.run([&] { return m_context.leader.submit(makeCommand, deadline).ignoreResult(); });
-            return {};
-        } catch (const kj::Exception& exception) {
-            return unavailableResponse(exception);
-        }
+        return await([&] { return m_context.leader.submit(makeCommand, deadline()).ignoreResult(); });
     }
 
     api_response operator()(const platform::set_weight_version_call& call)
@@ -147,14 +151,26 @@
             "the call may have waited until its caller gave up: it was not carried out, try again");
     }
 
+    /// @return when the caller gives up, less a margin; in the time of runtime::nowWithSuspension().
+    core::instant deadline() const
+    {
+        return m_readAt + core::milliseconds(responseTimeout / kj::MILLISECONDS) - m_waited;
+    }
+
     template <class Command> api_response submit(Command command)
+    {
+        auto timeout = m_body.size() > largeBodyBytes ? largeResponseTimeout : responseTimeout;
+        return await([&] {
+            return m_context.leader.submit(core::command { 0, std::move(command) }, timeout).ignoreResult();
+        });
+    }
+
+    /// Starts an operation on the RPC thread and waits for it.
+    /// @return an empty response, or why the operation failed.
+    api_response await(const std::function<kj::Promise<void>()>& operation)
     {
         try {
-            auto timeout = m_body.size() > largeBodyBytes ? largeResponseTimeout : responseTimeout;
-            m_context.rpc.run([&] {
-                return m_context.leader.submit(core::command { 0, std::move(command) }, timeout)
-                    .ignoreResult();
-            });
+            m_context.rpc.run(operation);
             return {};
         } catch (const kj::Exception& exception) {
             return unavailableResponse(exception);
--- a/packages/control/src/plumfold_platform_api_server.hpp
+++ b/packages/control/src/plumfold_platform_api_server.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "plumfold_departure_recorder.hpp"
 #include "plumfold_deployment_feed.hpp"
 #include "plumfold_leader_client.hpp"
 
@@ -7,12 +8,13 @@
 
 namespace plumfold::control {
 
-/// Dependencies of the call handlers. The feed and the leader client are used only on the RPC thread.
+/// Dependencies of the call handlers. All but the settings are used only on the RPC thread.
 struct platform_api_context {
     wire::rpc_thread& rpc;
     const runtime::settings& settings;
     deployment_feed& feed;
     leader_client& leader;
+    departure_recorder& departures;
 };
 
 /// HTTP server for the calls of targets and of the platform's operators.
--- a/packages/control/src/plumfold_software_versions.cpp
+++ b/packages/control/src/plumfold_software_versions.cpp
@@ -24,9 +24,9 @@
 
 bool software_versions::isDue(const service_version& version) const
 {
-    const auto& leases = m_feed.view().leaseEnds;
+    const auto& leases = *m_feed.view().leases;
     auto lease = leases.find(leaseName(version));
-    if (lease != leases.end() && lease->second >= runtime::unixNow() + minLeaseLeftMs)
+    if (lease != leases.end() && lease->second.until >= runtime::unixNow() + minLeaseLeftMs)
         return false;
     auto last = m_renewedAt.find(version);
     return last == m_renewedAt.end() || runtime::now() - last->second >= retryInterval;
@@ -65,8 +65,8 @@
     auto versions = m_feed.directory().softwareVersions(service);
     auto prefix = leaseName({ service, {} });
     auto now = runtime::unixNow();
-    for (const auto& [name, end] : m_feed.view().leaseEnds) {
-        if (name.starts_with(prefix) && end > now)
+    for (const auto& [name, lease] : *m_feed.view().leases) {
+        if (name.starts_with(prefix) && lease.until > now)
             versions.insert(name.substr(prefix.size()));
     }
     return versions;
--- a/packages/core/include/plumfold/core/plumfold_control_state.hpp
+++ b/packages/core/include/plumfold/core/plumfold_control_state.hpp
@@ -104,10 +104,8 @@
     const std::map<claim_key, claim_state>& claims() const { return m_claims; }
     std::vector<usage_row> usage() const;
     std::vector<verdict> verdicts() const;
-    /// @return the latest holder of each lease, by its name; the lease may have expired.
-    std::map<std::string, std::string> leaseHolders() const;
-    /// @return when each lease expires, by its name.
-    std::map<std::string, unix_milliseconds> leaseEnds() const;
+    /// @return the latest state of each lease, by its name; the lease may have expired.
+    const std::map<std::string, lease_state>& leases() const { return m_leases; }
     /// @return the log index of the last set_in_service_command for each failure domain, whether or not it
     /// changed anything.
     const std::map<std::string, std::uint64_t>& inServiceOrders() const { return m_inServiceOrders; }
@@ -126,6 +124,7 @@
     command_result applyCommand(const set_current_weights_command& next, unix_milliseconds at);
     // Erases claims and verdicts that have expired.
     void expire(unix_milliseconds at);
+    void removeExpiredDepartures(unix_milliseconds at);
     void storeResult(const change_command& next, const change_result& result);
 
     using request_key = std::pair<std::string, std::string>; // operator, request id
--- a/packages/core/src/plumfold_control_state.cpp
+++ b/packages/core/src/plumfold_control_state.cpp
@@ -1,5 +1,7 @@
 #include "plumfold/core/plumfold_control_state.hpp"
 
+#include "plumfold/core/plumfold_departure.hpp"
+
 #include <algorithm>
 
 namespace plumfold::core {
@@ -227,8 +229,16 @@
     return {};
 }
 
+void control_state::removeExpiredDepartures(unix_milliseconds at)
+{
+    std::erase_if(m_leases,
+        [&](const auto& each) { return each.second.until <= at && parseDepartureLease(each.first); });
+}
+
 command_result control_state::applyCommand(const lease_command& next, unix_milliseconds at)
 {
+    if (parseDepartureLease(next.name))
+        removeExpiredDepartures(at);
     bool isFirst = !m_leases.contains(next.name);
     auto& lease = m_leases[next.name];
     bool held = !lease.holder.empty() && at < lease.until;
@@ -286,20 +296,4 @@
     return all;
 }
 
-std::map<std::string, std::string> control_state::leaseHolders() const
-{
-    std::map<std::string, std::string> holders;
-    for (const auto& [name, lease] : m_leases)
-        holders[name] = lease.holder;
-    return holders;
-}
-
-std::map<std::string, unix_milliseconds> control_state::leaseEnds() const
-{
-    std::map<std::string, unix_milliseconds> ends;
-    for (const auto& [name, lease] : m_leases)
-        ends[name] = lease.until;
-    return ends;
-}
-
 } // namespace plumfold::core
