Destroy coroutines before the state that they refer to

Seen by operators: an entry that is stopped and still has requests or closing connections open ends with SIGSEGV or SIGABRT instead of code 0.

Cause: the coroutines of callers' connections live in the I/O context, which is destroyed last, behind the state that they take themselves out of. Reading a closed state is undefined; whether it crashes is chance.

Ruled out: a fault of the requests themselves: with none open the same happens to connections that are just closing. "A draining entry completes requests in progress and is no longer ready" failed so once in the run of all tests on (exit by a signal 3 s after SIGTERM).

Change: the stop destroys all pending operations while everything that they refer to still exists.

--- a/packages/forwarding/src/plumfold_forwarding_role.cpp
+++ b/packages/forwarding/src/plumfold_forwarding_role.cpp
@@ -47,6 +47,19 @@
 
 } // namespace
 
+namespace {
+
+/// An I/O context whose pending operations, and with them the coroutines that wait for them, can be destroyed
+/// before the objects that these refer to.
+class closable_io_context : public asio::io_context {
+public:
+    using asio::io_context::io_context;
+    /// Destroys all pending operations. None may be running.
+    void close() { shutdown(); }
+};
+
+} // namespace
+
 class forwarding_role::impl {
 public:
     impl(const runtime::settings& settings, wire::rpc_thread& rpc)
@@ -92,6 +105,7 @@
         m_crashReports.stop();
         m_rateLimits.stop();
         m_rpc.run([this] { m_controlSessions.reset(); });
+        m_io.close();
     }
 
     void drain()
@@ -265,7 +279,7 @@
     }
 
     runtime::settings m_settings;
-    asio::io_context m_io { 1 };
+    closable_io_context m_io { 1 };
     runtime::metrics m_metrics;
     shared_limit_client m_sharedLimits;
     wire::rpc_thread& m_rpc;
--- /dev/null
+++ b/tests/forwarding/plumfold_grace_period_tests.cpp
@@ -0,0 +1,92 @@
+#include "support/plumfold_serving_system.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <chrono>
+#include <csignal>
+#include <future>
+#include <thread>
+#include <vector>
+
+using namespace plumfold::tests;
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr milliseconds gracePeriod { 3'000 };
+constexpr milliseconds callerDeadline { 20'000 };
+/// Requests are passed on only in the first part of the grace period.
+constexpr milliseconds acceptancePeriod = gracePeriod / 2;
+
+class stopping_system : public serving_system {
+public:
+    stopping_system()
+    {
+        setGracePeriod(gracePeriod);
+        auto body = deployment(4);
+        for (auto& route : body["routes"])
+            route["timeout-ms"] = callerDeadline.count();
+        putDeployment(1, body);
+        startAnnouncing();
+    }
+
+    /// Starts an entry that serves requests.
+    void startServing(int entry)
+    {
+        startEntry(entry);
+        waitForTarget(entry);
+    }
+
+    std::future<raw_response> requestLater(int entry, const std::string& path)
+    {
+        return std::async(std::launch::async, [this, entry, path] {
+            return request(
+                entry, path, "order", { { "Request-Deadline", std::to_string(callerDeadline.count()) } });
+        });
+    }
+
+    std::future<int> stopLater(int entry)
+    {
+        return std::async(std::launch::async, [this, entry] { return process(nameOf(entry)).stop(); });
+    }
+
+    static std::string nameOf(int entry) { return "n" + std::to_string(entry); }
+
+    std::size_t requestsWith(const std::string& id)
+    {
+        std::size_t count = 0;
+        for (const char* name : { "t1", "t2" }) {
+            for (const auto& each : target(name).requests())
+                count += each.headers.at("request-id") == id;
+        }
+        return count;
+    }
+};
+
+} // namespace
+
+// Guards against a crash of an entry that stops with requests open.
+TEST_CASE_METHOD(stopping_system, "An entry whose grace period ends with requests open exits with code 0",
+    "[forwarding][grace]")
+{
+    constexpr int rounds = 4;
+    constexpr int callers = 20;
+    for (int round = 0; round < rounds; ++round) {
+        int entry = 2 + round;
+        CAPTURE(entry);
+        startServing(entry);
+        std::vector<std::future<raw_response>> responses;
+        for (int number = 0; number < callers; ++number) {
+            for (const char* path : { "/shop/never", "/stock/never", "/words/events-paced", "/notes/never" })
+                responses.push_back(requestLater(entry, path));
+        }
+        std::this_thread::sleep_for(milliseconds(300));
+        auto stoppedAt = steady_clock::now();
+        CHECK(process(nameOf(entry)).stop() == 0);
+        CHECK(steady_clock::now() - stoppedAt < gracePeriod);
+        for (auto& each : responses)
+            each.wait();
+    }
+}
--- a/tests/forwarding/support/plumfold_forwarding_system.cpp
+++ b/tests/forwarding/support/plumfold_forwarding_system.cpp
@@ -214,7 +214,7 @@
 {
     auto name = "n" + std::to_string(number);
     auto process = processSettings(name, number);
-    process["gracePeriodMs"] = 6000;
+    process["gracePeriodMs"] = m_gracePeriod.count();
     start(name,
         { { "process", process },
             { "forwarding",
--- a/tests/forwarding/support/plumfold_forwarding_system.hpp
+++ b/tests/forwarding/support/plumfold_forwarding_system.hpp
@@ -60,6 +60,8 @@
     void setSeeds(std::vector<int> numbers) { m_seeds = std::move(numbers); }
     /// Sets the silence after which control VMs that are started later count another one as lost.
     void setMemberTimeout(std::chrono::milliseconds time) { m_memberTimeout = time; }
+    /// Sets the grace period of entries that are started later.
+    void setGracePeriod(std::chrono::milliseconds time) { m_gracePeriod = time; }
     /// Sets the time limit for starting requests on old weights of entries that are started later.
     void setWeightsBound(std::chrono::milliseconds time) { m_weightsBound = time; }
     /// Lets control VMs that are started later listen for RPC at another host than their address names.
@@ -122,6 +124,7 @@
     std::chrono::milliseconds m_sharedLimitLease { 6'000 };
     std::vector<int> m_seeds { 1, 2, 3 };
     std::optional<std::chrono::milliseconds> m_memberTimeout;
+    std::chrono::milliseconds m_gracePeriod { 6'000 };
     std::chrono::milliseconds m_weightsBound { 10'000 };
     std::string m_network;
     int m_firstControlListener = 0; // 0: control VMs listen at their own address
