Answer all requests before the end of a planned stop

Seen by operators: requests that come late in the grace period of an entry are passed on, and are cut without an answer at its end, also those that may run only once.

Cause: nothing limited the time of open requests to that of the process; requests whose reception had begun were passed on whenever they were complete; with a grace period below three seconds requests were taken up to its end.

Change: each open request gets a final response 0.7 s before the end, 502 if a target may have run it and 503 if none has. Requests that are complete after three seconds, or half of the grace period, are refused as not run.

--- a/packages/forwarding/src/plumfold_caller_connection.cpp
+++ b/packages/forwarding/src/plumfold_caller_connection.cpp
@@ -70,14 +70,12 @@
         parser.body_limit(limits.maxBodyBytes);
         if (!co_await readRequest(parser))
             co_return;
-        ++m_state.openRequests;
         auto request = parser.release();
         std::optional<relayed_request> relayed;
         if (m_isRelay)
             relayed = takeRelayHeaders(request.base());
         request_forwarder forwarder(m_state, *this, std::move(request), std::move(relayed));
         open = co_await forwarder.run();
-        --m_state.openRequests;
         m_isServing = false;
     }
     error_code ignored;
--- a/packages/forwarding/src/plumfold_forwarding_role.cpp
+++ b/packages/forwarding/src/plumfold_forwarding_role.cpp
@@ -3,6 +3,7 @@
 #include "plumfold_caller_connection.hpp"
 #include "plumfold_deployment_follower.hpp"
 #include "plumfold_forwarding_state.hpp"
+#include "plumfold_request_forwarder.hpp"
 #include "plumfold_status_listener.hpp"
 
 #include "plumfold/platform/plumfold_platform_deployment.hpp"
@@ -22,8 +23,12 @@
 constexpr core::milliseconds drainCheckInterval { 20 };
 /// The load balancer probes readiness every second and removes this entry after two failures.
 constexpr core::milliseconds balancerDetectionTime { 3'000 };
+/// Requests are accepted in the grace period divided by this at most, so that they can end within it.
+constexpr int acceptanceDivisor = 2;
 /// Part of the grace period that is reserved for the exit of the process.
 constexpr core::milliseconds exitMargin { 500 };
+/// Part of the grace period before that in which the last responses are sent.
+constexpr core::milliseconds lastResponseMargin { 200 };
 constexpr int percent = 100;
 /// Share of the time limit for stale weights in which requests are still dispatched to targets that have
 /// them. The rest covers the time that a request waits on the target before it starts.
@@ -111,11 +116,12 @@
     void drain()
     {
         m_status.setReady(false);
-        asio::post(m_io, [this] { m_state.stopping = true; });
         auto drainStart = runtime::now();
         auto grace = core::milliseconds(m_settings.process.gracePeriodMs);
         auto drainDeadline = drainStart + std::max(grace - exitMargin, core::milliseconds(0));
-        std::this_thread::sleep_until(std::min(drainStart + balancerDetectionTime, drainDeadline));
+        asio::post(m_io, [this, stopAt = drainDeadline - lastResponseMargin] { stopRequests(stopAt); });
+        std::this_thread::sleep_until(
+            drainStart + std::min(balancerDetectionTime, grace / acceptanceDivisor));
         asio::post(m_io, [this] { stopAcceptingCallers(); });
         std::size_t open = openRequests();
         while (runtime::now() < drainDeadline && open > 0) {
@@ -128,10 +134,20 @@
     void setControlSeeds(std::vector<std::string> addresses) { m_follower.setSeeds(std::move(addresses)); }
 
 private:
+    /// Limits the time of open and later requests.
+    void stopRequests(core::instant stopAt)
+    {
+        m_state.stopping = true;
+        m_state.stopAt = stopAt;
+        for (auto* request : m_state.openRequests)
+            request->stopBy(stopAt);
+    }
+
     /// Closes the acceptor and idle connections: a request that arrived later might not complete within the
-    /// grace period.
+    /// grace period. Those that are still being received are refused.
     void stopAcceptingCallers()
     {
+        m_state.refusesRequests = true;
         error_code ignored;
         m_acceptor.close(ignored);
         if (m_relayAcceptor)
@@ -142,7 +158,7 @@
 
     std::size_t openRequests()
     {
-        return asio::post(m_io, asio::use_future([this] { return m_state.openRequests; })).get();
+        return asio::post(m_io, asio::use_future([this] { return m_state.openRequests.size(); })).get();
     }
 
     void applyUpdate(const control_update& update)
--- a/packages/forwarding/src/plumfold_forwarding_state.hpp
+++ b/packages/forwarding/src/plumfold_forwarding_state.hpp
@@ -28,6 +28,7 @@
 namespace plumfold::forwarding {
 
 class caller_connection;
+class request_forwarder;
 
 /// State shared by all requests of an entry. Accessed only on the event loop thread.
 struct forwarding_state {
@@ -55,7 +56,9 @@
     std::uint64_t targetClockMs = 0; ///< The targets' clock as last reported; 0: unknown.
     core::instant targetClockReadAt {}; ///< When targetClockMs was received.
     bool stopping = false; ///< Graceful shutdown: responses close their connections.
-    std::size_t openRequests = 0;
+    bool refusesRequests = false; ///< Graceful shutdown: later requests might not end in time.
+    std::optional<core::instant> stopAt; ///< Graceful shutdown: when open requests get a final response.
+    std::set<request_forwarder*> openRequests {}; ///< Each adds and removes itself.
     std::set<caller_connection*> callerConnections {}; ///< Open connections; each adds and removes itself.
 
     /// Judges the link to all targets anew.
--- a/packages/forwarding/src/plumfold_request_forwarder.cpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.cpp
@@ -72,6 +72,26 @@
     , m_watchdog(state.io)
     , m_deadlineTimer(state.io)
 {
+    m_state.openRequests.insert(this);
+}
+
+request_forwarder::~request_forwarder()
+{
+    m_state.openRequests.erase(this);
+}
+
+void request_forwarder::stopBy(core::instant at)
+{
+    bool isAdmitted = m_deadline != core::instant {};
+    if (!isAdmitted || at >= m_deadline)
+        return;
+    m_stopAt = m_deadline = at;
+    armDeadline();
+}
+
+bool request_forwarder::isStopped(core::instant now) const
+{
+    return m_stopAt && now >= *m_stopAt;
 }
 
 core::milliseconds request_forwarder::timeLeft() const
@@ -84,6 +104,8 @@
     if (!m_deployment && !m_relayed)
         co_await waitForDeployment();
     if (m_relayed ? admitRelayed() : admit()) {
+        if (m_state.stopAt)
+            stopBy(*m_state.stopAt);
         m_caller.watchForDisconnect([this] { onCallerDisconnected(); });
         armDeadline();
         if (m_relayed || !isTakeUp() || co_await findOrigin())
@@ -119,6 +141,10 @@
         reject(http::status::bad_request, "the request has no id or not exactly one host");
         return false;
     }
+    if (m_state.refusesRequests) {
+        reject(http::status::service_unavailable, "stopping", core::milliseconds(0)); // others serve it
+        return false;
+    }
     if (!m_deployment) {
         reject(http::status::service_unavailable, "no_deployment", retryAfterNoDeployment);
         return false;
@@ -473,7 +499,7 @@
     std::string reason = m_reason;
     if (m_streamStarted)
         return;
-    if (m_timedOut && m_mayHaveExecuted)
+    if (m_timedOut && m_mayHaveExecuted && !isStopped(runtime::now()))
         reject(http::status::gateway_timeout, "timeout");
     else if (m_mayHaveExecuted)
         reject(http::status::bad_gateway, reason.empty() ? "target_lost" : reason);
--- a/packages/forwarding/src/plumfold_request_forwarder.hpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.hpp
@@ -27,11 +27,17 @@
     /// @param relayed what another entry has decided that relays the request; nothing for a caller's request.
     request_forwarder(forwarding_state& state, caller_connection& caller,
         http::request<http::string_body> request, std::optional<relayed_request> relayed = {});
+    ~request_forwarder();
+    request_forwarder(const request_forwarder&) = delete;
+    request_forwarder& operator=(const request_forwarder&) = delete;
 
     /// Forwards the request and sends the final response to the caller.
     /// @return whether the caller's connection is kept alive.
     task<bool> run();
 
+    /// Lets the request end with a final response by a time, since this entry stops.
+    void stopBy(core::instant at);
+
 private:
     using target_response_parser = http::response_parser<http::buffer_body>;
 
@@ -57,6 +63,7 @@
     bool admitRelayed();
     std::string hostOfRequest() const;
     bool isIdempotent() const;
+    bool isStopped(core::instant now) const;
     bool hasBody() const;
     std::size_t maxAttempts() const;
     relay_result relayResult(bool isFromTarget) const;
@@ -133,6 +140,8 @@
     std::vector<core::request_trait> m_traitList; // of m_traits
     core::instant m_receivedAt;
     core::instant m_deadline {};
+    std::optional<core::instant>
+        m_stopAt; // when this entry ends the request; nothing: not before its deadline
 
     std::set<std::string> m_attemptedTargets; // a request was sent to these
     std::set<std::string> m_unreachableTargets;
--- a/tests/forwarding/plumfold_grace_period_tests.cpp
+++ b/tests/forwarding/plumfold_grace_period_tests.cpp
@@ -90,3 +90,56 @@
             each.wait();
     }
 }
+
+// Guards against requests that are cut without an answer at the end of the grace period.
+TEST_CASE_METHOD(stopping_system,
+    "Requests that are open at the end of the grace period get a final response, and streams do not look "
+    "whole",
+    "[forwarding][grace]")
+{
+    for (const char* name : { "t1", "t2" })
+        target(name).setPace(gracePeriod / 15); // of each of 25 events
+    startServing(2);
+    auto stopped = stopLater(2);
+    std::this_thread::sleep_for(acceptancePeriod / 2);
+    std::vector<std::future<raw_response>> responses;
+    for (int number = 0; number < 10; ++number) {
+        for (const char* path : { "/shop/never", "/stock/never", "/words/never", "/notes/never" })
+            responses.push_back(requestLater(2, path));
+    }
+    auto stream = requestLater(2, "/words/events-paced");
+    for (auto& each : responses) {
+        auto response = each.get();
+        CHECK(response.status == 502);
+        CHECK(response.isComplete);
+    }
+    auto broken = stream.get();
+    CHECK(broken.status == 200);
+    CHECK_FALSE(broken.isComplete);
+    CHECK(stopped.get() == 0);
+}
+
+// Guards against requests that are passed on too late to be answered within the grace period.
+TEST_CASE_METHOD(stopping_system, "A request that is complete late in the grace period is refused as not run",
+    "[forwarding][grace]")
+{
+    startServing(2);
+    auto stopped = stopLater(2);
+    std::this_thread::sleep_for(acceptancePeriod - milliseconds(300));
+    auto id = nextId();
+    auto bytes = requestBytes("/shop/whole", id, "order");
+    raw_caller caller(callerAddress(2));
+    caller.send(bytes.substr(0, bytes.size() / 2));
+    auto keeper = requestLater(2, "/stock/never"); // keeps the process from ending
+    std::this_thread::sleep_for(milliseconds(500));
+    caller.send(bytes.substr(bytes.size() / 2));
+    auto sentAt = steady_clock::now();
+    auto response = caller.receive();
+    CHECK(steady_clock::now() - sentAt < milliseconds(200));
+    CHECK(response.status == 503);
+    CHECK(response.headers.find("connection: close") != std::string::npos);
+    CHECK(requestsWith(id) == 0);
+    CHECK(keeper.get().status == 502);
+    CHECK(stopped.get() == 0);
+    CHECK(requestsWith(id) == 0);
+}
