Define the record, the commands and the reports of rollouts

Interfaces of the parts that docs/design/rollouts.md describes: the record of a rollout in the replicated state, the commands that begin it and decide on it, the evidence that entries report, their wire format, and the settings that switch rollouts on. Nothing uses them yet.

--- a/cmake/plumfold_package.cmake
+++ b/cmake/plumfold_package.cmake
@@ -2,7 +2,7 @@
 # Public headers live under include/, private headers and sources under src/.
 function(plumfold_package name)
     cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
-    file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/src/*.cpp)
+    file(GLOB_RECURSE sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/src/*.cpp)
     add_library(plumfold_${name} STATIC ${sources})
     add_library(plumfold::${name} ALIAS plumfold_${name})
     target_include_directories(plumfold_${name}
--- a/packages/core/include/plumfold/core/plumfold_commands.hpp
+++ b/packages/core/include/plumfold/core/plumfold_commands.hpp
@@ -118,7 +118,7 @@
     unix_milliseconds at = 0; ///< Set by the leader; the state machine reads no other clock.
     std::variant<barrier_command, change_command, claim_command, finish_claim_command, usage_command,
         verdict_command, lease_command, adopt_document_command, set_in_service_command,
-        set_current_weights_command>
+        set_current_weights_command, begin_rollout_command, decide_rollout_command>
         payload;
 };
 
@@ -146,6 +146,7 @@
     bool operator==(const lease_result&) const = default;
 };
 
-using command_result = std::variant<std::monostate, change_result, claim_result, lease_result>;
+using command_result
+    = std::variant<std::monostate, change_result, claim_result, lease_result, rollout_result>;
 
 } // namespace plumfold::core
--- a/packages/core/include/plumfold/core/plumfold_control_state.hpp
+++ b/packages/core/include/plumfold/core/plumfold_control_state.hpp
@@ -122,6 +122,8 @@
     command_result applyCommand(const adopt_document_command& next, unix_milliseconds at);
     command_result applyCommand(const set_in_service_command& next, unix_milliseconds at);
     command_result applyCommand(const set_current_weights_command& next, unix_milliseconds at);
+    command_result applyCommand(const begin_rollout_command& next, unix_milliseconds at);
+    command_result applyCommand(const decide_rollout_command& next, unix_milliseconds at);
     // Erases claims and verdicts that have expired.
     void expire(unix_milliseconds at);
     void removeExpiredDepartures(unix_milliseconds at);
@@ -143,6 +145,7 @@
     std::uint64_t m_lastFence = 0;
     deployment_state m_deployment;
     std::map<std::string, std::uint64_t> m_inServiceOrders;
+    std::uint64_t m_logIndex = 0; // of the command that is being applied
 };
 
 } // namespace plumfold::core
--- a/packages/core/include/plumfold/core/plumfold_deployment_state.hpp
+++ b/packages/core/include/plumfold/core/plumfold_deployment_state.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "plumfold/core/rollout/plumfold_rollout_record.hpp"
+
 #include <compare>
 #include <cstdint>
 #include <map>
@@ -24,6 +26,7 @@
     /// Revision at which each failure domain was last returned to service.
     std::map<std::string, std::uint64_t> returns;
     std::map<std::string, std::uint64_t> weights; ///< Current weight version of each model.
+    std::map<std::string, rollout_record> rollouts; ///< Latest rollout of software versions by service.
     bool operator==(const deployment_state&) const = default;
 
     /// Replaces the document if the next one has a higher version.
@@ -37,6 +40,12 @@
     /// Sets the current weight version of a model if it is higher than the present one.
     /// @return whether the version was set.
     bool setCurrentWeights(const std::string& model, std::uint64_t version);
+
+    /// Begins a rollout of a service, see beginRollout().
+    rollout_result begin(const begin_rollout_command& command, unix_milliseconds at, std::uint64_t logIndex);
+
+    /// Applies a decision on a rollout, see decideRollout().
+    rollout_result decide(const decide_rollout_command& command);
 };
 
 /// Commands of the replicated log that change the deployment state. All are idempotent.
--- a/packages/core/src/plumfold_control_state.cpp
+++ b/packages/core/src/plumfold_control_state.cpp
@@ -77,6 +77,7 @@
 command_result control_state::apply(const command& next, std::uint64_t logIndex)
 {
     expire(next.at);
+    m_logIndex = logIndex;
     if (const auto* order = std::get_if<set_in_service_command>(&next.payload))
         m_inServiceOrders[order->failureDomain] = logIndex;
     return std::visit([&](const auto& payload) { return applyCommand(payload, next.at); }, next.payload);
@@ -270,6 +271,16 @@
     return {};
 }
 
+command_result control_state::applyCommand(const begin_rollout_command& next, unix_milliseconds at)
+{
+    return m_deployment.begin(next, at, m_logIndex);
+}
+
+command_result control_state::applyCommand(const decide_rollout_command& next, unix_milliseconds)
+{
+    return m_deployment.decide(next);
+}
+
 std::optional<std::vector<delta>> control_state::deltasAfter(std::uint64_t revision) const
 {
     if (revision == m_configuration.revision())
--- a/packages/runtime/include/plumfold/runtime/plumfold_settings.hpp
+++ b/packages/runtime/include/plumfold/runtime/plumfold_settings.hpp
@@ -66,6 +66,7 @@
     std::vector<std::string> control; ///< Seed control VMs: ip:port of their platform addresses.
     std::uint64_t controlPort = 0; ///< RPC port of the control VMs.
     std::string metricsAddress; ///< Serves metrics as Prometheus text; empty for none.
+    bool rollouts = false; ///< Software versions that join are held until their rollout is known.
     std::string relayAddress; ///< Accepts requests that other entries relay; empty for none.
     double retryRatio = 0.2; ///< Retries to a service, as a share of its requests.
     std::uint64_t retryWindowMs = 10'000;
@@ -101,6 +102,10 @@
     /// Silence after which a control VM that joined later takes the place of a lost one of its failure
     /// domain.
     std::uint64_t memberTimeoutMs = 4'000;
+    /// Rollouts of software versions are served. A version that is not judged yet gets at most this share of
+    /// its service's requests, and some more; 0: rollouts are not served.
+    double rolloutExposureShare = 0;
+    double rolloutExposureSlack = 50; ///< Requests beyond that share.
     std::uint64_t snapshotEveryEntries = 10'000;
     std::uint64_t maxDataBytes = 0; ///< Changes are rejected above it; 0 for no limit but the disk's.
 };
--- a/packages/wire/include/plumfold/wire/plumfold_convert.hpp
+++ b/packages/wire/include/plumfold/wire/plumfold_convert.hpp
@@ -15,6 +15,8 @@
 #include "plumfold/core/plumfold_target_report.hpp"
 #include "plumfold/core/plumfold_target_selector.hpp"
 
+#include "plumfold/core/rollout/plumfold_rollout_report.hpp"
+
 #include "plumfold.capnp.h"
 
 #include <string>
@@ -51,6 +53,22 @@
 void write(Command::Builder out, const core::command& value);
 core::command read(Command::Reader in);
 
+void write(ServiceRollout::Builder out, const std::string& service, const core::rollout_record& value);
+/// @return the service and its rollout.
+std::pair<std::string, core::rollout_record> read(ServiceRollout::Reader in);
+
+void write(RolloutReport::Builder out, const core::rollout_report& value);
+core::rollout_report read(RolloutReport::Reader in);
+
+void write(BeginRollout::Builder out, const core::begin_rollout_command& value);
+core::begin_rollout_command read(BeginRollout::Reader in);
+
+void write(DecideRollout::Builder out, const core::decide_rollout_command& value);
+core::decide_rollout_command read(DecideRollout::Reader in);
+
+void write(RolloutResult::Builder out, const core::rollout_result& value);
+core::rollout_result read(RolloutResult::Reader in);
+
 void write(CommandResult::Builder out, const core::command_result& value);
 core::command_result read(CommandResult::Reader in);
 
--- a/packages/wire/schema/plumfold.capnp
+++ b/packages/wire/schema/plumfold.capnp
@@ -110,6 +110,8 @@
     adoptDocument @8 :DeploymentDocument;
     setInService @9 :InServiceCommand;
     nameWeights @10 :NamedWeights;
+    beginRollout @11 :BeginRollout;
+    decideRollout @12 :DecideRollout;
   }
 }
 struct DeploymentDocument { version @0 :UInt64; text @1 :Text; }
@@ -130,6 +132,51 @@
   outOfService @2 :List(Text);    # failure domains
   weights @3 :List(NamedWeights);
   returns @4 :List(ReturnToService);
+  rollouts @5 :List(ServiceRollout);
+}
+# See core::rollout_record and its commands.
+struct RolloutTotals { formerRequests @0 :UInt64; nextRequests @1 :UInt64; nextBad @2 :UInt64; }
+struct RolloutDecision {
+  state @0 :UInt8;
+  stage @1 :UInt8;
+  share @2 :UInt32;
+  elapsedMs @3 :UInt64;
+  totals @4 :RolloutTotals;
+  reason @5 :Text;
+}
+struct ServiceRollout {
+  service @0 :Text;
+  id @1 :UInt64;
+  version @2 :Text;
+  formerVersions @3 :List(Text);
+  durationMs @4 :UInt64;
+  orderedAt @5 :UInt64;
+  sequence @6 :UInt64;
+  decision @7 :RolloutDecision;
+}
+struct BeginRollout {
+  service @0 :Text;
+  version @1 :Text;
+  formerVersions @2 :List(Text);
+  durationMs @3 :UInt64;
+  lastKnownRollout @4 :UInt64;
+}
+struct DecideRollout { service @0 :Text; id @1 :UInt64; sequence @2 :UInt64; decision @3 :RolloutDecision; }
+struct RolloutResult { outcome @0 :UInt8; id @1 :UInt64; }
+# See core::rollout_report. Latencies are left out from the last one that is not 0.
+struct RolloutCounts { failures @0 :UInt64; latencies @1 :List(UInt32); }
+struct RolloutRow { route @0 :Text; sizeClass @1 :UInt8; former @2 :RolloutCounts; next @3 :RolloutCounts; }
+struct RolloutReport {
+  entry @0 :Text;
+  incarnation @1 :UInt64;
+  service @2 :Text;
+  rollout @3 :UInt64;
+  number @4 :UInt64;
+  decision @5 :UInt64;
+  formerRequests @6 :UInt64;
+  nextRequests @7 :UInt64;
+  formerInFlight @8 :UInt32;
+  rows @9 :List(RolloutRow);
 }
 # A DeploymentState whose document has no text. The text is put together from pieces, see core::document_outline.
 struct DeploymentOutline { state @0 :DeploymentState; digest @1 :UInt64; pieces @2 :List(UInt64); }
@@ -145,6 +192,7 @@
     change @1 :ChangeResult;
     claim @2 :ClaimResult;
     lease @3 :LeaseResult;
+    rollout @4 :RolloutResult;
   }
 }
 
@@ -213,7 +261,8 @@
   share @1 (address :Text, failureDomain :Text, entries :UInt32, targets :List(AnnouncedTarget),
       parts :List(PartNews), clock :UInt64, loads :List(TargetLoad), namings :List(EventAge),
       returns :List(EventAge), crashes :List(CrashReport), successes :List(RecordedSuccess),
-      followers :List(EntryAddress), hasFollowers :Bool, demands :List(TargetDemand)) -> ();
+      followers :List(EntryAddress), hasFollowers :Bool, demands :List(TargetDemand),
+      rollouts :List(RolloutReport)) -> ();
 }
 interface Operator {
   form @0 () -> (reply :Reply);
@@ -241,7 +290,7 @@
   # its requests. An entry that accepts outlines gets an outline instead of the deployment, and then calls readPieces.
   follow @2 (knownDeployment :UInt64, feed :UInt64, knownChange :UInt64, waitMs :UInt32, confirmed :Bool,
       parts :List(PartCursor), knownVerdicts :UInt64, knownSuspects :UInt64, relayAddress :Text, knownHelpers :UInt64,
-      demands :List(TargetDemand), knownDemands :UInt64, acceptsOutline :Bool)
+      demands :List(TargetDemand), knownDemands :UInt64, acceptsOutline :Bool, rollouts :List(RolloutReport))
       -> (fresh :Bool, deployment :DeploymentState, feed :UInt64, change :UInt64, everything :Bool,
           targets :List(AnnouncedTarget), control :List(ControlAddress), entries :UInt32, parts :List(PartNews), clock :UInt64,
           loads :List(TargetLoad), sharedLimits :Text, verdictsDigest :UInt64, verdicts :List(CrashVerdict),
--- a/packages/wire/src/plumfold_convert_commands.cpp
+++ b/packages/wire/src/plumfold_convert_commands.cpp
@@ -118,6 +118,16 @@
     to.setVersion(value.version);
 }
 
+void writeCommand(Command::Builder out, const core::begin_rollout_command& value)
+{
+    wire::write(out.initBeginRollout(), value);
+}
+
+void writeCommand(Command::Builder out, const core::decide_rollout_command& value)
+{
+    wire::write(out.initDecideRollout(), value);
+}
+
 } // namespace
 
 void write(Command::Builder out, const core::command& value)
@@ -175,6 +185,12 @@
         value.payload = core::set_current_weights_command { text(in.getNameWeights().getModel()),
             in.getNameWeights().getVersion() };
         return value;
+    case Command::BEGIN_ROLLOUT:
+        value.payload = read(in.getBeginRollout());
+        return value;
+    case Command::DECIDE_ROLLOUT:
+        value.payload = read(in.getDecideRollout());
+        return value;
     case Command::VERDICT: {
         auto from = in.getVerdict();
         value.payload = core::verdict_command { from.getFingerprint(), from.getCrashes(), from.getWithdraw(),
@@ -213,6 +229,8 @@
         to.setFence(leased->fence);
         to.setTakeovers(leased->takeovers);
         to.setFirst(leased->isFirst);
+    } else if (const auto* rolledOut = std::get_if<core::rollout_result>(&value)) {
+        write(out.initRollout(), *rolledOut);
     } else {
         out.setNone();
     }
@@ -225,6 +243,8 @@
         return std::monostate {};
     case CommandResult::CHANGE:
         return read(in.getChange());
+    case CommandResult::ROLLOUT:
+        return read(in.getRollout());
     case CommandResult::LEASE:
         return core::lease_result { in.getLease().getGranted(), in.getLease().getFence(),
             in.getLease().getTakeovers(), in.getLease().getFirst() };
--- a/packages/wire/src/plumfold_convert_deployment.cpp
+++ b/packages/wire/src/plumfold_convert_deployment.cpp
@@ -39,6 +39,10 @@
         returns[index].setFailureDomain(failureDomain);
         returns[index++].setRevision(revision);
     }
+    auto rollouts = out.initRollouts(value.rollouts.size());
+    index = 0;
+    for (const auto& [service, rollout] : value.rollouts)
+        write(rollouts[index++], service, rollout);
 }
 
 } // namespace
@@ -79,6 +83,8 @@
         value.weights[text(each.getModel())] = each.getVersion();
     for (auto each : in.getReturns())
         value.returns[text(each.getFailureDomain())] = each.getRevision();
+    for (auto each : in.getRollouts())
+        value.rollouts.insert(read(each));
     return value;
 }
 
