Let the leading control VM decide on running rollouts

The elapsed time is that of the earliest known order, exchanged as ages with the namings of weights under the subject rollout/SERVICE. The controller keeps it, so neither the weights nor entries see it. Reports go to other control VMs as changes, not as a whole: 70 entries would send some 1 MB/s otherwise.

--- a/packages/control/src/plumfold_control_role.cpp
+++ b/packages/control/src/plumfold_control_role.cpp
@@ -6,6 +6,7 @@
 #include "plumfold_part_pollers.hpp"
 #include "plumfold_peer_links.hpp"
 #include "plumfold_platform_api_server.hpp"
+#include "plumfold_rollout_controller.hpp"
 #include "plumfold_shared_limit_issuer.hpp"
 #include "plumfold_weight_rollout_thread.hpp"
 
@@ -20,6 +21,7 @@
 
 constexpr int minElectionTimeoutsOfLoss = 4;
 constexpr auto feedInterval = 40 * kj::MILLISECONDS;
+constexpr auto rolloutDecisionTimeout = 900 * kj::MILLISECONDS;
 
 } // namespace
 
@@ -70,9 +72,13 @@
             m_crashes = std::make_unique<crash_judge>(*m_feed, *m_leader);
             m_departures = std::make_unique<departure_recorder>(*m_feed, *m_leader);
             m_versions = std::make_unique<software_versions>(*m_feed, *m_leader);
+            m_rollouts
+                = std::make_unique<rollout_controller>(m_settings, *m_feed, [this](core::command command) {
+                      return m_leader->submit(std::move(command), rolloutDecisionTimeout);
+                  });
             m_context = std::make_unique<service_context>(
                 service_context { m_settings, *m_node, m_rpc, *m_feed, *m_leader, *m_sharedLimits, *m_crashes,
-                    *m_versions, {}, core::stream_origin_table(maxStreams) });
+                    *m_versions, *m_rollouts, {}, core::stream_origin_table(maxStreams) });
             m_listener = std::make_unique<wire::rpc_listener>(
                 m_rpc, runtime::listenAddress(*m_settings.control), makeControlService(*m_context));
             m_tasks->add(feedLoop());
@@ -98,6 +104,7 @@
         m_rpc.flush();
         m_rpc.run([&] {
             m_tasks.reset();
+            m_rollouts.reset();
             m_versions.reset();
             m_departures.reset();
             m_crashes.reset();
@@ -115,7 +122,8 @@
     {
         m_feed->tick();
         m_crashes->tick();
-        m_links->share(*m_feed, *m_crashes);
+        m_rollouts->tick();
+        m_links->share(*m_feed, *m_crashes, *m_rollouts);
         if (!m_settings.control->platformAddress.empty()) {
             m_sharedLimits->tick();
             m_versions->tick();
@@ -133,6 +141,7 @@
     std::unique_ptr<crash_judge> m_crashes;
     std::unique_ptr<departure_recorder> m_departures;
     std::unique_ptr<software_versions> m_versions;
+    std::unique_ptr<rollout_controller> m_rollouts;
     std::unique_ptr<wire::task_group> m_tasks;
     std::unique_ptr<service_context> m_context;
     std::unique_ptr<wire::rpc_listener> m_listener;
--- a/packages/control/src/plumfold_control_service.cpp
+++ b/packages/control/src/plumfold_control_service.cpp
@@ -57,8 +57,11 @@
             m_context.feed.applyPeerFollowers(from, readList<core::entry_address>(params.getFollowers()));
         m_context.feed.applyPeerParts(readList<core::part_update>(params.getParts()), params.getClock());
         m_context.feed.updateLoads(readList<core::target_load>(params.getLoads()), false);
-        m_context.feed.applyPeerEvents(
-            wire::readEventAges(params.getNamings()), wire::readEventAges(params.getReturns()));
+        auto namings = wire::readEventAges(params.getNamings());
+        m_context.rollouts.addAges(namings);
+        std::erase_if(namings, [](const auto& each) { return rollout_controller::isSubject(each.subject); });
+        m_context.feed.applyPeerEvents(namings, wire::readEventAges(params.getReturns()));
+        m_context.rollouts.addReports(readList<core::rollout_report>(params.getRollouts()), false);
         m_context.feed.applyDemands(readList<core::target_demand>(params.getDemands()));
         m_context.crashes.addEvidence(from,
             { readList<core::crash_report>(params.getCrashes()),
@@ -119,6 +122,10 @@
         auto params = call.getParams();
         m_context.feed.recordFollower({ m_name, params.getRelayAddress().cStr(), m_failureDomain });
         m_context.feed.applyDemands(readList<core::target_demand>(params.getDemands()));
+        auto reports = readList<core::rollout_report>(params.getRollouts());
+        for (auto& each : reports)
+            each.entry = m_name;
+        m_context.rollouts.addReports(reports, true);
         auto arrivedAt = runtime::nowWithSuspension();
         kj::Promise<void> ready = kj::READY_NOW;
         if (params.getConfirmed())
--- a/packages/control/src/plumfold_control_service.hpp
+++ b/packages/control/src/plumfold_control_service.hpp
@@ -3,6 +3,7 @@
 #include "plumfold_crash_judge.hpp"
 #include "plumfold_deployment_feed.hpp"
 #include "plumfold_leader_client.hpp"
+#include "plumfold_rollout_controller.hpp"
 #include "plumfold_shared_limit_issuer.hpp"
 #include "plumfold_software_versions.hpp"
 
@@ -39,6 +40,7 @@
     shared_limit_issuer& sharedLimits;
     crash_judge& crashes;
     software_versions& versions;
+    rollout_controller& rollouts;
     std::map<std::string, entry_status> entries; ///< By name.
     core::stream_origin_table streams { maxStreams };
 };
--- a/packages/control/src/plumfold_peer_links.cpp
+++ b/packages/control/src/plumfold_peer_links.cpp
@@ -68,15 +68,17 @@
     }
 }
 
-void peer_links::share(const deployment_feed& feed, const crash_judge& crashes)
+void peer_links::share(
+    const deployment_feed& feed, const crash_judge& crashes, const rollout_controller& rollouts)
 {
     for (auto& [name, each] : m_links) {
         if (each.isMember || !m_hasMembers)
-            shareWith(each, feed, crashes);
+            shareWith(each, feed, crashes, rollouts);
     }
 }
 
-void peer_links::shareWith(link& to, const deployment_feed& feed, const crash_judge& crashes)
+void peer_links::shareWith(
+    link& to, const deployment_feed& feed, const crash_judge& crashes, const rollout_controller& rollouts)
 {
     if (to.peer == nullptr) {
         if (!to.connecting)
@@ -93,6 +95,9 @@
     auto holders = feed.assignedHolders();
     auto loads = feed.loads(true);
     auto namings = feed.weightNamings(runtime::nowWithSuspension());
+    // Ages of rollouts' orders have subjects that are no models.
+    auto orders = rollouts.ages();
+    namings.insert(namings.end(), orders.begin(), orders.end());
     auto returns = feed.returns(runtime::nowWithSuspension());
     bool hasNews = !holders.empty() || !loads.empty() || !namings.empty() || !returns.empty();
     bool newsDue = hasNews && now - to.sharedNewsAt > shareNewsInterval;
@@ -123,6 +128,11 @@
     wire::write(request.initNamings(namings.size()), namings);
     wire::write(request.initReturns(returns.size()), returns);
     writeList(request.initDemands(demands.size()), demands);
+    std::vector<core::rollout_report> reports;
+    if (newsDue || all)
+        reports = rollouts.reportsAfter(to.sharedReport);
+    writeList(request.initRollouts(reports.size()), reports);
+    auto latestReport = newsDue || all ? rollouts.latestChange() : to.sharedReport;
     auto evidence = crashes.evidenceAfter(to.sharedEvidence);
     auto outCrashes = request.initCrashes(evidence.crashes.size());
     for (unsigned index = 0; index < evidence.crashes.size(); ++index)
@@ -145,7 +155,7 @@
     auto sent = wire::withTimeout(m_rpc, request.send().ignoreResult(), callTimeout);
     m_tasks.add(sent.then(
         [&to, change, all, now, parts = std::move(parts), known = evidence.change,
-            demand = feed.demands().latestChange()] {
+            demand = feed.demands().latestChange(), latestReport] {
             to.shareInFlight = false;
             to.sharedNewsAt = now;
             for (const auto& update : parts)
@@ -153,6 +163,7 @@
             to.sharedChange = change;
             to.sharedEvidence = known;
             to.sharedDemand = demand;
+            to.sharedReport = latestReport;
             if (all)
                 to.sharedAllAt = now;
         },
@@ -209,6 +220,7 @@
     to.sharedChange = 0;
     to.sharedEvidence = 0;
     to.sharedDemand = 0;
+    to.sharedReport = 0;
     to.peer = nullptr;
     to.inFlight = 0;
     // The connection must not be destroyed inside one of its own callbacks.
--- a/packages/control/src/plumfold_peer_links.hpp
+++ b/packages/control/src/plumfold_peer_links.hpp
@@ -2,6 +2,7 @@
 
 #include "plumfold_crash_judge.hpp"
 #include "plumfold_deployment_feed.hpp"
+#include "plumfold_rollout_controller.hpp"
 
 #include "plumfold/core/plumfold_raft_types.hpp"
 #include "plumfold/runtime/plumfold_settings.hpp"
@@ -30,7 +31,7 @@
     /// Sends each peer the changes of targets and KV parts that it has not received yet, and the loads of
     /// targets. Covers only what this control VM has received directly, not from peers; but all of what it
     /// knows of crashes, since the others may have restarted. To be called regularly.
-    void share(const deployment_feed& feed, const crash_judge& crashes);
+    void share(const deployment_feed& feed, const crash_judge& crashes, const rollout_controller& rollouts);
 
 private:
     struct link {
@@ -46,12 +47,14 @@
         std::uint64_t sharedEvidence
             = 0; // latest change of the evidence of crashes that the peer has received
         std::uint64_t sharedDemand = 0; // change of target_demands that the peer has
+        std::uint64_t sharedReport = 0; // change of the reports on rollouts that the peer has received
         core::instant sharedAllAt {};
         core::instant sharedNewsAt {}; // parts, loads and ages of events
         std::map<std::string, core::part_cursor> sharedParts; // by holder: changes that the peer has received
     };
 
-    void shareWith(link& to, const deployment_feed& feed, const crash_judge& crashes);
+    void shareWith(link& to, const deployment_feed& feed, const crash_judge& crashes,
+        const rollout_controller& rollouts);
     void sendTo(link& to, const core::raft_message& message);
     void connect(link& to);
     void disconnect(link& to, std::uint64_t generation);
