Serve orders and reads of rollouts at control VMs and on the command line

Purpose: operators order a rollout by POST /rollouts or "plumfold rollout start", read it by GET /rollouts/SERVICE or "plumfold rollout show", and find the reason of its end in the logs of control VMs.

Only the state machine begins a rollout. The receiver refuses only what stays true: calls that waited (503), and, after a quorum has confirmed its state, a service that the deployment lacks (400) or another version that runs (409). The latter is not proposed at all: a delayed attempt would name that rollout as the latest one and could begin after its end. All attempts of a call use the command that was made when it was received, so that a rollout that becomes known meanwhile counts as later. A check by the leader before it proposes, as for evacuations, was weighed and left out: the state machine compares the last known rollout itself.

The response to a read has state and version only; "?detailed" adds stage, share, counts and reason, which the command line shows.

--- a/packages/control/src/plumfold_control_node.cpp
+++ b/packages/control/src/plumfold_control_node.cpp
@@ -1,5 +1,7 @@
 #include "plumfold/control/plumfold_control_node.hpp"
 
+#include "plumfold_rollout_log.hpp"
+
 #include "plumfold/core/plumfold_hash.hpp"
 #include "plumfold/runtime/plumfold_clock.hpp"
 #include "plumfold/runtime/plumfold_log.hpp"
@@ -120,6 +122,7 @@
         auto command = wire::decode<wire::Command>(entry.payload);
         m_commandClock.observe(command.at, runtime::nowWithSuspension());
         result = m_state.apply(command, entry.index);
+        logRollout(command, result, m_state.deployment());
         m_haveLeasesChanged
             = m_haveLeasesChanged || std::holds_alternative<core::lease_command>(command.payload);
     }
--- a/packages/control/src/plumfold_control_role.cpp
+++ b/packages/control/src/plumfold_control_role.cpp
@@ -80,7 +80,7 @@
         if (m_settings.control->platformAddress.empty())
             return;
         m_apiServer = std::make_unique<platform_api_server>(
-            platform_api_context { m_rpc, m_settings, *m_feed, *m_leader, *m_departures });
+            platform_api_context { m_rpc, m_settings, *m_feed, *m_leader, *m_departures, *m_versions });
         m_weights = std::make_unique<weight_rollout_thread>(m_rpc, m_settings, *m_feed, *m_leader);
         m_parts = std::make_unique<part_pollers>(m_rpc, *m_feed);
         m_loads = std::make_unique<load_poller>(m_rpc, *m_feed);
--- a/packages/control/src/plumfold_deployment_feed.hpp
+++ b/packages/control/src/plumfold_deployment_feed.hpp
@@ -149,6 +149,8 @@
     std::string sharedLimitIssuerOf(const std::string& failureDomain) const;
     /// @return the cold request rate of a service in the current deployment; 0 if it has none.
     double coldRequestsPerSecond(const std::string& service) const;
+    /// @return whether the current deployment has a service.
+    bool hasService(const std::string& service) const { return m_coldRates.contains(service); }
     /// @return the platform address of a control VM in a failure domain; empty when none is known there.
     std::string announceAddressIn(const std::string& failureDomain) const;
 
--- a/packages/control/src/plumfold_platform_api_server.cpp
+++ b/packages/control/src/plumfold_platform_api_server.cpp
@@ -1,5 +1,8 @@
 #include "plumfold_platform_api_server.hpp"
 
+#include "plumfold_api_response.hpp"
+#include "plumfold_rollout_api.hpp"
+
 #include "plumfold/platform/plumfold_platform_control_calls.hpp"
 #include "plumfold/platform/plumfold_platform_deployment.hpp"
 #include "plumfold/runtime/plumfold_clock.hpp"
@@ -8,7 +11,6 @@
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/HTTPServerResponse.h>
-#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <functional>
@@ -30,18 +32,6 @@
 /// A call that has waited for longer may have been given up by its caller, and followed by others.
 constexpr core::milliseconds maxWait { 700 };
 
-struct api_response {
-    HTTPResponse::HTTPStatus status = HTTPResponse::HTTP_OK;
-    std::string body = "{}";
-};
-
-api_response errorResponse(HTTPResponse::HTTPStatus status, const std::string& message)
-{
-    nlohmann::json body { { "error", message } };
-    // The message may quote bytes of the request that are not valid UTF-8.
-    return { status, body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) };
-}
-
 /// Executes one call on a thread of the listener and returns its response.
 class call_visitor {
 public:
@@ -128,18 +118,51 @@
         return submit(core::set_current_weights_command { call.model, call.version });
     }
 
+    api_response operator()(const platform::begin_rollout_call& call)
+    {
+        if (!rolloutsAreServed())
+            return unknownCall();
+        if (auto outdated = checkWait()) {
+            runtime::log_event("rollout_refused", runtime::log_level::warning)
+                .with("service", call.service)
+                .with("version", call.version)
+                .with("reason", "waited");
+            return *outdated;
+        }
+        return rollouts().begin(call);
+    }
+
+    api_response operator()(const platform::read_rollout_call& call)
+    {
+        return rolloutsAreServed() ? rollouts().read(call) : unknownCall();
+    }
+
+    api_response operator()(const platform::malformed_rollout_call& call)
+    {
+        return rolloutsAreServed() ? (*this)(platform::malformed_call { call.message }) : unknownCall();
+    }
+
     api_response operator()(const platform::malformed_call& call)
     {
         runtime::log_event("call_malformed").with("reason", call.message);
         return errorResponse(HTTPResponse::HTTP_BAD_REQUEST, call.message);
     }
 
-    api_response operator()(const platform::unknown_call&)
+    api_response operator()(const platform::unknown_call&) { return unknownCall(); }
+
+private:
+    static api_response unknownCall()
     {
         return errorResponse(HTTPResponse::HTTP_NOT_FOUND, "there is no such call");
     }
 
-private:
+    bool rolloutsAreServed() const { return m_context.settings.control->rolloutExposureShare > 0; }
+
+    rollout_api rollouts() const
+    {
+        return rollout_api(m_context.rpc, m_context.feed, m_context.leader, m_context.versions, deadline());
+    }
+
     /// @return the response to a call that has waited for so long that a later one may have been carried out.
     std::optional<api_response> checkWait()
     {
@@ -177,14 +200,6 @@
         }
     }
 
-    api_response unavailableResponse(const kj::Exception& exception)
-    {
-        runtime::log_event("quorum_not_reached", runtime::log_level::warning)
-            .with("reason", exception.getDescription().cStr());
-        return errorResponse(HTTPResponse::HTTP_SERVICE_UNAVAILABLE,
-            "no quorum of control VMs answered in time: try again, or another control VM");
-    }
-
     platform_api_context& m_context;
     std::string m_body;
     core::instant m_readAt; // in the time of runtime::nowWithSuspension()
--- a/packages/control/src/plumfold_platform_api_server.hpp
+++ b/packages/control/src/plumfold_platform_api_server.hpp
@@ -3,6 +3,7 @@
 #include "plumfold_departure_recorder.hpp"
 #include "plumfold_deployment_feed.hpp"
 #include "plumfold_leader_client.hpp"
+#include "plumfold_software_versions.hpp"
 
 #include "plumfold/runtime/plumfold_http.hpp"
 
@@ -15,6 +16,7 @@
     deployment_feed& feed;
     leader_client& leader;
     departure_recorder& departures;
+    software_versions& versions;
 };
 
 /// HTTP server for the calls of targets and of the platform's operators.
--- a/packages/control/src/plumfold_software_versions.cpp
+++ b/packages/control/src/plumfold_software_versions.cpp
@@ -72,4 +72,16 @@
     return versions;
 }
 
+std::set<std::string> software_versions::formerVersions(
+    const std::string& service, const std::string& next) const
+{
+    auto versions = versionsOf(service);
+    for (const auto& [name, each] : m_feed.directory().entries()) {
+        if (each.last.service == service && each.last.state == core::target_state::ready)
+            versions.insert(each.last.softwareVersion);
+    }
+    versions.erase(next);
+    return versions;
+}
+
 } // namespace plumfold::control
--- a/packages/control/src/plumfold_software_versions.hpp
+++ b/packages/control/src/plumfold_software_versions.hpp
@@ -27,6 +27,10 @@
     /// @return the software versions of a service that this control VM knows of or the log holds.
     std::set<std::string> versionsOf(const std::string& service) const;
 
+    /// @param next the software version that is rolled out.
+    /// @return those and the versions of ready targets, without the next one.
+    std::set<std::string> formerVersions(const std::string& service, const std::string& next) const;
+
 private:
     using service_version = std::pair<std::string, std::string>;
 
--- a/packages/plumfold/src/plumfold_commands_registry.hpp
+++ b/packages/plumfold/src/plumfold_commands_registry.hpp
@@ -25,5 +25,6 @@
 void addStateCommands(CLI::App& app, command_context& context);
 void addTraceCommand(CLI::App& app, command_context& context);
 void addLoadCommand(CLI::App& app, command_context& context);
+void addRolloutCommands(CLI::App& app, command_context& context);
 
 } // namespace plumfold::cli
--- a/packages/plumfold/src/plumfold_main.cpp
+++ b/packages/plumfold/src/plumfold_main.cpp
@@ -21,6 +21,7 @@
     addStateCommands(app, context);
     addTraceCommand(app, context);
     addLoadCommand(app, context);
+    addRolloutCommands(app, context);
     try {
         app.parse(argc, argv);
     } catch (const CLI::ParseError& error) {
--- a/tests/forwarding/support/plumfold_forwarding_system.hpp
+++ b/tests/forwarding/support/plumfold_forwarding_system.hpp
@@ -64,6 +64,9 @@
     void setGracePeriod(std::chrono::milliseconds time) { m_gracePeriod = time; }
     /// Sets the time limit for starting requests on old weights of entries that are started later.
     void setWeightsBound(std::chrono::milliseconds time) { m_weightsBound = time; }
+    /// Turns rollouts of software versions on in processes that are started later.
+    /// @param share, slack limit the requests that a version which is not judged yet gets.
+    void serveRollouts(double share = 0.1, double slack = 50) { m_rolloutExposure = { share, slack }; }
     /// Lets control VMs that are started later listen for RPC at another host than their address names.
     /// @param firstHost the host of the control VM with the number 0.
     void setControlListeners(int firstHost) { m_firstControlListener = firstHost; }
@@ -126,6 +129,7 @@
     std::optional<std::chrono::milliseconds> m_memberTimeout;
     std::chrono::milliseconds m_gracePeriod { 6'000 };
     std::chrono::milliseconds m_weightsBound { 10'000 };
+    std::optional<std::pair<double, double>> m_rolloutExposure; // share and slack
     std::string m_network;
     int m_firstControlListener = 0; // 0: control VMs listen at their own address
     std::map<std::string, nlohmann::json> m_settings;
