Decide by the rollout of a service which targets get a request

While a rollout is running, the next version may get its share only, from all entries together and without messages between them. The share is therefore applied by a draw from the request's id, and only while the plan is known to be fresh. A share below 300 goes to a part of the next targets, chosen alike by all entries, so that these see a usual load.

A version that joins a service is held until a second of confirmed updates has passed, since the order for it may not have arrived yet. An entry that starts uses all versions from its first confirmed update on, and before it the version whose target started first: two versions may serve, and holding both would refuse all requests.

At the full share, former targets get no requests while any next target is ready, not even after a failure at a next one.

Looking the rollout up per target and choice was ruled out for its cost.

--- a/packages/core/include/plumfold/core/plumfold_target_selector.hpp
+++ b/packages/core/include/plumfold/core/plumfold_target_selector.hpp
@@ -8,12 +8,16 @@
 #include "plumfold/core/plumfold_prompt_parts.hpp"
 #include "plumfold/core/plumfold_target_demands.hpp"
 #include "plumfold/core/plumfold_target_directory.hpp"
+#include "plumfold/core/rollout/plumfold_rollout_cohorts.hpp"
+#include "plumfold/core/rollout/plumfold_rollout_recorder.hpp"
 
 #include <deque>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace plumfold::core {
 
@@ -43,9 +47,20 @@
     bool isUnlimitedOnly = false; ///< Excludes targets that limit their requests per second.
     /// Only targets with this software version; an empty one matches none. Nothing: any.
     std::optional<std::string> softwareVersion;
+    std::uint32_t rolloutDraw = rolloutFullShare - 1; ///< See cohort_request::draw.
+    bool isRolloutPlanFresh = false; ///< See cohort_request::isPlanFresh.
+    bool hasFailedAtNext = false; ///< See cohort_request::hasFailedAtNext.
+    bool isCohortFallback = false; ///< See cohort_request::isFallback; set by the selector.
     milliseconds timeLeft { 0 }; ///< Until the caller's deadline.
 };
 
+/// @return the properties of a request that its cohort depends on.
+inline cohort_request cohortRequestOf(const placement_request& request)
+{
+    return { request.rolloutDraw, request.isRolloutPlanFresh, request.hasFailedAtNext,
+        request.softwareVersion.has_value(), request.isCohortFallback };
+}
+
 /// The target selected for one attempt.
 struct placement {
     std::string target;
@@ -60,6 +75,7 @@
     bool isTargetUnderLoad = false; ///< Other requests make the prediction uncertain.
     bool isCold = false; ///< The request may be sent only after its start was granted.
     bool isRateLimited = false; ///< The request may be sent only after its start was granted.
+    rollout_assignment rollout {};
     bool operator==(const placement&) const = default;
 };
 
@@ -122,6 +138,7 @@
     milliseconds staleWeightsBound { 10'000 };
     /// Added to the predicted time of targets with stale weights.
     double staleWeightsPenaltyMs = 150;
+    bool holdsNewVersions = false; ///< See rollout_cohorts.
 };
 
 /// Tracks the targets known to one entry and selects one for each attempt. Performs no I/O and reads no
@@ -131,6 +148,7 @@
     explicit target_selector(target_selector_options options)
         : m_options(std::move(options))
         , m_brittleLimiter(m_options.entryName)
+        , m_cohorts(m_options.holdsNewVersions)
     {
     }
 
@@ -162,6 +180,15 @@
         m_brittleLimiter.setEntryCount(count, now);
     }
 
+    /// Sets the latest rollout of software versions by service.
+    void setRollouts(const std::map<std::string, rollout_record>& rollouts, instant now);
+    /// Applies that the rollouts were confirmed, see rollout_cohorts::onPlanConfirmed().
+    void onRolloutsConfirmed(instant at, instant now);
+    /// @return the software versions whose hold has begun or ended since the last call.
+    std::vector<version_hold> takeVersionHolds() { return std::exchange(m_versionHolds, {}); }
+    /// @return how rollouts restrict the use of a target; not at all if it is not known.
+    rollout_standing rolloutStanding(const std::string& target) const;
+
     /// Selects a target and records the start of an attempt on it. Each must be ended by onAttemptEnded().
     placement_result choose(const placement_request& request, instant now);
 
@@ -285,7 +312,13 @@
         std::deque<std::pair<instant, std::uint64_t>> unreportedAttempts;
         bool weightsUnconfirmed = false;
         instant unconfirmedSince {};
+        rollout_standing rollout {};
     };
+    placement_result chooseInCohort(const placement_request& request, instant now);
+    bool hasWarmTargetInCohort(const placement_request& request, instant now) const;
+    bool mayFallBack(const placement_request& request) const;
+    void assignCohorts(instant now);
+    rollout_assignment rolloutAssignment(const tracked_target& target, instant now) const;
     bool isResponsive(const tracked_target& target, instant now) const;
     bool mayBePaused(const tracked_target& target, instant now) const;
     bool isUsable(const tracked_target& target, const placement_request& request, instant now) const;
@@ -325,6 +358,8 @@
     std::map<std::string, work_rate> m_sessionWork; // of this entry's requests with a session, by service
     brittle_limiter m_brittleLimiter;
     target_demands m_demands;
+    rollout_cohorts m_cohorts;
+    std::vector<version_hold> m_versionHolds; // not taken yet
 };
 
 } // namespace plumfold::core
--- a/packages/core/src/plumfold_target_selector.cpp
+++ b/packages/core/src/plumfold_target_selector.cpp
@@ -62,6 +62,7 @@
     }
     m_demands.removeStale(
         [this](const std::string& target) { return m_targets.contains(target); }, now, maxDemandAge);
+    assignCohorts(now);
 }
 
 void target_selector::setOutOfService(std::set<std::string> failureDomains)
@@ -214,6 +215,9 @@
         return false;
     if (m_outOfService.contains(target.last.failureDomain) || request.excluded.contains(target.last.name))
         return false;
+    if (target.rollout.role != rollout_role::unrestricted
+        && !isSelectable(target.rollout, cohortRequestOf(request)))
+        return false;
     const auto& version = request.softwareVersion;
     if (version && (version->empty() || *version != target.last.softwareVersion))
         return false;
@@ -264,7 +268,7 @@
             target.last.name, memory, target.inFlightTokens, expectedTokens(request), now);
 }
 
-placement_result target_selector::choose(const placement_request& request, instant now)
+placement_result target_selector::chooseInCohort(const placement_request& request, instant now)
 {
     placement_result answer;
     std::vector<tracked_target*> candidates;
@@ -334,7 +338,7 @@
     return answer;
 }
 
-bool target_selector::hasWarmTarget(const placement_request& request, instant now) const
+bool target_selector::hasWarmTargetInCohort(const placement_request& request, instant now) const
 {
     return std::any_of(m_targets.begin(), m_targets.end(), [&](const auto& each) {
         const auto& target = each.second;
@@ -353,7 +357,7 @@
         target.unreportedAttempts.pop_front();
     placement out { target.last.name, target.last.address, {}, target.last.failureDomain,
         target.last.softwareVersion, target.last.startedAt, 0, 0, isHolder(target, request), false,
-        isCold(target, now), isRateLimited(target) };
+        isCold(target, now), isRateLimited(target), rolloutAssignment(target, now) };
     for (const auto& loaded : target.last.models) {
         if (loaded.model == request.model)
             out.weights = loaded.version;
@@ -407,7 +411,8 @@
     const auto& [name, target] = *found;
     auto limits = m_services.find(target.last.service);
     bool isEngine = limits != m_services.end() && limits->second.engine;
-    if (!isEngine || !isResponsive(target, now) || now < target.backoffUntil)
+    bool isBarred = target.rollout.role == rollout_role::barred; // it may be stopped at any time
+    if (!isEngine || isBarred || !isResponsive(target, now) || now < target.backoffUntil)
         return std::nullopt;
     return part_source { address, target.last.failureDomain, limits->second.engine->linkMegabitsPerSecond };
 }
--- /dev/null
+++ b/packages/core/src/rollout/plumfold_rollout_cohorts.cpp
@@ -0,0 +1,280 @@
+#include "plumfold/core/rollout/plumfold_rollout_cohorts.hpp"
+
+#include "plumfold/core/plumfold_hash.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+#include <utility>
+
+namespace plumfold::core {
+
+namespace {
+
+/// Smaller shares go to a part of the next targets, so that these see a usual load.
+constexpr std::uint32_t minShareOfAllTargets = 300;
+/// For which a version that joins is held. The order for it may arrive after its first target.
+constexpr milliseconds holdTime { 1'000 };
+/// A version without targets is forgotten after this many confirmations, which come every 150 ms at most.
+/// A control VM that was restarted may not know all targets for a second.
+constexpr unsigned maxConfirmationsAbsent = 40;
+/// Separates the draws of requests from other uses of the hash of their id.
+constexpr std::uint64_t drawSeed = 0x726f6c6c6f7574;
+
+bool isNext(const rollout_standing& standing)
+{
+    return standing.role == rollout_role::next || standing.role == rollout_role::spare;
+}
+
+bool isFull(const rollout_standing& standing)
+{
+    return standing.share >= rolloutFullShare;
+}
+
+/// At the full share, former targets may be stopped at any time, so a failed request stays with next ones.
+bool prefersNext(const rollout_standing& standing, const cohort_request& request)
+{
+    return request.isPlanFresh && request.draw < standing.share
+        && (!request.hasFailedAtNext || isFull(standing));
+}
+
+} // namespace
+
+rollout_cohort cohortOf(const rollout_standing& standing)
+{
+    if (isNext(standing))
+        return rollout_cohort::next;
+    return standing.role == rollout_role::former ? rollout_cohort::former : rollout_cohort::none;
+}
+
+std::uint32_t rolloutDrawOf(const std::string& key)
+{
+    return static_cast<std::uint32_t>(hashBytes(key, drawSeed) % rolloutFullShare);
+}
+
+bool isSelectable(const rollout_standing& standing, const cohort_request& request)
+{
+    if (standing.role == rollout_role::unrestricted || standing.role == rollout_role::barred)
+        return standing.role == rollout_role::unrestricted;
+    if (request.needsVersion)
+        return !isNext(standing) || request.isPlanFresh || isFull(standing);
+    bool wantsNext = prefersNext(standing, request) != request.isFallback;
+    return standing.role != rollout_role::spare && isNext(standing) == wantsNext;
+}
+
+bool mayBeSent(const rollout_standing& standing, const cohort_request& request)
+{
+    if (standing.role == rollout_role::unrestricted || standing.role == rollout_role::barred)
+        return standing.role == rollout_role::unrestricted;
+    if (request.needsVersion)
+        return !isNext(standing) || request.isPlanFresh || isFull(standing);
+    if (isNext(standing))
+        return isFull(standing) || prefersNext(standing, request);
+    return !isFull(standing) || !request.isPlanFresh || !standing.hasReadyNext;
+}
+
+bool mayFallBack(const rollout_standing& standing, const cohort_request& request)
+{
+    if (standing.rollout == 0 || request.needsVersion)
+        return false;
+    if (prefersNext(standing, request))
+        return !isFull(standing) || !standing.hasReadyNext;
+    return isFull(standing);
+}
+
+bool rollout_cohorts::isRunning() const
+{
+    return std::any_of(m_rollouts.begin(), m_rollouts.end(),
+        [](const auto& each) { return each.second.state == rollout_state::running; });
+}
+
+/// @return whether the latest rollout of a service says whether a version may be used.
+bool rollout_cohorts::isGoverned(const std::string& service, const std::string& version) const
+{
+    auto found = m_rollouts.find(service);
+    return found != m_rollouts.end()
+        && (version == found->second.version || found->second.formerVersions.contains(version));
+}
+
+std::vector<version_hold> rollout_cohorts::onPlanConfirmed(instant at)
+{
+    std::vector<version_hold> released;
+    // The first confirmation asks a quorum, so it comes with every order that was accepted before any target
+    // that is known by then started.
+    bool isFirst = !std::exchange(m_isConfirmed, true);
+    for (auto& [service, versions] : m_versions) {
+        for (auto& [version, known] : versions)
+            known.confirmationsAbsent = known.isPresent ? 0 : known.confirmationsAbsent + 1;
+        std::erase_if(versions,
+            [](const auto& each) { return each.second.confirmationsAbsent > maxConfirmationsAbsent; });
+        for (auto& [version, known] : versions) {
+            if (!known.isHeld)
+                continue;
+            if (!known.heldSince)
+                known.heldSince = at;
+            if (!isFirst && at - *known.heldSince < holdTime)
+                continue;
+            known.isHeld = false;
+            released.push_back({ service, version, false });
+        }
+    }
+    return released;
+}
+
+/// Learns the versions of all targets, and holds those that are new.
+std::vector<version_hold> rollout_cohorts::updateVersions(const std::vector<cohort_member>& members)
+{
+    std::vector<version_hold> changes;
+    for (auto& [service, versions] : m_versions) {
+        for (auto& [version, known] : versions) {
+            known.isPresent = false;
+            known.earliestStart = 0;
+        }
+    }
+    std::vector<version_hold> joined;
+    for (const auto& member : members) {
+        const auto& target = *member.target;
+        auto [place, isNew] = m_versions[target.service].try_emplace(target.softwareVersion);
+        auto& known = place->second;
+        known.isPresent = true;
+        if (isNew)
+            known.isHeld = true;
+        if (isNew)
+            joined.push_back({ target.service, target.softwareVersion, true });
+        if (target.state == target_state::leaving)
+            continue;
+        // Targets that state no start count as the latest ones.
+        auto startedAt = target.startedAt == 0 ? ~unix_milliseconds { 0 } : target.startedAt;
+        known.earliestStart = known.earliestStart == 0 ? startedAt : std::min(known.earliestStart, startedAt);
+    }
+    for (auto& [service, versions] : m_versions) {
+        versions::value_type* earliest = nullptr;
+        bool isServed = false;
+        for (auto& each : versions) {
+            auto& known = each.second;
+            if (known.isHeld && isGoverned(service, each.first)) {
+                known.isHeld = false;
+                changes.push_back({ service, each.first, false });
+            }
+            isServed = isServed || (!known.isHeld && known.earliestStart != 0);
+            bool isEarlier = known.isHeld && known.earliestStart != 0
+                && (!earliest || known.earliestStart < earliest->second.earliestStart);
+            if (isEarlier)
+                earliest = &each;
+        }
+        // The service has no other version. If several joined at once, the next one of a rollout started
+        // last.
+        if (!isServed && earliest) {
+            earliest->second.isHeld = false;
+            changes.push_back({ service, earliest->first, false });
+        }
+    }
+    // A hold that ends as it begins is none.
+    for (auto& each : joined) {
+        auto ended = std::find(changes.begin(), changes.end(), version_hold { each.service, each.version });
+        if (ended != changes.end())
+            changes.erase(ended);
+        else
+            changes.push_back(std::move(each));
+    }
+    return changes;
+}
+
+rollout_role rollout_cohorts::roleOf(const target_announcement& target) const
+{
+    auto found = m_rollouts.find(target.service);
+    if (found != m_rollouts.end()) {
+        const auto& rollout = found->second;
+        bool isNextVersion = target.softwareVersion == rollout.version;
+        bool isFormerVersion = rollout.formerVersions.contains(target.softwareVersion);
+        if (rollout.state == rollout_state::running && (isNextVersion || isFormerVersion))
+            return isNextVersion ? rollout_role::next : rollout_role::former;
+        if (isNextVersion || isFormerVersion) {
+            bool isUsed = isNextVersion == (rollout.state == rollout_state::completed);
+            return isUsed ? rollout_role::unrestricted : rollout_role::barred;
+        }
+    }
+    bool isRunning = found != m_rollouts.end() && found->second.state == rollout_state::running;
+    return isRunning ? rollout_role::other : rollout_role::unrestricted;
+}
+
+std::vector<version_hold> rollout_cohorts::assign(const std::vector<cohort_member>& members)
+{
+    std::vector<version_hold> changes;
+    if (m_holdsNewVersions)
+        changes = updateVersions(members);
+    m_hasReadyNext.clear();
+    for (const auto& member : members) {
+        const auto& target = *member.target;
+        auto role = roleOf(target);
+        bool isHeld = m_holdsNewVersions && !isGoverned(target.service, target.softwareVersion)
+            && m_versions[target.service][target.softwareVersion].isHeld;
+        *member.standing = { isHeld ? rollout_role::barred : role, isHeld, false, 0, 0 };
+        if (role == rollout_role::next && target.state == target_state::ready)
+            m_hasReadyNext[target.service] = true;
+    }
+    if (!isRunning())
+        return changes;
+    for (const auto& member : members) {
+        auto& standing = *member.standing;
+        auto role = standing.role;
+        bool isHeld = standing.isHeld;
+        standing = standingOf(member.target->service);
+        standing.role = role;
+        standing.isHeld = isHeld;
+    }
+    choosePart(members);
+    return changes;
+}
+
+/// Makes next targets that a small share does not go to spare ones. In each failure domain, all entries
+/// choose the same ones by rendezvous hashing, as far as they agree on which are ready and warm.
+void rollout_cohorts::choosePart(const std::vector<cohort_member>& members) const
+{
+    struct domain_part {
+        std::vector<const cohort_member*> next;
+        std::size_t former = 0;
+    };
+    std::map<std::pair<std::string, std::string>, domain_part> parts; // by service and failure domain
+    for (const auto& member : members) {
+        const auto& standing = *member.standing;
+        auto cohort = cohortOf(standing);
+        if (cohort == rollout_cohort::none || standing.share >= minShareOfAllTargets)
+            continue;
+        auto& part = parts[{ member.target->service, member.target->failureDomain }];
+        if (cohort == rollout_cohort::next)
+            part.next.push_back(&member);
+        else if (member.target->state != target_state::leaving)
+            ++part.former;
+    }
+    for (auto& [key, part] : parts) {
+        if (part.next.empty())
+            continue;
+        auto share = static_cast<double>(part.next.front()->standing->share) / rolloutFullShare;
+        auto count = std::max<std::size_t>(
+            1, static_cast<std::size_t>(std::lround(share * static_cast<double>(part.former))));
+        auto rank = [](const cohort_member* member) {
+            bool isReady = member->target->state == target_state::ready;
+            return std::tuple(!isReady, member->isCold,
+                hashBytes(member->target->name, member->standing->rollout), member->target->name);
+        };
+        std::sort(part.next.begin(), part.next.end(),
+            [&](const auto* left, const auto* right) { return rank(left) < rank(right); });
+        for (std::size_t index = count; index < part.next.size(); ++index)
+            part.next[index]->standing->role = rollout_role::spare;
+    }
+}
+
+rollout_standing rollout_cohorts::standingOf(const std::string& service) const
+{
+    auto found = m_rollouts.find(service);
+    if (found == m_rollouts.end() || found->second.state != rollout_state::running)
+        return {};
+    rollout_standing standing;
+    standing.hasReadyNext = m_hasReadyNext.contains(service);
+    standing.share = found->second.share;
+    standing.rollout = found->second.id;
+    return standing;
+}
+
+} // namespace plumfold::core
