Apply rollouts at entries, and report what they see of them

Entries take rollouts from each deployment and their freshness from follow responses of control VMs in touch with the quorum. The age of the plan counts from the call, by a clock that includes suspensions: an entry that stood still must not go on with the plan of before. The confirmation is passed on after the update and the deployment with which it came, so that a request never sees a fresh mark with an old plan.

A request is checked again just before it is sent, and goes to a former target after a failure at a next one. Repeatable requests that wait for their first byte at a version that was rolled back or replaced are called back, if they have an attempt left; this takes nothing from the retry budget, since no target has failed. Requests that may run once are left. An answer is counted at its first event, and moved to the failures if the rest is lost, since streams are longer than many rollouts.

Reports go out every 500 ms and after each decision, but a large one is followed by a pause so that all stay below 2 KB/s: rows are not packed on the wire, and 15 of them are estimated at more than 1 KB.

Compiles and links.

--- a/packages/core/src/rollout/plumfold_rollout_recorder.cpp
+++ b/packages/core/src/rollout/plumfold_rollout_recorder.cpp
@@ -89,12 +89,15 @@
 
 void rollout_recorder::onEnded(const std::string& service, const std::string& version)
 {
-    auto& versions = m_inFlight[service];
+    auto ofService = m_inFlight.find(service);
+    if (ofService == m_inFlight.end())
+        return;
+    auto& versions = ofService->second;
     auto found = versions.find(version);
     if (found != versions.end() && --found->second == 0)
         versions.erase(found);
     if (versions.empty())
-        m_inFlight.erase(service);
+        m_inFlight.erase(ofService);
 }
 
 void rollout_recorder::onAnswer(
--- a/packages/forwarding/src/plumfold_deployment_follower.cpp
+++ b/packages/forwarding/src/plumfold_deployment_follower.cpp
@@ -7,6 +7,7 @@
 #include "plumfold/wire/plumfold_entry_session.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace plumfold::forwarding {
 
@@ -35,10 +36,11 @@
 } // namespace
 
 deployment_follower::deployment_follower(wire::rpc_thread& rpc, const runtime::settings& settings,
-    listener onUpdate, deployment_transfer::listener onDeployment)
+    listener onUpdate, deployment_transfer::listener onDeployment, confirmation_listener onConfirmed)
     : m_rpc(rpc)
     , m_settings(settings)
     , m_onUpdate(std::move(onUpdate))
+    , m_onConfirmed(std::move(onConfirmed))
     , m_seeds(controlAddresses(settings))
 {
     m_failures = static_cast<unsigned>(runtime::randomNumber() % m_seeds.size());
@@ -125,6 +127,7 @@
     request.setKnownHelpers(m_knownHelpers);
     request.setKnownDemands(m_knownDemand);
     writeDemands(request);
+    writeRollouts(request);
     request.setWaitMs(m_justConnected ? 0 : longPollWaitMs);
     auto timeout = !m_confirmed ? quorumConfirmTimeout : m_justConnected ? firstPollTimeout : pollTimeout;
     request.setConfirmed(!m_confirmed);
@@ -161,6 +164,23 @@
         wire::write(out[index++], m_ownDemands.at(target));
 }
 
+void deployment_follower::reportRollouts(std::vector<core::rollout_report> reports)
+{
+    m_rpc.post([this, reports = std::move(reports)] {
+        m_rolloutReports = reports;
+        m_areRolloutsReported = false;
+    });
+}
+
+void deployment_follower::writeRollouts(wire::EntrySession::FollowParams::Builder request)
+{
+    if (std::exchange(m_areRolloutsReported, true))
+        return;
+    auto out = request.initRollouts(m_rolloutReports.size());
+    for (unsigned index = 0; index < m_rolloutReports.size(); ++index)
+        wire::write(out[index], m_rolloutReports[index]);
+}
+
 void deployment_follower::applyFollowResponse(capnp::Response<wire::EntrySession::FollowResults> response)
 {
     bool fresh = response.getFresh();
@@ -230,6 +250,8 @@
             wire::read(response.getOutline().getState()), wire::readOutline(response.getOutline()));
     else if (response.hasDeployment())
         m_transfer->applyWhole(wire::read(response.getDeployment()));
+    if (fresh)
+        m_onConfirmed(m_calledAt);
 }
 
 /// Goes on with the transfer of a document, or to a control VM that is better suited.
@@ -276,6 +298,7 @@
         .with("known_deployment", m_transfer->knownRevision());
     ++m_failures;
     m_unreportedDemands.merge(m_sentDemands);
+    m_areRolloutsReported = m_rolloutReports.empty();
     closeConnection();
 }
 
--- a/packages/forwarding/src/plumfold_deployment_follower.hpp
+++ b/packages/forwarding/src/plumfold_deployment_follower.hpp
@@ -8,6 +8,7 @@
 #include "plumfold/core/plumfold_relay_helpers.hpp"
 #include "plumfold/core/plumfold_target_directory.hpp"
 #include "plumfold/core/plumfold_target_selector.hpp"
+#include "plumfold/core/rollout/plumfold_rollout_report.hpp"
 #include "plumfold/runtime/plumfold_settings.hpp"
 #include "plumfold/wire/plumfold_rpc_connection.hpp"
 
@@ -50,12 +51,15 @@
 class deployment_follower {
 public:
     using listener = std::function<void(control_update)>;
+    using confirmation_listener = std::function<void(core::instant askedAt)>;
 
     /// @param onUpdate called on the RPC thread.
     /// @param onDeployment called on the RPC thread with each newer deployment, after the update with which
     /// it came.
+    /// @param onConfirmed called on the RPC thread after the update and the deployment that came from a
+    /// control VM in touch with the quorum, with the time at which it was asked, with suspensions.
     deployment_follower(wire::rpc_thread& rpc, const runtime::settings& settings, listener onUpdate,
-        deployment_transfer::listener onDeployment);
+        deployment_transfer::listener onDeployment, confirmation_listener onConfirmed);
     ~deployment_follower();
 
     /// Replaces the seeds.
@@ -64,6 +68,9 @@
 
     /// Reports to control VMs what a target asks of its callers, again to each one that this entry follows.
     void reportDemand(core::target_demand demand);
+    /// Reports to the control VM that this entry follows what it has seen of running rollouts. Replaces
+    /// reports that were not sent yet.
+    void reportRollouts(std::vector<core::rollout_report> reports);
 
 private:
     kj::Promise<void> followLoop();
@@ -72,6 +79,7 @@
     void applyFollowResponse(capnp::Response<wire::EntrySession::FollowResults> response);
     void applyControlAddresses(capnp::List<wire::ControlAddress>::Reader control);
     void writeDemands(wire::EntrySession::FollowParams::Builder request);
+    void writeRollouts(wire::EntrySession::FollowParams::Builder request);
     kj::Promise<void> continueTransfer(bool isFresh);
     void onFailure(const kj::Exception& exception);
     void closeConnection();
@@ -80,6 +88,7 @@
     wire::rpc_thread& m_rpc;
     const runtime::settings& m_settings;
     listener m_onUpdate;
+    confirmation_listener m_onConfirmed;
     std::vector<std::string> m_seeds;
     std::map<std::string, std::string> m_controlDomains; // failure domain by address, as last received
     std::string m_address;
@@ -95,6 +104,8 @@
     std::map<std::string, core::target_demand> m_ownDemands; // from responses to this entry, by target
     std::set<std::string> m_unreportedDemands; // targets
     std::set<std::string> m_sentDemands; // targets, in the current call
+    std::vector<core::rollout_report> m_rolloutReports; // the latest
+    bool m_areRolloutsReported = true; // m_rolloutReports are in the current call or have arrived
     bool m_confirmed = false; // a quorum has confirmed an update at least once
     bool m_justConnected = true;
     core::instant m_calledAt {}; // the current call, with suspensions
--- a/packages/forwarding/src/plumfold_forwarding_role.cpp
+++ b/packages/forwarding/src/plumfold_forwarding_role.cpp
@@ -42,6 +42,7 @@
     options.staleWeightsGracePeriod
         = core::milliseconds(settings.forwarding->weightsBoundMs * staleWeightsPercent / percent);
     options.staleWeightsBound = core::milliseconds(settings.forwarding->weightsBoundMs);
+    options.holdsNewVersions = settings.forwarding->rollouts;
     return options;
 }
 
@@ -77,6 +78,8 @@
         , m_rateLimits(m_io, rpc, *m_controlSessions)
         , m_state { m_io, m_settings, m_metrics, m_sharedLimits, m_streamOrigins, m_crashReports,
             m_rateLimits, [this](const core::target_demand& demand) { m_follower.reportDemand(demand); },
+            [this](
+                std::vector<core::rollout_report> reports) { m_follower.reportRollouts(std::move(reports)); },
             nullptr, 0, core::target_selector(targetSelectorOptions(m_settings)),
             retryBudget(*m_settings.forwarding), target_connection_pool(m_io),
             core::buffer_budget(m_settings.forwarding->responseBufferBytes) }
@@ -89,6 +92,9 @@
               },
               [this](core::deployment_state next) {
                   asio::post(m_io, [this, next = std::move(next)] { applyDeployment(next, runtime::now()); });
+              },
+              [this](core::instant askedAt) {
+                  asio::post(m_io, [this, askedAt] { m_state.rollouts.onConfirmed(askedAt); });
               })
     {
         asio::co_spawn(m_io, accept(m_acceptor, false), asio::detached);
@@ -165,6 +171,7 @@
     {
         auto now = runtime::now();
         m_state.targetSelector.applyAnnouncements(update.targets, update.isSnapshot, now);
+        m_state.rollouts.logHolds();
         m_state.targetSelector.applyLoads(update.loads, now);
         m_state.targetSelector.setEntryCount(update.entries, now);
         m_sharedLimits.setIssuer(update.sharedLimitIssuer);
@@ -226,6 +233,7 @@
         m_state.targetSelector.setOutOfService(next.outOfService);
         m_state.targetSelector.setReturns(next.returns, now);
         m_state.targetSelector.setWeights(next.weights, now);
+        m_state.rollouts.apply(next.rollouts);
         m_state.deploymentRevision = next.revision;
         auto previousVersion = m_state.deployment ? m_state.deployment->version() : 0;
         if (next.document.version > previousVersion) {
@@ -274,6 +282,7 @@
         while (true) {
             co_await pause(linkCheckInterval);
             m_state.checkLink(runtime::now());
+            m_state.rollouts.reportIfDue();
         }
     }
 
--- a/packages/forwarding/src/plumfold_forwarding_state.hpp
+++ b/packages/forwarding/src/plumfold_forwarding_state.hpp
@@ -3,6 +3,7 @@
 #include "plumfold_asio.hpp"
 #include "plumfold_crash_detector.hpp"
 #include "plumfold_crash_report_client.hpp"
+#include "plumfold_entry_rollouts.hpp"
 #include "plumfold_rate_limit_client.hpp"
 #include "plumfold_shared_limit_client.hpp"
 #include "plumfold_stream_origin_client.hpp"
@@ -40,6 +41,7 @@
     crash_report_client& crashReports;
     rate_limit_client& rateLimits;
     std::function<void(const core::target_demand&)> reportDemand; ///< To control VMs.
+    entry_rollouts::reporter reportRollouts; ///< To control VMs.
     std::shared_ptr<const core::deployment> deployment; ///< Null until the first one is received.
     std::uint64_t deploymentRevision = 0;
     core::target_selector targetSelector;
@@ -53,6 +55,7 @@
     core::part_planner partPlanner {};
     core::link_health link {}; ///< To all targets.
     core::relay_helpers helpers { settings.process.failureDomain };
+    entry_rollouts rollouts { settings, metrics, targetSelector, reportRollouts };
     std::uint64_t targetClockMs = 0; ///< The targets' clock as last reported; 0: unknown.
     core::instant targetClockReadAt {}; ///< When targetClockMs was received.
     bool stopping = false; ///< Graceful shutdown: responses close their connections.
--- a/packages/forwarding/src/plumfold_request_attempt.cpp
+++ b/packages/forwarding/src/plumfold_request_attempt.cpp
@@ -104,7 +104,9 @@
 
 task<core::attempt_result> request_forwarder::attempt(const core::placement& placement)
 {
-    m_isRecalled = false;
+    m_recallReason = nullptr;
+    m_isSent = false;
+    m_rolloutLatency.reset();
     m_hasBegun = false;
     m_connection = co_await connectTo(placement);
     if (m_callerDisconnected)
@@ -118,11 +120,11 @@
         co_return classifyFailure(beast::error::timeout);
     }
     // While the connection was opened, a verdict may have come in force, the target may have become cold,
-    // named a limit or asked for rest, the granted start may have expired, or the time for the target's
-    // weights may have ended.
+    // named a limit or asked for rest, the granted start may have expired, the time for the target's weights
+    // may have ended, or the share of its version may have changed.
     bool isCondemned = m_state.crashScreen.findVerdict(m_traitList, runtime::now()).has_value();
     bool mayStart = m_state.targetSelector.mayStart(placement.target, m_head.model, runtime::now());
-    if (isCondemned || !mayStart || !hasStart(placement)) {
+    if (isCondemned || !mayStart || !hasStart(placement) || !mayBeSentByRollout(placement)) {
         m_state.connections.release(std::move(m_connection));
         co_return core::attempt_result::not_started;
     }
@@ -143,6 +145,8 @@
     m_wasRejectedForRoom = false;
     auto demand = m_state.targetSelector.demandOf(placement.target);
     m_knownEpoch = demand ? demand->epoch : 0;
+    rollout_send sent(m_state.rollouts, m_service, placement.softwareVersion, placement.rollout);
+    m_isSent = true;
     armWatchdog();
     ++m_attemptCount;
     bool mayHaveExecutedBefore = m_mayHaveExecuted;
@@ -177,8 +181,8 @@
 {
     if (m_callerDisconnected)
         return core::attempt_result::abandoned;
-    if (m_isRecalled) {
-        m_reason = "weights_outdated";
+    if (m_recallReason) {
+        m_reason = m_recallReason;
         return core::attempt_result::lost;
     }
     m_mayTargetHaveEnded = true;
@@ -402,6 +406,8 @@
             co_return core::attempt_result::lost;
         }
         auto events = m_events.feed(chunk);
+        if (!events.empty())
+            onRolloutAnswer(m_lastByteAt);
         if (!m_origin && !events.empty())
             beginStream(isSameTarget ? m_lastVersion : std::string());
         if (!events.empty() && !co_await relayChunk(std::move(events))) {
--- a/packages/forwarding/src/plumfold_request_forwarder.cpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.cpp
@@ -250,6 +250,10 @@
     out.service = m_service;
     out.model = m_head.model;
     out.timeLeft = timeLeft();
+    auto cohort = cohortRequest();
+    out.rolloutDraw = cohort.draw;
+    out.isRolloutPlanFresh = cohort.isPlanFresh;
+    out.hasFailedAtNext = cohort.hasFailedAtNext;
     out.excluded = m_attemptedTargets;
     out.excluded.insert(m_unreachableTargets.begin(), m_unreachableTargets.end());
     out.isWarmOnly = m_coldStartRequests >= maxColdStartRequests;
@@ -333,11 +337,12 @@
         m_lastWeights = selection.chosen->weights;
         m_lastVersion = selection.chosen->softwareVersion;
         m_lastStart = selection.chosen->startedAt;
+        m_rollout = selection.chosen->rollout;
         auto attemptResult = co_await attempt(*selection.chosen);
         m_connection.reset();
         m_watchdog.cancel();
         m_state.link.onEnded(m_linkAttempt);
-        bool isUnanswered = !m_isRecalled
+        bool isUnanswered = !m_recallReason
             && (attemptResult == core::attempt_result::not_reached
                 || (attemptResult == core::attempt_result::lost && !m_hasReceived));
         if (isUnanswered)
@@ -348,8 +353,9 @@
         // While the link is lost, a failure says nothing about the target.
         bool isLinkFault = isUnanswered && m_state.link.isLost();
         m_state.targetSelector.onAttemptEnded(selection.chosen->target,
-            isLinkFault || m_isRecalled ? core::attempt_result::abandoned : attemptResult,
+            isLinkFault || m_recallReason ? core::attempt_result::abandoned : attemptResult,
             core::target_selector::expectedTokens(request), runtime::now());
+        onRolloutAttemptEnded(attemptResult, isLinkFault);
         if (attemptResult == core::attempt_result::not_started)
             continue;
         if (attemptResult == core::attempt_result::lost && m_mayTargetHaveEnded)
--- a/packages/forwarding/src/plumfold_request_forwarder.hpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.hpp
@@ -121,6 +121,13 @@
     void log(bool delivered);
 
     core::placement_request placementRequest() const;
+    core::cohort_request cohortRequest() const;
+    core::rollout_stratum rolloutStratum() const;
+    bool mayBeSentByRollout(const core::placement& placement) const;
+    bool mustRecallForRollout() const;
+    void recall(const char* reason);
+    void onRolloutAnswer(core::instant now);
+    void onRolloutAttemptEnded(core::attempt_result result, bool isLinkFault);
     platform::target_request_head makeTargetHead(const core::placement& placement);
     void planParts(const core::placement& placement, platform::target_request_head& head);
     bool arePartsCurrent() const;
@@ -172,7 +179,11 @@
     bool m_wasRejectedForRoom = false; // by the target of the current attempt
     bool m_isCrashSuspect = false; // has crashed a target, and was known to crash others
     bool m_hasBegun = false; // the target of the current attempt has sent a part of the body
-    bool m_isRecalled = false; // the current attempt was ended since its target's weights are outdated
+    const char* m_recallReason = nullptr; // why the target of the current attempt may not run it any more
+    core::rollout_assignment m_rollout {}; // of the last target
+    bool m_isSent = false; // the current attempt
+    bool m_hasFailedAtNext = false; // an attempt at a target of the next version
+    std::optional<core::milliseconds> m_rolloutLatency; // of the current attempt, as recorded
     bool m_mayTargetHaveEnded = false; // the current attempt was lost with its connection
     bool m_isPredictionReliable = false;
     bool m_callerDisconnected = false;
--- a/packages/forwarding/src/plumfold_request_relay.cpp
+++ b/packages/forwarding/src/plumfold_request_relay.cpp
@@ -173,6 +173,7 @@
         co_return core::attempt_result::not_reached;
     }
     m_fetchedFrom.clear();
+    m_rollout = {}; // the helper records the attempt
     m_predictedMs = m_waitMs = 0;
     m_isPredictionReliable = false;
     m_sentAt = m_lastByteAt = runtime::now();
--- a/packages/forwarding/src/plumfold_request_watchdog.cpp
+++ b/packages/forwarding/src/plumfold_request_watchdog.cpp
@@ -44,14 +44,26 @@
         && m_state.targetSelector.isSilent(m_lastTarget, now);
 }
 
+/// Ends the current attempt because its target may not run it any more.
+void request_forwarder::recall(const char* reason)
+{
+    m_recallReason = reason;
+    m_connection->stream.close();
+}
+
 void request_forwarder::onWatchdog()
 {
     if (!m_connection)
         return;
     auto now = runtime::now();
     if (!m_hasBegun && m_state.targetSelector.mustRecall(m_head.model, m_lastWeights, now)) {
-        m_isRecalled = true;
-        m_connection->stream.close();
+        recall("weights_outdated");
+        return;
+    }
+    if (mustRecallForRollout()) {
+        // It is no failure of a target that would count against the retry budget.
+        m_hasRetryGrant = true;
+        recall("version_ended");
         return;
     }
     if (!isIdempotent()) {
