Test rollouts at entries between processes

The record is set through the replicated log, so that no controller is needed. Targets get behaviours of one software version only ("v2-drop").

--- a/tests/forwarding/support/plumfold_forwarding_system.cpp
+++ b/tests/forwarding/support/plumfold_forwarding_system.cpp
@@ -215,13 +215,13 @@
     auto name = "n" + std::to_string(number);
     auto process = processSettings(name, number);
     process["gracePeriodMs"] = m_gracePeriod.count();
-    start(name,
-        { { "process", process },
-            { "forwarding",
-                { { "callerAddress", callerAddress(number) },
-                    { "readinessAddress", address(20 + number, 8001) },
-                    { "relayAddress", address(20 + number, 8002) }, { "control", platformAddresses(m_seeds) },
-                    { "controlPort", rpcPort }, { "weightsBoundMs", m_weightsBound.count() } } } });
+    json forwarding { { "callerAddress", callerAddress(number) },
+        { "readinessAddress", address(20 + number, 8001) }, { "relayAddress", address(20 + number, 8002) },
+        { "control", platformAddresses(m_seeds) }, { "controlPort", rpcPort },
+        { "weightsBoundMs", m_weightsBound.count() } };
+    if (m_hasRollouts)
+        forwarding["rollouts"] = true;
+    start(name, { { "process", process }, { "forwarding", forwarding } });
 }
 
 scripted_target& forwarding_system::startTarget(const std::string& name, const std::string& service,
--- a/tests/forwarding/support/plumfold_forwarding_system.hpp
+++ b/tests/forwarding/support/plumfold_forwarding_system.hpp
@@ -64,6 +64,8 @@
     void setGracePeriod(std::chrono::milliseconds time) { m_gracePeriod = time; }
     /// Sets the time limit for starting requests on old weights of entries that are started later.
     void setWeightsBound(std::chrono::milliseconds time) { m_weightsBound = time; }
+    /// Lets entries that are started later apply rollouts of software versions.
+    void enableRollouts() { m_hasRollouts = true; }
     /// Lets control VMs that are started later listen for RPC at another host than their address names.
     /// @param firstHost the host of the control VM with the number 0.
     void setControlListeners(int firstHost) { m_firstControlListener = firstHost; }
@@ -127,6 +129,7 @@
     std::chrono::milliseconds m_gracePeriod { 6'000 };
     std::chrono::milliseconds m_weightsBound { 10'000 };
     std::string m_network;
+    bool m_hasRollouts = false;
     int m_firstControlListener = 0; // 0: control VMs listen at their own address
     std::map<std::string, nlohmann::json> m_settings;
     struct announced_target {
--- /dev/null
+++ b/tests/forwarding/support/plumfold_rollout_system.cpp
@@ -0,0 +1,143 @@
+#include "plumfold_rollout_system.hpp"
+
+#include "plumfold/wire/plumfold_convert.hpp"
+#include "plumfold/wire/plumfold_entry_session.hpp"
+#include "plumfold/wire/plumfold_rpc_thread.hpp"
+
+#include <stdexcept>
+
+namespace plumfold::tests {
+
+namespace {
+
+constexpr const char* stateNames[] = { "running", "completed", "rolled_back" };
+constexpr std::chrono::milliseconds callTimeout { 2'000 };
+constexpr int controls = 3;
+
+/// @return the result of a command; nothing if the control VM does not lead.
+std::optional<core::rollout_result> submitTo(
+    wire::rpc_thread& rpc, const std::string& address, const core::command& command)
+{
+    std::optional<core::rollout_result> out;
+    rpc.run([&] {
+        return wire::rpc_connection::connect(rpc, address, callTimeout)
+            .then([&](kj::Own<wire::rpc_connection> connection) {
+                auto session = wire::openEntrySession(*connection, { "test", "test", "east" });
+                auto request = session.submitRequest();
+                wire::write(request.initCommand(), command);
+                return wire::withTimeout(rpc, request.send().dropPipeline(), callTimeout)
+                    .then([&out](auto&& response) {
+                        if (response.getReply().getAccepted())
+                            out = std::get<core::rollout_result>(wire::read(response.getResult()));
+                    })
+                    .attach(kj::mv(session), kj::mv(connection));
+            })
+            .catch_([](kj::Exception&&) {}); // the next control VM is asked
+    });
+    return out;
+}
+
+} // namespace
+
+rollout_system::rollout_system(bool hasNext)
+{
+    enableRollouts();
+    for (int number = 1; number <= controls; ++number)
+        startControl(number);
+    putDeployment(1, deployment(3));
+    for (int number = 1; number <= entries; ++number)
+        startEntry(number);
+    for (const char* name : { "a1", "a2" })
+        start(name, "v1");
+    if (hasNext)
+        startNext();
+    for (int number = 1; number <= entries; ++number)
+        waitForTarget(number);
+}
+
+scripted_target& rollout_system::start(const std::string& name, const std::string& version)
+{
+    m_started.push_back(&startTarget(name, "shop", {}, version));
+    return *m_started.back();
+}
+
+void rollout_system::startNext()
+{
+    for (const char* name : { "b1", "b2" })
+        start(name, "v2");
+}
+
+core::rollout_result rollout_system::submit(const core::command& command)
+{
+    wire::rpc_thread rpc;
+    std::optional<core::rollout_result> result;
+    eventually([&] {
+        for (int number = 1; number <= controls && !result; ++number)
+            result = submitTo(rpc, controlAddress(number), command);
+        return result.has_value();
+    });
+    if (!result)
+        throw std::runtime_error("no control VM accepts a command");
+    return *result;
+}
+
+void rollout_system::begin()
+{
+    m_rollout = submit({ 0, core::begin_rollout_command { "shop", "v2", { "v1" }, 60'000, 0 } });
+    for (int number = 1; number <= entries; ++number)
+        eventually([&] { return logged(number, "rollout_in_force") > 0; });
+}
+
+void rollout_system::decide(std::uint32_t share, core::rollout_state state, bool waits)
+{
+    core::decide_rollout_command decision;
+    decision.service = "shop";
+    decision.id = m_rollout.id;
+    decision.sequence = m_sequence++;
+    decision.state = state;
+    decision.stage
+        = state == core::rollout_state::running ? core::rollout_stage::canary : core::rollout_stage::ended;
+    decision.share = share;
+    submit({ 0, decision });
+    auto text = "state=" + std::string(stateNames[static_cast<int>(state)]);
+    auto sequence = "sequence=" + std::to_string(m_sequence);
+    for (int number = 1; waits && number <= entries; ++number)
+        eventually([&] { return logged(number, text) > 0 && logged(number, sequence) > 0; });
+}
+
+std::map<int, int> rollout_system::send(int count, const std::string& path)
+{
+    std::map<int, int> statuses;
+    for (int number = 0; number < count; ++number)
+        ++statuses[request(1 + number % entries, path).status];
+    return statuses;
+}
+
+std::vector<std::string> rollout_system::idsAt(const std::string& version) const
+{
+    std::vector<std::string> ids;
+    for (const auto* target : m_started) {
+        for (const auto& each : target->requests()) {
+            auto id = each.headers.find("request-id");
+            if (target->version() == version && id != each.headers.end())
+                ids.push_back(id->second);
+        }
+    }
+    return ids;
+}
+
+std::size_t rollout_system::requestsTo(const std::string& version) const
+{
+    return idsAt(version).size();
+}
+
+std::size_t rollout_system::logged(int entry, const std::string& text) const
+{
+    auto log = logOf("n" + std::to_string(entry));
+    std::size_t count = 0;
+    for (auto at = log.find(text); at != std::string::npos; at = log.find(text, at + 1))
+        ++count;
+    return count;
+}
+
+} // namespace plumfold::tests
--- a/tests/forwarding/support/plumfold_scripted_target.cpp
+++ b/tests/forwarding/support/plumfold_scripted_target.cpp
@@ -269,8 +269,7 @@
                 serveWithRoom(current);
                 continue;
             }
-            auto found
-                = behaviours.find(isControlCall ? m_controlBehaviour : path.substr(path.rfind('/') + 1));
+            auto found = behaviours.find(isControlCall ? m_controlBehaviour : behaviourFor(path));
             (this->*(found == behaviours.end() ? &scripted_target::respondComplete : found->second))(current);
         }
     } catch (const Poco::Exception&) {
@@ -280,6 +279,16 @@
     std::erase_if(m_sockets, [&](const auto& each) { return each.impl() == socket.impl(); });
 }
 
+std::string scripted_target::behaviourFor(const std::string& path) const
+{
+    auto segment = path.substr(path.rfind('/') + 1);
+    constexpr std::size_t prefixLength = 3;
+    bool isOfVersion = segment.size() > prefixLength && segment[0] == 'v' && segment[2] == '-';
+    if (!isOfVersion)
+        return segment;
+    return segment.substr(0, 2) == m_version ? segment.substr(prefixLength) : "whole";
+}
+
 bool scripted_target::passesLink(exchange& current) const
 {
     if (!m_cuts)
--- a/tests/forwarding/support/plumfold_scripted_target.hpp
+++ b/tests/forwarding/support/plumfold_scripted_target.hpp
@@ -140,6 +140,9 @@
     using behaviour = void (scripted_target::*)(exchange&);
 
     void waitWhileSilent() const;
+    /// @return the behaviour that the last segment of a path selects. "v2-NAME" selects NAME at targets of
+    /// the software version v2, and "whole" at others.
+    std::string behaviourFor(const std::string& path) const;
     void accept();
     void serve(Poco::Net::StreamSocket socket);
     bool readRequest(exchange& current);
