--- a/packages/core/src/rollout/plumfold_rollout_recorder.cpp
+++ b/packages/core/src/rollout/plumfold_rollout_recorder.cpp
@@ -23,21 +23,40 @@
 
 std::size_t encodedBytes(const rollout_report& report)
 {
-    // Cap'n Proto: words of 8 bytes; texts end with a zero; lists of counts of 4 bytes end with the last one
-    // that is not 0.
+    // Cap'n Proto: the report itself takes words of 8 bytes, texts end with a zero. Its rows are packed: a word
+    // takes a byte and those of its bytes that are not 0, a run of zero words two bytes.
     constexpr std::size_t word = 8;
     constexpr std::size_t fixedWords = 12;
-    constexpr std::size_t rowWords = 8; // with the structures of both counts
+    constexpr std::size_t packedFrame = 16; // segment table, root and list of rows
+    constexpr std::size_t packedRow = 22; // size class, pointers, failures of both cohorts
     auto textWords = [](const std::string& text) { return text.size() / word + 1; };
-    auto countWords = [](const rollout_counts& counts) {
+    auto significantBytes = [](std::uint64_t number) {
+        std::size_t bytes = 0;
+        for (; number > 0; number >>= 8)
+            bytes += (number & 0xff) != 0;
+        return bytes;
+    };
+    auto packedLatencies = [&](const rollout_counts& counts) {
         auto last
             = std::find_if(counts.latencies.rbegin(), counts.latencies.rend(), [](auto n) { return n > 0; });
-        return (static_cast<std::size_t>(counts.latencies.rend() - last) + 1) / 2;
+        auto used = static_cast<std::size_t>(counts.latencies.rend() - last);
+        std::size_t bytes = 0;
+        bool wasZero = false;
+        for (std::size_t index = 0; index < used; index += 2) {
+            auto second = index + 1 < used ? significantBytes(counts.latencies[index + 1]) : 0;
+            auto significant = significantBytes(counts.latencies[index]) + second;
+            bool isZero = significant == 0;
+            bytes += isZero ? (wasZero ? 0 : 2) : 1 + significant;
+            wasZero = isZero;
+        }
+        return bytes;
     };
-    std::size_t words = fixedWords + textWords(report.entry) + textWords(report.service);
+    std::size_t packed = packedFrame;
     for (const auto& row : report.rows)
-        words += rowWords + textWords(row.stratum.route) + countWords(row.former) + countWords(row.next);
-    return words * word;
+        packed += packedRow + textWords(row.stratum.route) + row.stratum.route.size()
+            + packedLatencies(row.former) + packedLatencies(row.next);
+    std::size_t words = fixedWords + textWords(report.entry) + textWords(report.service);
+    return words * word + packed;
 }
 
 void rollout_recorder::setRollouts(const std::map<std::string, rollout_record>& rollouts)
--- a/packages/forwarding/src/plumfold_request_watchdog.cpp
+++ b/packages/forwarding/src/plumfold_request_watchdog.cpp
@@ -61,8 +61,6 @@
         return;
     }
     if (mustRecallForRollout()) {
-        // It is no failure of a target that would count against the retry budget.
-        m_hasRetryGrant = true;
         recall("version_ended");
         return;
     }
--- a/packages/wire/schema/plumfold.capnp
+++ b/packages/wire/schema/plumfold.capnp
@@ -176,8 +176,9 @@
   formerRequests @6 :UInt64;
   nextRequests @7 :UInt64;
   formerInFlight @8 :UInt32;
-  rows @9 :List(RolloutRow);
+  rows @9 :Data; # a packed message with RolloutRows, a quarter of its size
 }
+struct RolloutRows { rows @0 :List(RolloutRow); }
 # A DeploymentState whose document has no text. The text is put together from pieces, see core::document_outline.
 struct DeploymentOutline { state @0 :DeploymentState; digest @1 :UInt64; pieces @2 :List(UInt64); }
 struct LeaseCommand { name @0 :Text; holder @1 :Text; durationMs @2 :UInt32; }
--- a/packages/wire/src/plumfold_convert_rollouts.cpp
+++ b/packages/wire/src/plumfold_convert_rollouts.cpp
@@ -1,5 +1,8 @@
 #include "plumfold_convert_support.hpp"
 
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
+
 #include <algorithm>
 
 namespace plumfold::wire {
@@ -127,9 +130,11 @@
     out.setFormerRequests(value.formerRequests);
     out.setNextRequests(value.nextRequests);
     out.setFormerInFlight(value.formerInFlight);
-    auto rows = out.initRows(value.rows.size());
-    for (unsigned index = 0; index < value.rows.size(); ++index)
-        write(rows[index], value.rows[index]);
+    capnp::MallocMessageBuilder message;
+    writeList(message.initRoot<RolloutRows>().initRows(value.rows.size()), value.rows);
+    kj::VectorOutputStream packed;
+    capnp::writePackedMessage(packed, message);
+    out.setRows(packed.getArray());
 }
 
 core::rollout_report read(RolloutReport::Reader in)
@@ -144,8 +149,9 @@
     value.formerRequests = in.getFormerRequests();
     value.nextRequests = in.getNextRequests();
     value.formerInFlight = in.getFormerInFlight();
-    for (auto each : in.getRows())
-        value.rows.push_back(read(each));
+    kj::ArrayInputStream packed(in.getRows());
+    capnp::PackedMessageReader message(packed);
+    value.rows = readList(message.getRoot<RolloutRows>().getRows());
     return value;
 }
 
--- a/tests/forwarding/support/plumfold_forwarding_system.cpp
+++ b/tests/forwarding/support/plumfold_forwarding_system.cpp
@@ -223,7 +223,7 @@
         { "readinessAddress", address(20 + number, 8001) }, { "relayAddress", address(20 + number, 8002) },
         { "control", platformAddresses(m_seeds) }, { "controlPort", rpcPort },
         { "weightsBoundMs", m_weightsBound.count() } };
-    if (m_rolloutExposure)
+    if (m_rolloutExposure || m_hasRollouts)
         forwarding["rollouts"] = true;
     start(name, { { "process", process }, { "forwarding", forwarding } });
 }
--- a/tests/forwarding/support/plumfold_forwarding_system.hpp
+++ b/tests/forwarding/support/plumfold_forwarding_system.hpp
@@ -67,6 +67,8 @@
     /// Turns rollouts of software versions on in processes that are started later.
     /// @param share, slack limit the requests that a version which is not judged yet gets.
     void serveRollouts(double share = 0.1, double slack = 50) { m_rolloutExposure = { share, slack }; }
+    /// Lets entries that are started later apply rollouts of software versions.
+    void enableRollouts() { m_hasRollouts = true; }
     /// Lets control VMs that are started later listen for RPC at another host than their address names.
     /// @param firstHost the host of the control VM with the number 0.
     void setControlListeners(int firstHost) { m_firstControlListener = firstHost; }
@@ -131,6 +133,7 @@
     std::chrono::milliseconds m_weightsBound { 10'000 };
     std::optional<std::pair<double, double>> m_rolloutExposure; // share and slack
     std::string m_network;
+    bool m_hasRollouts = false;
     int m_firstControlListener = 0; // 0: control VMs listen at their own address
     std::map<std::string, nlohmann::json> m_settings;
     struct announced_target {
