Test planned stops with callers that read slowly

Guards against a caller that reads its response slowly and so delays the stop of an entry, against a partial response that looks whole, and against other requests that get no answer meanwhile.

Test callers can read slowly, targets have the behaviour "large".

--- a/tests/forwarding/plumfold_grace_period_tests.cpp
+++ b/tests/forwarding/plumfold_grace_period_tests.cpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <csignal>
 #include <future>
+#include <memory>
 #include <thread>
 #include <vector>
 
@@ -143,3 +144,46 @@
     CHECK(stopped.get() == 0);
     CHECK(requestsWith(id) == 0);
 }
+
+// Guards against a stop that a caller who reads slowly delays beyond the grace period, against a partial
+// response that looks whole, and against other requests that get no answer meanwhile.
+TEST_CASE_METHOD(stopping_system,
+    "Callers that read slowly neither delay a planned stop nor take a partial response for a whole one",
+    "[forwarding][grace]")
+{
+    constexpr int receiveBuffer = 16 << 10;
+    constexpr milliseconds pauses[] = { milliseconds(20), milliseconds(400) };
+    startServing(2);
+    std::vector<std::unique_ptr<raw_caller>> callers;
+    std::vector<std::future<raw_response>> slow;
+    for (const char* path :
+        { "/words/endless-events", "/notes/endless-events", "/shop/large", "/stock/large" }) {
+        for (auto pause : pauses) {
+            auto& caller = callers.emplace_back(std::make_unique<raw_caller>(callerAddress(2)));
+            caller->readSlowly(receiveBuffer, pause);
+            caller->send(requestBytes(
+                path, nextId(), "order", { { "Request-Deadline", std::to_string(callerDeadline.count()) } }));
+            slow.push_back(std::async(std::launch::async, [&caller = *caller] { return caller.receive(); }));
+        }
+    }
+    std::this_thread::sleep_for(milliseconds(500)); // the responses have begun, and buffers are full
+    auto stoppedAt = steady_clock::now();
+    auto stopped = stopLater(2);
+    std::vector<std::future<raw_response>> others;
+    for (const char* path : { "/shop/never", "/stock/never", "/words/never", "/notes/never" })
+        others.push_back(requestLater(2, path));
+    CHECK(stopped.get() == 0);
+    CHECK(steady_clock::now() - stoppedAt <= gracePeriod);
+    for (auto& each : others) {
+        auto response = each.get();
+        CHECK(response.status == 502);
+        CHECK(response.isComplete);
+    }
+    for (auto& caller : callers)
+        caller->readSlowly(receiveBuffer, milliseconds(0));
+    for (auto& each : slow) {
+        auto response = each.get();
+        CHECK((response.status == 200 || response.status == 502));
+        CHECK_FALSE((response.status == 200 && response.isComplete));
+    }
+}
--- a/tests/forwarding/support/plumfold_forwarding_system.cpp
+++ b/tests/forwarding/support/plumfold_forwarding_system.cpp
@@ -54,6 +54,12 @@
     m_socket.setReceiveTimeout(Poco::Timespan(time.count() * 1000));
 }
 
+void raw_caller::readSlowly(int receiveBuffer, std::chrono::milliseconds pause)
+{
+    m_socket.setReceiveBufferSize(receiveBuffer);
+    m_pause = pause;
+}
+
 void raw_caller::close()
 {
     m_socket.close();
@@ -63,6 +69,7 @@
 {
     while (m_buffer.size() < count) {
         char bytes[4096];
+        std::this_thread::sleep_for(m_pause.load());
         try {
             int got = m_socket.receiveBytes(bytes, sizeof(bytes));
             if (got <= 0)
@@ -195,6 +202,7 @@
         control["memberTimeoutMs"] = m_memberTimeout->count();
     if (m_firstControlListener > 0)
         control["listenAddress"] = address(m_firstControlListener + number, rpcPort);
+    control.update(m_controlSettings);
     start(name, { { "process", process }, { "control", control } });
 }
 
@@ -377,6 +385,13 @@
     return text.str();
 }
 
+std::size_t forwarding_system::fileBytes(const std::string& name, const std::string& file) const
+{
+    std::error_code error;
+    auto bytes = std::filesystem::file_size(m_folder / name / file, error);
+    return error ? 0 : bytes;
+}
+
 std::size_t forwarding_system::folderBytes(const std::string& name) const
 {
     std::size_t bytes = 0;
--- a/tests/forwarding/support/plumfold_forwarding_system.hpp
+++ b/tests/forwarding/support/plumfold_forwarding_system.hpp
@@ -34,6 +34,10 @@
     raw_response receive();
     /// Limits the time without a byte after which receive() returns what it has.
     void setReceiveTimeout(std::chrono::milliseconds time);
+    /// Makes receive() read slowly; may be called while it runs.
+    /// @param receiveBuffer bytes that the system takes from the peer ahead of receive().
+    /// @param pause before each read of at most 4 KiB.
+    void readSlowly(int receiveBuffer, std::chrono::milliseconds pause);
     /// @return whether the peer closes the connection within the time.
     bool isClosedWithin(int milliseconds);
     void close();
@@ -44,6 +48,7 @@
 
     Poco::Net::StreamSocket m_socket;
     std::string m_buffer;
+    std::atomic<std::chrono::milliseconds> m_pause { std::chrono::milliseconds(0) };
 };
 
 /// Control VMs, entries and scripted targets on loopback. Each has an IP address of its own.
@@ -67,6 +72,8 @@
     /// Lets control VMs that are started later listen for RPC at another host than their address names.
     /// @param firstHost the host of the control VM with the number 0.
     void setControlListeners(int firstHost) { m_firstControlListener = firstHost; }
+    /// Sets more settings of the control role for control VMs that are started later.
+    void setControlSettings(nlohmann::json more) { m_controlSettings = std::move(more); }
     void startControl(int number, bool firstStart = true);
     void startEntry(int number);
     /// Connects the standard output of a process that is started later to a pipe that is never read.
@@ -106,6 +113,8 @@
     test_process& process(const std::string& name) { return m_processes.at(name); }
     void rewriteSeeds(const std::string& name, const std::vector<int>& controls);
     std::string logOf(const std::string& name) const;
+    /// @return the size of a file in the data folder of a process, in bytes; 0 if there is none.
+    std::size_t fileBytes(const std::string& name, const std::string& file) const;
     /// @return the bytes of the files in the data folder of a process.
     std::size_t folderBytes(const std::string& name) const;
     void removeFolder(const std::string& name) { std::filesystem::remove_all(m_folder / name); }
@@ -123,6 +132,7 @@
     std::vector<std::string> m_failureDomains { "east" };
     std::chrono::milliseconds m_sharedLimitLease { 6'000 };
     std::vector<int> m_seeds { 1, 2, 3 };
+    nlohmann::json m_controlSettings = nlohmann::json::object();
     std::optional<std::chrono::milliseconds> m_memberTimeout;
     std::chrono::milliseconds m_gracePeriod { 6'000 };
     std::chrono::milliseconds m_weightsBound { 10'000 };
--- a/tests/forwarding/support/plumfold_scripted_target.cpp
+++ b/tests/forwarding/support/plumfold_scripted_target.cpp
@@ -179,6 +179,7 @@
 {
     static const std::map<std::string, behaviour> behaviours {
         { "whole", &scripted_target::respondComplete },
+        { "large", &scripted_target::respondLarge },
         { "cut", &scripted_target::respondTruncated },
         { "head-stops", &scripted_target::stopInHead },
         { "surplus", &scripted_target::respondWithTrailingBytes },
@@ -342,6 +343,12 @@
         "200 OK", "Response-Signature: " + m_name + "\r\n", "served " + current.request.body);
 }
 
+void scripted_target::respondLarge(exchange& current)
+{
+    current.sendResponse(
+        "200 OK", "Response-Signature: " + m_name + "\r\n", std::string(largeBodyBytes, 'l'));
+}
+
 void scripted_target::respondTruncated(exchange& current)
 {
     current.send(current.head("200 OK", "Response-Signature: x\r\nContent-Length: 100\r\n") + "half");
--- a/tests/forwarding/support/plumfold_scripted_target.hpp
+++ b/tests/forwarding/support/plumfold_scripted_target.hpp
@@ -79,6 +79,8 @@
 
     /// Number of the events of the behaviour "events-paced".
     static constexpr int pacedEventCount = 25;
+    /// Size of the body of the behaviour "large": more than sockets take in advance.
+    static constexpr std::size_t largeBodyBytes = 7 << 20;
     /// Sets the time in which the behaviour "events-paced" completes each event.
     void setPace(std::chrono::milliseconds time) { m_pace = time; }
 
@@ -160,6 +162,7 @@
     void completeLoad();
 
     void respondComplete(exchange& current);
+    void respondLarge(exchange& current);
     void respondTruncated(exchange& current);
     void stopInHead(exchange& current);
     void respondWithTrailingBytes(exchange& current);
