Limit the bodies of all requests of an entry together

Seen by operators: an entry grows from 17 to 178 MB with 40 callers that send bodies of 4 MiB at once.

Cause: each body was limited, all together were not.

Change: /forwarding/requestBufferBytes limits the bodies of all requests that are received or served, 40 MiB by default, since a buffer may be twice as large as what it holds and 160 MB have to suffice. A request beyond it gets 503 as not run with Retry-After, at its header if the announced length does not fit, else as soon as its bytes do not. The relay listener says that it was not run.

Weighed: setting the announced length aside at the header. Slow senders could then take the whole limit without sending anything.

Evidence: 40 callers with 4 MiB, lengths and chunks.

--- a/packages/core/include/plumfold/core/plumfold_buffer_budget.hpp
+++ b/packages/core/include/plumfold/core/plumfold_buffer_budget.hpp
@@ -8,12 +8,14 @@
 /// memory that is still free, so that large ones leave room for others, however many there are.
 class buffer_budget {
 public:
-    /// A buffer up to this size is not counted.
+    /// A buffer up to this size is not counted, unless the constructor is told otherwise.
     static constexpr std::size_t smallBufferBytes = 16 << 10;
 
     /// @param totalBytes limit of all counted bytes.
-    explicit buffer_budget(std::size_t totalBytes)
+    /// @param uncountedBytes of each buffer.
+    explicit buffer_budget(std::size_t totalBytes, std::size_t uncountedBytes = smallBufferBytes)
         : m_totalBytes(totalBytes)
+        , m_uncountedBytes(uncountedBytes)
     {
     }
 
@@ -23,6 +25,7 @@
     friend class buffer_share;
 
     std::size_t m_totalBytes;
+    std::size_t m_uncountedBytes;
     std::size_t m_usedBytes = 0;
 };
 
--- a/packages/forwarding/src/plumfold_caller_connection.cpp
+++ b/packages/forwarding/src/plumfold_caller_connection.cpp
@@ -1,5 +1,6 @@
 #include "plumfold_caller_connection.hpp"
 
+#include "plumfold_relay_protocol.hpp"
 #include "plumfold_request_forwarder.hpp"
 
 #include "plumfold/runtime/plumfold_clock.hpp"
@@ -14,6 +15,9 @@
 constexpr core::milliseconds errorWriteTimeout { 1'000 };
 constexpr core::milliseconds lingerTimeout { 500 };
 constexpr std::size_t readBufferBytes = 8192;
+/// Bodies that hold the memory are served or time out meanwhile.
+constexpr core::milliseconds retryAfterNoRoom { 500 };
+constexpr const char* noRoomReason = "no_room_for_body";
 
 core::caller_limits limitsOf(const forwarding_state& state)
 {
@@ -68,7 +72,8 @@
         parser.header_limit(
             static_cast<std::uint32_t>(limits.maxHeaderBytes) + (m_isRelay ? maxRelayHeaderBytes : 0));
         parser.body_limit(limits.maxBodyBytes);
-        if (!co_await readRequest(parser))
+        core::buffer_share body(m_state.requestBodies);
+        if (!co_await readRequest(parser, body))
             co_return;
         auto request = parser.release();
         std::optional<relayed_request> relayed;
@@ -93,7 +98,7 @@
     co_return !error;
 }
 
-task<bool> caller_connection::readRequest(request_parser& parser)
+task<bool> caller_connection::readRequest(request_parser& parser, core::buffer_share& body)
 {
     error_code error;
     auto limits = limitsOf(m_state);
@@ -108,13 +113,13 @@
     if (!error && !hasKnownTransferCoding(parser.get().base()))
         error = http::error::bad_transfer_encoding;
     if (!error && !parser.is_done()) {
-        if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
-            static constexpr std::string_view continueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
-            co_await asio::async_write(
-                m_stream, asio::buffer(continueResponse.data(), continueResponse.size()), into(error));
-        }
         startReadTimer(limits.idleTimeout);
-        co_await http::async_read(m_stream, m_buffer, parser, into(error));
+        bool hasRoom = co_await readBody(parser, body, error);
+        if (!hasRoom) {
+            m_readTimer.cancel();
+            co_await rejectForRoom(parser, body);
+            co_return false;
+        }
     }
     m_readTimer.cancel();
     if (!error)
@@ -128,6 +133,28 @@
     co_return false;
 }
 
+/// Reads the body as far as the limit of all bodies allows. An announced length is not set aside, since slow
+/// senders could then take the whole limit without sending anything.
+/// @return whether the limit allows it.
+task<bool> caller_connection::readBody(request_parser& parser, core::buffer_share& body, error_code& error)
+{
+    bool hasRoom = body.resize(static_cast<std::size_t>(parser.content_length().value_or(0)));
+    if (!hasRoom)
+        co_return false;
+    body.resize(0);
+    if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+        static constexpr std::string_view continueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
+        co_await asio::async_write(
+            m_stream, asio::buffer(continueResponse.data(), continueResponse.size()), into(error));
+    }
+    parser.eager(true);
+    while (!error && hasRoom && !parser.is_done()) {
+        co_await http::async_read_some(m_stream, m_buffer, parser, into(error));
+        hasRoom = body.resize(parser.get().body().size());
+    }
+    co_return hasRoom;
+}
+
 void caller_connection::startReadTimer(core::milliseconds time)
 {
     m_readTimer.expires_after(time);
@@ -160,6 +187,26 @@
     co_await closeWith(std::move(response));
 }
 
+/// Refuses a request that has not run, because the bodies of others leave no room for its own.
+task<void> caller_connection::rejectForRoom(request_parser& parser, core::buffer_share& body)
+{
+    auto received = parser.get().body().size();
+    std::string().swap(parser.get().body());
+    body.resize(0);
+    http::response<http::empty_body> response(http::status::service_unavailable, 11);
+    auto id = platform::decodeCallerRequest(parser.get().base()).id;
+    runtime::log_event("request_body_refused", runtime::log_level::warning)
+        .with("request", id)
+        .with("received_bytes", received)
+        .with("announced_bytes", parser.content_length().value_or(0))
+        .with("held_bytes", m_state.requestBodies.usedBytes());
+    m_state.metrics.count("plumfold_forwarded_total{outcome=\"refused\"}");
+    platform::encodeLocalResponse(id, retryAfterNoRoom, response);
+    if (m_isRelay)
+        encodeRelayResult({ relay_outcome::not_run, true, noRoomReason, {}, {} }, response);
+    co_await closeWith(std::move(response));
+}
+
 /// Sends a last response and closes the connection.
 task<void> caller_connection::closeWith(http::response<http::empty_body> response)
 {
--- a/packages/forwarding/src/plumfold_caller_connection.hpp
+++ b/packages/forwarding/src/plumfold_caller_connection.hpp
@@ -33,7 +33,9 @@
     using request_parser = http::request_parser<http::string_body>;
 
     task<bool> waitForRequest();
-    task<bool> readRequest(request_parser& parser);
+    task<bool> readRequest(request_parser& parser, core::buffer_share& body);
+    task<bool> readBody(request_parser& parser, core::buffer_share& body, error_code& error);
+    task<void> rejectForRoom(request_parser& parser, core::buffer_share& body);
     void startReadTimer(core::milliseconds time);
     task<void> rejectMalformed(const error_code& error, const request_parser& parser);
     task<void> rejectStranger();
--- a/packages/forwarding/src/plumfold_forwarding_role.cpp
+++ b/packages/forwarding/src/plumfold_forwarding_role.cpp
@@ -79,7 +79,8 @@
             m_rateLimits, [this](const core::target_demand& demand) { m_follower.reportDemand(demand); },
             nullptr, 0, core::target_selector(targetSelectorOptions(m_settings)),
             retryBudget(*m_settings.forwarding), target_connection_pool(m_io),
-            core::buffer_budget(m_settings.forwarding->responseBufferBytes) }
+            core::buffer_budget(m_settings.forwarding->responseBufferBytes),
+            core::buffer_budget(m_settings.forwarding->requestBufferBytes, 0) }
         , m_acceptor(m_io, endpointOf(m_settings.forwarding->callerAddress))
         , m_status(*m_settings.forwarding, m_metrics)
         , m_follower(
--- a/packages/forwarding/src/plumfold_forwarding_state.hpp
+++ b/packages/forwarding/src/plumfold_forwarding_state.hpp
@@ -46,6 +46,7 @@
     core::windowed_retry_budget retryBudget;
     target_connection_pool connections;
     core::buffer_budget responseBuffers;
+    core::buffer_budget requestBodies; ///< Of requests that are received or served.
     crash_detector crashes { io, connections };
     core::crash_screen crashScreen {};
     core::admission admission {};
--- a/packages/runtime/include/plumfold/runtime/plumfold_settings.hpp
+++ b/packages/runtime/include/plumfold/runtime/plumfold_settings.hpp
@@ -73,6 +73,9 @@
     std::uint64_t weightsBoundMs = 10'000; ///< Time limit for starting requests on stale weights.
     /// Limit of all buffered parts of targets' answers beyond 16 KiB each.
     std::uint64_t responseBufferBytes = 16 << 20;
+    /// Limit of the bodies of all requests that are received or served. A single one may take half of it.
+    /// Buffers may have twice the size of what they hold, and 160 MB have to suffice for the process.
+    std::uint64_t requestBufferBytes = 40 << 20;
 };
 
 /// Membership in the control group, which replicates the configuration.
--- a/packages/runtime/src/plumfold_settings_fields.cpp
+++ b/packages/runtime/src/plumfold_settings_fields.cpp
@@ -115,6 +115,8 @@
         durationField("weightsBoundMs", &forwarding_settings::weightsBoundMs, 100, maxDurationMs),
         { "responseBufferBytes", &forwarding_settings::responseBufferBytes, "bytes, at least 1048576", false,
             false, 1 << 20 },
+        { "requestBufferBytes", &forwarding_settings::requestBufferBytes, "bytes, at least 1048576", false,
+            false, 1 << 20 },
     };
     return all;
 }
--- /dev/null
+++ b/tests/forwarding/plumfold_request_body_tests.cpp
@@ -0,0 +1,167 @@
+#include "support/plumfold_serving_system.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <fstream>
+#include <future>
+#include <memory>
+#include <set>
+#include <sstream>
+#include <vector>
+
+using namespace plumfold::tests;
+
+namespace {
+
+using namespace std::chrono_literals;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr std::size_t bodyBytes = 4 << 20;
+constexpr std::size_t processBytes = 160'000'000; // of the smallest machines that run an entry
+constexpr milliseconds idleTimeout { 3'000 };
+constexpr milliseconds maxRefusalTime { 1'000 };
+constexpr milliseconds callerTimeout { 15'000 };
+
+std::size_t peakBytesOf(int process)
+{
+    std::ifstream status("/proc/" + std::to_string(process) + "/status");
+    std::string line;
+    while (std::getline(status, line)) {
+        if (line.starts_with("VmHWM:"))
+            return std::stoul(line.substr(6)) << 10;
+    }
+    return 0;
+}
+
+std::string chunkedBytes(const std::string& path, const std::string& id)
+{
+    constexpr std::size_t chunkBytes = 64 << 10;
+    auto bytes = forwarding_system::requestBytes(
+        path, id, "", { { "Content-Length", "" }, { "Transfer-Encoding", "chunked" } });
+    std::ostringstream chunk;
+    chunk << std::hex << chunkBytes << "\r\n" << std::string(chunkBytes, 'b') << "\r\n";
+    for (std::size_t sent = 0; sent < bodyBytes; sent += chunkBytes)
+        bytes += chunk.str();
+    return bytes + "0\r\n\r\n";
+}
+
+std::string sizedBytes(const std::string& path, const std::string& id)
+{
+    return forwarding_system::requestBytes(path, id, std::string(bodyBytes, 'b'));
+}
+
+class large_bodies_system : public serving_system {
+public:
+    large_bodies_system()
+    {
+        auto body = deployment(4);
+        body["limits"]["max-body-bytes"] = bodyBytes;
+        body["limits"]["idle-timeout-ms"] = idleTimeout.count();
+        putDeployment(1, body);
+        startAnnouncing();
+        eventually([&] { return exchange(sizedBytes("/shop/whole", nextId())).status == 200; });
+    }
+
+    /// Sends a request whole, although the entry may have closed the connection, and reads the response.
+    raw_response exchange(const std::string& bytes)
+    {
+        raw_caller caller(callerAddress(1));
+        caller.setReceiveTimeout(callerTimeout);
+        try {
+            caller.send(bytes);
+        } catch (const Poco::Exception&) {
+            // The response tells why.
+        }
+        return caller.receive();
+    }
+
+    std::set<std::string> idsAtTargets()
+    {
+        std::set<std::string> ids;
+        for (const char* name : { "t1", "t2" }) {
+            for (const auto& each : target(name).requests())
+                ids.insert(each.headers.at("request-id"));
+        }
+        return ids;
+    }
+
+    std::size_t peakBytes() { return peakBytesOf(process("n1").id()); }
+};
+
+} // namespace
+
+// Guards against an entry that many callers with large bodies drive beyond the memory of its machine.
+TEST_CASE_METHOD(large_bodies_system,
+    "Many callers with large bodies at once cost an entry bounded memory, and the excess is refused as not "
+    "run",
+    "[forwarding][request_bodies]")
+{
+    constexpr int callers = 40;
+    auto makeBytes = GENERATE(&sizedBytes, &chunkedBytes);
+    std::vector<std::string> ids;
+    std::vector<std::future<raw_response>> responses;
+    for (int number = 0; number < callers; ++number) {
+        ids.push_back(nextId());
+        responses.push_back(std::async(
+            std::launch::async, [&, id = ids.back()] { return exchange(makeBytes("/shop/never", id)); }));
+    }
+    int refused = 0;
+    int other = 0;
+    for (std::size_t index = 0; index < ids.size(); ++index) {
+        auto response = responses[index].get();
+        INFO(response.status << ' ' << response.headers);
+        bool isRefused = response.status == 503;
+        refused += isRefused;
+        other += !isRefused && response.status != 504;
+        if (!isRefused)
+            continue;
+        CHECK(response.headers.find("retry-after: ") != std::string::npos);
+        CHECK(idsAtTargets().count(ids[index]) == 0);
+    }
+    CHECK(other == 0);
+    CHECK(refused > 0);
+    CHECK(refused < callers);
+    CHECK(peakBytes() < processBytes);
+    CHECK(exchange(makeBytes("/shop/whole", nextId())).status == 200);
+}
+
+// Guards against bodies that are counted only once they are complete.
+TEST_CASE_METHOD(large_bodies_system,
+    "Bodies that slow senders have begun count towards the limit until their time is over",
+    "[forwarding][request_bodies]")
+{
+    constexpr std::size_t senders = 12;
+    constexpr std::size_t missingBytes = 256 << 10;
+    std::vector<std::unique_ptr<raw_caller>> slow;
+    for (std::size_t number = 0; number < senders; ++number) {
+        slow.push_back(std::make_unique<raw_caller>(callerAddress(1)));
+        auto bytes = sizedBytes("/shop/whole", nextId());
+        bytes.resize(bytes.size() - missingBytes);
+        try {
+            slow.back()->send(bytes);
+        } catch (const Poco::Exception&) {
+            // Refused.
+        }
+    }
+    auto sentAt = steady_clock::now();
+    auto refused = exchange(sizedBytes("/shop/whole", nextId()));
+    CHECK(steady_clock::now() - sentAt < maxRefusalTime);
+    CHECK(refused.status == 503);
+    CHECK(request(1, "/shop/whole").status == 200);
+
+    // A relayed request that is refused must not count as one that may have run.
+    raw_caller relay(address(21, 8002));
+    relay.send(requestBytes("/shop/whole", nextId(), std::string(bodyBytes, 'b'),
+        { { "Plumfold-Relay-Secret", "test" }, { "Plumfold-Relay-Customer", "espuma" },
+            { "Plumfold-Relay-Service", "shop" }, { "Plumfold-Relay-Time-Left", "2000" },
+            { "Plumfold-Relay-Attempts-Left", "2" } }));
+    auto relayed = relay.receive();
+    CHECK(relayed.status == 503);
+    CHECK(relayed.headers.find("plumfold-relay-outcome: not-run") != std::string::npos);
+
+    CHECK(eventually([&] { return exchange(sizedBytes("/shop/whole", nextId())).status == 200; }));
+    CHECK(peakBytes() < processBytes);
+}
