Limit chunk extensions and trailers of callers' requests

Cause: the parser limits headers and bodies, but waits for the end of a chunk's line and of the trailers in a buffer without limit. One caller that sends such a line without end fills the memory until the time for the body is over.

Change: the buffer of a caller's connection holds the header limit and 64 KiB at most; beyond that the request gets 400.

Evidence: header names, headers, chunk extensions, chunks, trailer names and trailers without end. The test sends 512 MB at most, so that a fault does not exhaust the machine.

--- a/packages/forwarding/src/plumfold_caller_connection.cpp
+++ b/packages/forwarding/src/plumfold_caller_connection.cpp
@@ -15,6 +15,8 @@
 constexpr core::milliseconds errorWriteTimeout { 1'000 };
 constexpr core::milliseconds lingerTimeout { 500 };
 constexpr std::size_t readBufferBytes = 8192;
+/// The parser limits neither chunk extensions nor trailers: it waits for their end in the buffer.
+constexpr std::size_t maxUnparsedRequestBytes = 64 << 10;
 /// Bodies that hold the memory are served or time out meanwhile.
 constexpr core::milliseconds retryAfterNoRoom { 500 };
 constexpr const char* noRoomReason = "no_room_for_body";
@@ -69,8 +71,10 @@
         m_isServing = true;
         request_parser parser;
         auto limits = limitsOf(m_state);
-        parser.header_limit(
-            static_cast<std::uint32_t>(limits.maxHeaderBytes) + (m_isRelay ? maxRelayHeaderBytes : 0));
+        auto headerBytes
+            = static_cast<std::uint32_t>(limits.maxHeaderBytes) + (m_isRelay ? maxRelayHeaderBytes : 0);
+        parser.header_limit(headerBytes);
+        m_buffer.max_size(headerBytes + maxUnparsedRequestBytes);
         parser.body_limit(limits.maxBodyBytes);
         core::buffer_share body(m_state.requestBodies);
         if (!co_await readRequest(parser, body))
--- a/tests/forwarding/plumfold_request_body_tests.cpp
+++ b/tests/forwarding/plumfold_request_body_tests.cpp
@@ -165,3 +165,50 @@
     CHECK(eventually([&] { return exchange(sizedBytes("/shop/whole", nextId())).status == 200; }));
     CHECK(peakBytes() < processBytes);
 }
+
+// Guards against parts of a request that no limit of header or body covers: chunk extensions and trailers.
+TEST_CASE_METHOD(large_bodies_system,
+    "A caller that sends bytes without end costs an entry bounded memory and time",
+    "[forwarding][request_bodies][endless]")
+{
+    constexpr std::size_t maxGrowthBytes = 32 << 20;
+    constexpr std::size_t maxSentBytes = 512 << 20; // an entry that fails must not exhaust the machine
+    constexpr milliseconds maxTime = idleTimeout + 2'000ms;
+    struct endless_part {
+        const char* name;
+        std::string begin;
+        std::string repeated;
+    };
+    const std::string chunked = requestBytes(
+        "/shop/whole", "endless", "", { { "Content-Length", "" }, { "Transfer-Encoding", "chunked" } });
+    const std::vector<endless_part> parts {
+        { "header name", "POST /shop/whole HTTP/1.1\r\nHost: shop.example\r\n", "x" },
+        { "headers", "POST /shop/whole HTTP/1.1\r\nHost: shop.example\r\n", "X-Name: value\r\n" },
+        { "chunk extension", chunked + "5;", "x" },
+        { "chunks", chunked, "1\r\nx\r\n" },
+        { "trailer name", chunked + "0\r\n", "x" },
+        { "trailers", chunked + "0\r\n", "X-Name: value\r\n" },
+    };
+    for (const auto& part : parts) {
+        INFO(part.name);
+        std::string block;
+        while (block.size() < 64 << 10)
+            block += part.repeated;
+        auto before = peakBytes();
+        auto begin = steady_clock::now();
+        raw_caller caller(callerAddress(1));
+        std::size_t sent = 0;
+        try {
+            caller.send(part.begin);
+            for (; sent < maxSentBytes && steady_clock::now() < begin + 2 * maxTime; sent += block.size())
+                caller.send(block);
+        } catch (const Poco::Exception&) {
+            // The entry has closed the connection.
+        }
+        auto took = std::chrono::duration_cast<milliseconds>(steady_clock::now() - begin);
+        CAPTURE(sent, took.count());
+        CHECK(took <= maxTime);
+        CHECK(peakBytes() - before <= maxGrowthBytes);
+        CHECK(request(1, "/shop/whole").status == 200);
+    }
+}
