--- a/packages/control/src/plumfold_durable_log.cpp
+++ b/packages/control/src/plumfold_durable_log.cpp
@@ -293,8 +293,11 @@
     if (status.ok() && ::fsync(file) != 0)
         status = ioError("sync", temporary);
     ::close(file);
-    if (!status.ok())
+    if (!status.ok()) {
+        // On a full disk, the part that was written would take the space that the log needs.
+        ::unlink(pathOf(temporary).c_str());
         return status;
+    }
     if (::rename(pathOf(temporary).c_str(), pathOf(name).c_str()) != 0)
         return ioError("rename", temporary);
     int folder = ::open(m_folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
