Hand the lead over when there is no room for changes

Cause: a leader whose data folder is full refuses every change, but goes on as the leader, so that the group accepts none although the others have room.

Change: at a change that it has no room for, a leader transfers its lead, at most once a second, and logs no_room_to_lead. With no room anywhere changes are refused as before.

Weighed: giving up the lead without a successor; that costs an election time-out and may elect the same control VM again.

Evidence: three control VMs, the leader limited by /control/maxDataBytes to 200,000 bytes.

--- a/packages/control/include/plumfold/control/plumfold_control_node.hpp
+++ b/packages/control/include/plumfold/control/plumfold_control_node.hpp
@@ -154,6 +154,7 @@
     /// @return false if the log cannot be written.
     bool processOutput();
     void apply(const core::log_entry& entry);
+    void handOverLead();
     bool joinsPendingProposal(propose_event& event);
     bool mayFollowLaterOrder(const core::set_in_service_command& order) const;
     void completeWatches();
@@ -167,6 +168,7 @@
 
     control_node_options m_options;
     std::unique_ptr<durable_log> m_log;
+    core::instant m_nextHandOver {}; // without room on the disk, not before this time
     core::control_state m_state;
     bool m_haveLeasesChanged = true; // since the view was last published
     std::uint64_t m_appliedIndex = 0;
--- a/packages/control/src/plumfold_control_node.cpp
+++ b/packages/control/src/plumfold_control_node.cpp
@@ -14,6 +14,7 @@
 constexpr std::size_t ringCapacity = 8192;
 constexpr std::size_t maxEventsPerSync = 512;
 constexpr core::milliseconds tickInterval { 15 };
+constexpr core::milliseconds handOverInterval { 1'000 };
 /// Bounds how often a snapshot is written for its size while entries are long.
 constexpr std::uint64_t minEntriesPerSnapshot = 8;
 
@@ -251,6 +252,21 @@
     return isPending || *order.lastKnownOrder != (latest == orders.end() ? 0 : latest->second);
 }
 
+/// Hands the lead over because this control VM has no room for changes; others may have. Limited in its rate,
+/// so that the lead does not change with each call when no control VM has room.
+void control_node::handOverLead()
+{
+    auto now = runtime::now();
+    if (now < m_nextHandOver)
+        return;
+    m_nextHandOver = now + handOverInterval;
+    bool isHandedOver = m_raft.transferLeadership(now);
+    runtime::log_event("no_room_to_lead", runtime::log_level::warning)
+        .with("term", m_raft.term())
+        .with("log_bytes", m_log->logBytes())
+        .with("handed_over", isHandedOver ? "true" : "false");
+}
+
 void control_node::handle(propose_event& event)
 {
     if (m_raft.role() != core::raft_role::leader) {
@@ -258,6 +274,7 @@
         return;
     }
     if (!m_log->hasFreeSpace()) {
+        handOverLead();
         event.callback->done(rejection("the data folder is full: free space on the control VM's disk"));
         return;
     }
--- a/tests/forwarding/plumfold_full_disk_tests.cpp
+++ b/tests/forwarding/plumfold_full_disk_tests.cpp
@@ -202,3 +202,37 @@
     REQUIRE(change(2));
     CHECK(eventually([&] { return versionAt(2) >= m_acknowledged; }));
 }
+
+// Guards against a leader that refuses all changes for lack of room, although the others have room.
+TEST_CASE_METHOD(full_disk_system, "A leader without room on its disk hands its lead to another control VM",
+    "[forwarding][full_disk]")
+{
+    constexpr int changes = 20;
+    constexpr milliseconds acceptBound { 5'000 };
+    setSeeds({ 1, 2, 3 });
+    setControlSettings({ { "maxDataBytes", 200'000 } });
+    startControl(1);
+    setControlSettings(nlohmann::json::object());
+    startControl(2);
+    startControl(3);
+    REQUIRE(change(1));
+    for (int attempt = 0; attempt < 20 && !isLeader(1); ++attempt) {
+        for (int number : { 2, 3 }) {
+            if (!isLeader(number))
+                continue;
+            process(nameOf(number)).stop();
+            eventually([&] { return isLeader(1) || isLeader(5 - number); }, 5);
+            startControl(number);
+            REQUIRE(change(1));
+        }
+    }
+    REQUIRE(isLeader(1));
+    milliseconds slowest { 0 };
+    for (int count = 0; count < changes; ++count) {
+        auto begin = steady_clock::now();
+        REQUIRE(change(1 + count % 3));
+        slowest = std::max(slowest, std::chrono::duration_cast<milliseconds>(steady_clock::now() - begin));
+    }
+    CHECK(slowest <= acceptBound);
+    CHECK(fileBytes("c1", "log") + (64 << 10) > 200'000);
+}
