Test leaders and short cuts beside a node that joins

A leader that is cut off while another node joins in its failure domain is exchanged and joins again (groups of 3, 4 and 5); a node that is cut off for less than the time-out of members stays a voter.

--- a/tests/core/plumfold_lost_voter_tests.cpp
+++ b/tests/core/plumfold_lost_voter_tests.cpp
@@ -107,6 +107,43 @@
     CHECK(cluster.applied().back() == "after");
 }
 
+// Guards against a leader that keeps its place although a quorum has exchanged it, or that is out for good.
+TEST_CASE("A leader that is cut off while another node joins in its failure domain joins again",
+    "[raft][lost_voter]")
+{
+    int size = GENERATE(3, 4, 5);
+    CAPTURE(size);
+    raft_cluster cluster(size, 18, {});
+    std::string cut = *cluster.leader();
+    cluster.isolate(cut);
+    cluster.addSuccessor(cut);
+    cluster.run(2 * settlingMs);
+    auto voters = cluster.voterNames();
+    CHECK(std::find(voters.begin(), voters.end(), cut) == voters.end());
+    CHECK(cluster.proposeToLeader("meanwhile"));
+    cluster.reconnectAll();
+    cluster.run(settlingMs);
+    CHECK(cluster.voterNames() == cluster.present());
+    CHECK(cluster.proposeToLeader("after"));
+    cluster.run(200);
+    CHECK(cluster.applied().back() == "after");
+}
+
+// Guards against the exchange of a node that was cut off only for a moment.
+TEST_CASE("A node that is cut off for less than the timeout while another one joins stays a voter",
+    "[raft][lost_voter]")
+{
+    raft_cluster cluster(4, 19, {});
+    std::string cut = *cluster.leader() == "a" ? "b" : "a";
+    cluster.isolate(cut);
+    cluster.addSuccessor(cut);
+    cluster.run(200);
+    cluster.reconnectAll();
+    cluster.run(settlingMs);
+    CHECK(cluster.voters() == 5);
+    CHECK(cluster.voterNames() == cluster.present());
+}
+
 TEST_CASE("Of two silent voters of a failure domain one is removed for one successor", "[raft][lost_voter]")
 {
     raft_cluster cluster(5, 15, {}); // a, c and e are in one failure domain
