Wait for the deployment in the tests of planned stops

The case of slow callers failed in 5 of 9 runs beside other work: 504 instead of 502, in the two runs whose output was kept. Suspected, not traced: an entry that has just started serves by the former deployment, whose routes end requests after 2.5 s, before the stop does.

Change: the tests wait until the deployment of the test is in force at the entry. No check is eased.

--- a/tests/forwarding/plumfold_grace_period_tests.cpp
+++ b/tests/forwarding/plumfold_grace_period_tests.cpp
@@ -38,6 +38,8 @@
     {
         startEntry(entry);
         waitForTarget(entry);
+        // An entry may begin with the former deployment, whose time limits are shorter than the grace period.
+        REQUIRE(eventually([&] { return logOf(nameOf(entry)).find(" version=4 ") != std::string::npos; }));
     }
 
     std::future<raw_response> requestLater(int entry, const std::string& path)
