--- a/packages/forwarding/src/plumfold_forwarding_role.cpp
+++ b/packages/forwarding/src/plumfold_forwarding_role.cpp
@@ -82,7 +82,8 @@
                 std::vector<core::rollout_report> reports) { m_follower.reportRollouts(std::move(reports)); },
             nullptr, 0, core::target_selector(targetSelectorOptions(m_settings)),
             retryBudget(*m_settings.forwarding), target_connection_pool(m_io),
-            core::buffer_budget(m_settings.forwarding->responseBufferBytes) }
+            core::buffer_budget(m_settings.forwarding->responseBufferBytes),
+            core::buffer_budget(m_settings.forwarding->requestBufferBytes, 0) }
         , m_acceptor(m_io, endpointOf(m_settings.forwarding->callerAddress))
         , m_status(*m_settings.forwarding, m_metrics)
         , m_follower(
