Use expected times for links in entries, and report prediction errors

With /forwarding/adaptivePlacement (default false) entries choose engines and plan fetches by the expected time for the shared parts. Without it the latency model's rates and the former plan apply. Services whose figures do not allow a prediction are logged once (kv_link_unusable) and planned as before.

Tests of forwarding and of settings were not run for this commit.

--- a/packages/forwarding/src/plumfold_forwarding_role.cpp
+++ b/packages/forwarding/src/plumfold_forwarding_role.cpp
@@ -167,6 +167,8 @@
         m_state.targetSelector.applyAnnouncements(update.targets, update.isSnapshot, now);
         m_state.targetSelector.applyLoads(update.loads, now);
         m_state.targetSelector.setEntryCount(update.entries, now);
+        if (m_settings.forwarding->adaptivePlacement)
+            applyPlacementCounts(update.entries, now);
         m_sharedLimits.setIssuer(update.sharedLimitIssuer);
         setControl(update.control);
         applyVerdicts(update, now);
@@ -213,6 +215,26 @@
             "plumfold_rate_limited_targets", static_cast<double>(m_state.targetSelector.limitedTargets()));
     }
 
+    void applyPlacementCounts(std::uint32_t entries, core::instant now)
+    {
+        m_state.partPlanner.fetches().setEntryCount(entries, now);
+        if (!m_state.deployment)
+            return;
+        for (const auto& service : m_state.deployment->services()) {
+            if (service.engine)
+                m_state.engineCounts[service.name] = m_state.targetSelector.targetsOf(service.name);
+        }
+    }
+
+    /// Logs each figure once, however often the deployment changes.
+    void logUnusableLinks()
+    {
+        for (const auto& reason : core::unusableLinks(m_state.deployment->services())) {
+            if (m_unusableLinks.insert(reason).second)
+                runtime::log_event("kv_link_unusable", runtime::log_level::warning).with("reason", reason);
+        }
+    }
+
     void setControl(const std::map<std::string, std::string>& domains)
     {
         if (domains == m_control)
@@ -239,6 +261,8 @@
             m_state.deployment = std::make_shared<const core::deployment>(std::move(*decoded));
             m_state.targetSelector.setServices(m_state.deployment->services());
             m_state.partPlanner.setStores(m_state.deployment->services());
+            if (m_settings.forwarding->adaptivePlacement)
+                logUnusableLinks();
         }
         runtime::log_event("deployment_in_force")
             .with("revision", next.revision)
@@ -299,6 +323,7 @@
     runtime::metrics m_metrics;
     shared_limit_client m_sharedLimits;
     wire::rpc_thread& m_rpc;
+    std::set<std::string> m_unusableLinks; // logged already
     std::map<std::string, std::string> m_control; // failure domains of control VMs in service, as last set
     std::unique_ptr<control_sessions> m_controlSessions; // used and destroyed on the RPC thread
     stream_origin_client m_streamOrigins;
--- a/packages/forwarding/src/plumfold_request_attempt.cpp
+++ b/packages/forwarding/src/plumfold_request_attempt.cpp
@@ -12,8 +12,6 @@
 namespace {
 
 constexpr core::milliseconds connectTimeout { 300 };
-/// An unfinished KV fetch is discarded after this time, and the engine prefills the prompt.
-constexpr core::milliseconds fetchTimeout { 2'500 };
 constexpr std::size_t relayBufferBytes = 16 << 10;
 constexpr std::uint64_t maxResponseBytes = 64 << 20;
 constexpr unsigned statusServerError = 500;
@@ -57,41 +55,6 @@
     return cacheNamespace;
 }
 
-/// @return whether the part directory is current. It becomes stale while no control VM responds.
-bool request_forwarder::arePartsCurrent() const
-{
-    return m_state.targetClockMs != 0
-        && runtime::now() - m_state.targetClockReadAt <= core::part_directory::maxConfirmationAge;
-}
-
-void request_forwarder::planParts(const core::placement& placement, platform::target_request_head& head)
-{
-    auto now = runtime::now();
-    auto age = std::chrono::duration_cast<core::milliseconds>(now - m_state.targetClockReadAt);
-    if (!arePartsCurrent())
-        return;
-    head.parts = m_state.partPlanner.plan(
-        m_head.parts, head.cacheNamespace, { placement.address, placement.failureDomain, 0 }, m_state.parts,
-        [this, now](const std::string& address) { return m_state.targetSelector.findSource(address, now); },
-        m_state.targetSelector.latencyModel().prefillTokensPerMs, now);
-    auto countNonEmpty = [](const auto& addresses) {
-        return static_cast<std::size_t>(std::count_if(
-            addresses.begin(), addresses.end(), [](const auto& each) { return !each.empty(); }));
-    };
-    m_fetches = countNonEmpty(head.parts.fetchFrom);
-    m_saves = countNonEmpty(head.parts.saveTo);
-    for (std::size_t index = 0; index < head.parts.fetchFrom.size(); ++index) {
-        const auto& source = head.parts.fetchFrom[index];
-        if (source.empty())
-            continue;
-        m_fetchTokens += m_head.parts[index].tokens;
-        if (std::find(m_fetchedFrom.begin(), m_fetchedFrom.end(), source) == m_fetchedFrom.end())
-            m_fetchedFrom.push_back(source);
-    }
-    head.fetchDeadlineMs = m_state.targetClockMs + static_cast<std::uint64_t>(age.count())
-        + static_cast<std::uint64_t>(fetchTimeout.count());
-}
-
 task<std::unique_ptr<target_connection>> request_forwarder::connectTo(const core::placement& placement)
 {
     auto idle = m_state.connections.acquireIdle(placement.target, placement.address);
@@ -445,12 +408,7 @@
 {
     m_streamStarted = true;
     m_firstByteAt = runtime::now();
-    double timeToFirstEventMs = std::chrono::duration<double, std::milli>(m_firstByteAt - m_sentAt).count();
-    if (m_predictedMs > 0)
-        m_state.admission.record(m_waitMs, timeToFirstEventMs - (m_predictedMs - m_waitMs));
-    if (m_isPredictionReliable) {
-        m_state.partPlanner.delays().record(m_fetchedFrom, timeToFirstEventMs - m_predictedMs, m_firstByteAt);
-    }
+    recordPrediction();
     m_streamHead.result(statusOk);
     m_streamHead.version(httpVersion);
     m_streamHead.chunked(true);
--- a/packages/forwarding/src/plumfold_request_forwarder.cpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.cpp
@@ -266,6 +266,9 @@
         auto now = runtime::now();
         out.storedIn = m_state.partPlanner.storedIn(m_head.parts, cacheNamespace, m_state.parts,
             m_state.targetSelector.latencyModel().prefillTokensPerMs, now);
+        if (auto target = fetchTarget())
+            out.sharedCost = m_state.partPlanner.sharedPartsCost(
+                m_head.parts, cacheNamespace, *target, m_state.parts, now);
         if (m_head.parts.size() > 1)
             out.holders = m_state.parts.holdersOf(
                 core::hashOf({ cacheNamespace, m_head.parts[m_head.parts.size() - 2].id }), now);
--- a/packages/forwarding/src/plumfold_request_forwarder.hpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.hpp
@@ -109,6 +109,7 @@
     task<bool> readChunk(target_response_parser& parser, std::string& chunk);
     task<bool> relayChunk(std::string chunk);
     task<bool> writeStreamHead();
+    void recordPrediction();
     core::attempt_result classifyFailure(const error_code& error);
     task<bool> writeResponse();
     task<bool> endStream();
@@ -123,6 +124,7 @@
     core::placement_request placementRequest() const;
     platform::target_request_head makeTargetHead(const core::placement& placement);
     void planParts(const core::placement& placement, platform::target_request_head& head);
+    std::optional<core::fetch_target> fetchTarget() const;
     bool arePartsCurrent() const;
     std::string cacheNamespaceOf(const std::string& weights) const;
     core::milliseconds timeLeft() const;
@@ -196,6 +198,7 @@
     bool m_isTargetHolder = false; // is listed as a holder of the shared part of the conversation
     double m_waitMs = 0; // predicted for the current attempt
     double m_predictedMs = 0; // predicted time to the first event of the current attempt
+    double m_firstEventMs = -1; // actual time to the first event of the current attempt; -1: none yet
     core::instant m_firstByteAt {};
     const char* m_answerFraming = "none"; // of the target's latest response, for the log
     std::size_t m_partialEventBytes = 0; // after the last complete event of an ended stream, for the log
--- a/packages/forwarding/src/plumfold_request_log.cpp
+++ b/packages/forwarding/src/plumfold_request_log.cpp
@@ -7,6 +7,18 @@
 
 namespace plumfold::forwarding {
 
+namespace {
+
+std::string joined(const std::vector<std::string>& names)
+{
+    std::string out;
+    for (const auto& name : names)
+        out += (out.empty() ? "" : ",") + name;
+    return out;
+}
+
+} // namespace
+
 void request_forwarder::log(bool delivered)
 {
     auto now = runtime::now();
@@ -47,6 +59,8 @@
         .with("saves", m_saves)
         .with("predicted_ms", static_cast<std::int64_t>(m_predictedMs))
         .with("wait_ms", static_cast<std::int64_t>(m_waitMs))
+        .with("first_event_ms", static_cast<std::int64_t>(m_firstEventMs))
+        .with("sources", m_fetchedFrom.empty() ? std::string("none") : joined(m_fetchedFrom))
         .with("holders_known", m_state.parts.holders().size())
         .with("deployment", m_deployment ? m_deployment->version() : 0)
         .with("first_ms", m_firstByteAt == core::instant {} ? -1 : since(m_firstByteAt))
--- a/packages/runtime/include/plumfold/runtime/plumfold_settings.hpp
+++ b/packages/runtime/include/plumfold/runtime/plumfold_settings.hpp
@@ -67,6 +67,8 @@
     std::uint64_t controlPort = 0; ///< RPC port of the control VMs.
     std::string metricsAddress; ///< Serves metrics as Prometheus text; empty for none.
     bool rollouts = false; ///< Software versions that join are held until their rollout is known.
+    /// Fetches of KV parts and predictions follow the links and engines as they are measured.
+    bool adaptivePlacement = false;
     std::string relayAddress; ///< Accepts requests that other entries relay; empty for none.
     double retryRatio = 0.2; ///< Retries to a service, as a share of its requests.
     std::uint64_t retryWindowMs = 10'000;
