Weight stores for saves by their links as well as by their room

By room alone, 15 of 28 stores with 430 Gbit/s and room for 993,000 tokens get 2.8 times as many parts each as 13 with 690 Gbit/s and room for 360,000, and so most fetches. Adaptive plans use the geometric mean of room and link rate. By links alone the small stores would be full first, and a full store takes no more. If any store states no rate, room alone counts. Plans without adaptive placement are unchanged.

--- a/packages/core/include/plumfold/core/plumfold_part_directory.hpp
+++ b/packages/core/include/plumfold/core/plumfold_part_directory.hpp
@@ -173,8 +173,9 @@
         const part_source& target, const part_directory& directory, const engine_finder& engines,
         double prefillTokensPerMs, instant now);
 
-    /// Plans like plan(), but fetches a part only where that is expected to be faster than reading it, and
-    /// records the planned transfers. Parts for which figures are missing are planned as by plan().
+    /// Plans like plan(), but fetches a part only where that is expected to be faster than reading it, saves
+    /// by what the links of stores carry as well as by their room, and records the planned transfers. Parts
+    /// for which figures are missing are planned as by plan().
     part_plan planAdaptively(const std::vector<prompt_part>& parts, const std::string& cacheNamespace,
         const fetch_target& target, const part_directory& directory, const engine_finder& engines,
         instant now);
@@ -198,6 +199,14 @@
     store_delays& delays() { return m_delays; }
 
 private:
+    /// @return the weight of a store for saves, before that of its failure domain.
+    using save_weight = double (part_planner::*)(const part_store& store) const;
+    double weightByRoom(const part_store& store) const { return static_cast<double>(store.capacityTokens); }
+    double weightByRoomAndLink(const part_store& store) const;
+    part_plan planWith(save_weight weight, const std::vector<prompt_part>& parts,
+        const std::string& cacheNamespace, const part_source& target, const part_directory& directory,
+        const engine_finder& engines, double prefillTokensPerMs, instant now);
+
     bool isWorthFetching(
         const std::string& source, std::uint64_t tokens, double prefillTokensPerMs, instant now) const;
     const part_store* storeAt(const std::string& address) const;
@@ -207,7 +216,7 @@
     std::optional<part_source> sourceOf(std::uint64_t part, const part_source& target,
         const part_directory& directory, const engine_finder& engines, instant now) const;
     /// @return the store to which a part is saved, or null when none is ready and has space left.
-    const part_store* preferredStore(std::uint64_t part, std::uint64_t tokens,
+    const part_store* preferredStore(save_weight weight, std::uint64_t part, std::uint64_t tokens,
         const std::string& failureDomain, const part_directory& directory, instant now) const;
     bool mayRequestSave(std::uint64_t part, instant now);
 
@@ -216,6 +225,7 @@
 
     std::vector<part_store> m_stores;
     std::unordered_map<std::string, std::size_t> m_storeIndex; // of m_stores, by address
+    bool m_areLinksUsable = false; // all stores state a rate
     fetch_planner m_fetches;
     store_delays m_delays;
     std::unordered_map<std::uint64_t, instant> m_saveRequests; // time of the last save request by part
--- a/packages/core/src/placement/plumfold_adaptive_plan.cpp
+++ b/packages/core/src/placement/plumfold_adaptive_plan.cpp
@@ -3,6 +3,7 @@
 #include "plumfold/core/plumfold_part_directory.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace plumfold::core {
 
@@ -24,13 +25,21 @@
     return sources;
 }
 
+/// The geometric mean: by room alone the largest stores serve most fetches, by links alone the smallest are
+/// full first, and a full store takes no more.
+double part_planner::weightByRoomAndLink(const part_store& store) const
+{
+    double room = weightByRoom(store);
+    return m_areLinksUsable ? std::sqrt(room * store.linkMegabitsPerSecond) : room;
+}
+
 part_plan part_planner::planAdaptively(const std::vector<prompt_part>& parts,
     const std::string& cacheNamespace, const fetch_target& target, const part_directory& directory,
     const engine_finder& engines, instant now)
 {
     // Without fetches it is the plan for saves; with them it is what parts without figures get.
-    auto out = plan(parts, cacheNamespace, { target.address, target.link.failureDomain, 0 }, directory,
-        engines, target.prefillTokensPerMs, now);
+    auto out = planWith(&part_planner::weightByRoomAndLink, parts, cacheNamespace,
+        { target.address, target.link.failureDomain, 0 }, directory, engines, target.prefillTokensPerMs, now);
     double expectedMs = 0;
     bool isPredicted = false;
     const auto* held = directory.find(target.address, now);
--- a/packages/core/src/plumfold_part_directory.cpp
+++ b/packages/core/src/plumfold_part_directory.cpp
@@ -273,6 +273,9 @@
     }
     for (std::size_t index = 0; index < m_stores.size(); ++index)
         m_storeIndex.emplace(m_stores[index].address, index);
+    m_areLinksUsable = std::all_of(m_stores.begin(), m_stores.end(), [](const auto& store) {
+        return std::isfinite(store.linkMegabitsPerSecond) && store.linkMegabitsPerSecond > 0;
+    });
     m_fetches.setStoreCount(m_stores.size());
 }
 
@@ -322,7 +325,7 @@
     return best;
 }
 
-const part_store* part_planner::preferredStore(std::uint64_t part, std::uint64_t tokens,
+const part_store* part_planner::preferredStore(save_weight weightOf, std::uint64_t part, std::uint64_t tokens,
     const std::string& failureDomain, const part_directory& directory, instant now) const
 {
     const part_store* best = nullptr;
@@ -334,8 +337,8 @@
             = static_cast<std::uint64_t>(static_cast<double>(store.capacityTokens) * maxFillRatio);
         if (!ready || known->usedTokens + tokens > usableTokens)
             continue;
-        double weight = static_cast<double>(store.capacityTokens)
-            * (store.failureDomain == failureDomain ? localDomainWeight : 1.0);
+        double weight
+            = (this->*weightOf)(store) * (store.failureDomain == failureDomain ? localDomainWeight : 1.0);
         // All entries choose the same store without coordination.
         double score = rendezvousScore(hashBytes(store.address, part), weight);
         if (best && score <= bestScore)
@@ -364,6 +367,14 @@
 part_plan part_planner::plan(const std::vector<prompt_part>& parts, const std::string& cacheNamespace,
     const part_source& target, const part_directory& directory, const engine_finder& engines,
     double prefillTokensPerMs, instant now)
+{
+    return planWith(&part_planner::weightByRoom, parts, cacheNamespace, target, directory, engines,
+        prefillTokensPerMs, now);
+}
+
+part_plan part_planner::planWith(save_weight weightOf, const std::vector<prompt_part>& parts,
+    const std::string& cacheNamespace, const part_source& target, const part_directory& directory,
+    const engine_finder& engines, double prefillTokensPerMs, instant now)
 {
     part_plan out;
     out.fetchFrom.resize(parts.size());
@@ -377,7 +388,7 @@
         if (storeOf(part, target.failureDomain, directory, now))
             continue;
         const auto* preferred
-            = preferredStore(part, parts[index].tokens, target.failureDomain, directory, now);
+            = preferredStore(weightOf, part, parts[index].tokens, target.failureDomain, directory, now);
         if (preferred && mayRequestSave(part, now))
             out.saveTo[index] = preferred->address;
     }
--- a/tests/core/plumfold_kv_links_tests.cpp
+++ b/tests/core/plumfold_kv_links_tests.cpp
@@ -4,8 +4,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <cmath>
 #include <limits>
+#include <map>
 
 using namespace plumfold::core;
 
@@ -190,3 +192,58 @@
     CHECK(plan == planner.plan(prompt, "w1", { "engine", "a", 0 }, directory, noEngines, 48, start));
     CHECK_FALSE(planner.sharedPartsCost(prompt, "w1", target, directory, start));
 }
+
+namespace {
+
+/// @return the share of the parts that are saved to the store with the most, at a site with 13 stores with
+/// fast links and little room and 15 with slow links and much room, relative to what its link carries.
+double largestSaveShare(bool isAdaptive, double fastRate)
+{
+    std::vector<service_limits> stores;
+    part_directory directory;
+    for (int number = 0; number < 28; ++number) {
+        service_limits service;
+        bool isFast = number < 13;
+        service.store = part_store { "store" + std::to_string(number), "a", isFast ? 360'000u : 993'000u,
+            isFast ? fastRate : 430'000 };
+        stores.push_back(service);
+        directory.reset(service.store->address, 1, start);
+    }
+    auto later = start + milliseconds(10'000);
+    for (const auto& service : stores)
+        directory.confirm(service.store->address, later);
+    part_planner planner;
+    planner.setStores(stores);
+    auto noEngines = [](const std::string&) { return std::optional<part_source>(); };
+    std::map<std::string, int> saves;
+    constexpr int count = 4'000;
+    for (int number = 0; number < count; ++number) {
+        const std::vector<prompt_part> prompt { { "c" + std::to_string(number), 650 }, { "own", 50 } };
+        auto plan = isAdaptive
+            ? planner.planAdaptively(prompt, "w1", engine, directory, noEngines, later)
+            : planner.plan(prompt, "w1", { "engine", "a", 0 }, directory, noEngines, 48, later);
+        ++saves[plan.saveTo[0]];
+    }
+    double most = 0;
+    for (const auto& service : stores) {
+        double carried = 13 * 690'000.0 + 15 * 430'000.0;
+        double share = static_cast<double>(saves[service.store->address]) / count;
+        if (service.store->linkMegabitsPerSecond <= 0)
+            continue;
+        most = std::max(most, share * carried / service.store->linkMegabitsPerSecond);
+    }
+    return most;
+}
+
+} // namespace
+
+// By room alone, the stores with the slowest links get the most parts and are fetched from most.
+TEST_CASE("Adaptive plans save more parts where links carry more", "[kv_links]")
+{
+    CHECK(largestSaveShare(true, 690'000) < largestSaveShare(false, 690'000));
+}
+
+TEST_CASE("Adaptive plans save by room alone if the rate of a link is unknown", "[kv_links]")
+{
+    CHECK(largestSaveShare(true, 0) == largestSaveShare(false, 0));
+}
