--- a/packages/core/include/plumfold/core/plumfold_target_selector.hpp
+++ b/packages/core/include/plumfold/core/plumfold_target_selector.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "plumfold/core/placement/plumfold_engine_speed_model.hpp"
 #include "plumfold/core/plumfold_brittle_limiter.hpp"
 #include "plumfold/core/plumfold_deployment.hpp"
 #include "plumfold/core/plumfold_event_history.hpp"
@@ -41,6 +42,7 @@
     std::uint64_t sharedTokens = 0; ///< Prompt tokens shared with other requests of the conversation.
     std::uint64_t outputTokens = 0; ///< Expected length of the output.
     std::optional<std::string> storedIn; ///< Failure domain of a store with the shared part.
+    std::optional<shared_parts_cost> sharedCost; ///< Instead of the latency model's rates; nothing: unknown.
     std::vector<std::string> holders; ///< Addresses of targets that hold the shared part.
     std::set<std::string> excluded; ///< Targets that were already tried.
     bool isWarmOnly = false; ///< Excludes cold targets.
@@ -76,6 +78,9 @@
     bool isCold = false; ///< The request may be sent only after its start was granted.
     bool isRateLimited = false; ///< The request may be sent only after its start was granted.
     rollout_assignment rollout {};
+    std::uint32_t running = 0; ///< Requests on the target as last reported; 0 without a report.
+    std::uint32_t waiting = 0; ///< Requests that waited there as last reported.
+    std::uint32_t slots = 0; ///< Requests that the target runs at the same time.
     bool operator==(const placement&) const = default;
 };
 
@@ -260,6 +265,18 @@
     /// empty if there is none.
     std::string currentWeightVersion(const std::string& model) const;
 
+    /// Lets predictions follow what first events show; without it, they use the latency model alone.
+    void enableSpeedModel()
+    {
+        m_speed.emplace(engine_speed { m_options.latencyModel.prefillTokensPerMs,
+            m_options.latencyModel.runningRequestMs, m_options.latencyModel.waitingRequestMs });
+    }
+    /// Records a first event; ignored unless the speed model is enabled.
+    /// @return whether its figures are possible.
+    bool recordFirstEvent(const engine_observation& observation, instant now);
+    /// @return the latency model with the figures learned for a service.
+    const engine_latency_model& latencyOf(const std::string& service) const;
+
     const engine_latency_model& latencyModel() const { return m_options.latencyModel; }
 
     /// @param address ip:port
@@ -292,6 +309,9 @@
 
     std::size_t size() const { return m_targets.size(); }
 
+    /// @return the number of targets of a service.
+    std::size_t targetsOf(const std::string& service) const;
+
 private:
     struct tracked_target {
         target_announcement last;
@@ -360,6 +380,8 @@
     target_demands m_demands;
     rollout_cohorts m_cohorts;
     std::vector<version_hold> m_versionHolds; // not taken yet
+    std::map<std::string, engine_latency_model> m_learnedLatency; // by service
+    std::optional<engine_speed_model> m_speed; // if predictions follow what first events show
 };
 
 } // namespace plumfold::core
--- a/packages/core/src/rollout/plumfold_rollout_recorder.cpp
+++ b/packages/core/src/rollout/plumfold_rollout_recorder.cpp
@@ -23,8 +23,8 @@
 
 std::size_t encodedBytes(const rollout_report& report)
 {
-    // Cap'n Proto: the report itself takes words of 8 bytes, texts end with a zero. Its rows are packed: a word
-    // takes a byte and those of its bytes that are not 0, a run of zero words two bytes.
+    // Cap'n Proto: the report itself takes words of 8 bytes, texts end with a zero. Its rows are packed: a
+    // word takes a byte and those of its bytes that are not 0, a run of zero words two bytes.
     constexpr std::size_t word = 8;
     constexpr std::size_t fixedWords = 12;
     constexpr std::size_t packedFrame = 16; // segment table, root and list of rows
--- a/packages/forwarding/src/plumfold_forwarding_state.hpp
+++ b/packages/forwarding/src/plumfold_forwarding_state.hpp
@@ -54,6 +54,8 @@
     core::admission admission {};
     core::part_directory parts {};
     core::part_planner partPlanner {};
+    std::map<std::string, std::size_t> engineCounts {}; ///< By service.
+    std::set<std::string> impossibleLoads {}; ///< Services whose engines' figures were logged.
     core::link_health link {}; ///< To all targets.
     core::relay_helpers helpers { settings.process.failureDomain };
     entry_rollouts rollouts { settings, metrics, targetSelector, reportRollouts };
--- a/tests/runtime/plumfold_settings_number_tests.cpp
+++ b/tests/runtime/plumfold_settings_number_tests.cpp
@@ -88,13 +88,22 @@
     return text.str();
 }
 
-/// Renders a settings template as the platform does: values, and sections over lists and tables.
+json::json_pointer pointerTo(const std::string& name)
+{
+    return json::json_pointer("/" + std::regex_replace(name, std::regex("\\."), "/"));
+}
+
+/// Renders a settings template as the platform does: values, and sections over lists, tables and single
+/// values. A section of a value that is missing is left out.
 std::string rendered(std::string text, const json& values)
 {
-    const std::regex section("\\{\\{#([\\w-]+)\\}\\}(.*?)\\{\\{/\\1\\}\\}");
+    const std::regex section("\\{\\{#([\\w.-]+)\\}\\}([^]*?)\\{\\{/\\1\\}\\}");
     for (std::smatch match; std::regex_search(text, match, section);) {
         std::string all;
-        const auto& list = values.at(match[1].str());
+        auto pointer = pointerTo(match[1]);
+        auto list = values.contains(pointer) ? values.at(pointer) : json::array();
+        if (!list.is_structured())
+            list = json::array({ list });
         std::size_t index = 0;
         for (const auto& [key, value] : list.items()) {
             std::string each = match[2];
@@ -108,8 +117,7 @@
     }
     const std::regex place("\\{\\{([\\w.-]+)\\}\\}");
     for (std::smatch match; std::regex_search(text, match, place);) {
-        auto pointer = "/" + std::regex_replace(match[1].str(), std::regex("\\."), "/");
-        const auto& value = values.at(json::json_pointer(pointer));
+        const auto& value = values.at(pointerTo(match[1]));
         text = match.prefix().str() + (value.is_string() ? value.get<std::string>() : value.dump())
             + match.suffix().str();
     }
@@ -140,7 +148,7 @@
     "[settings][property]")
 {
     auto all = numericSettings();
-    REQUIRE(all.size() == 30); // those of the settings reference
+    REQUIRE(all.size() == 32); // those of the settings reference
     rc::prop("any number in any setting", [&] {
         auto setting = *rc::gen::elementOf(all);
         auto literal = *numberLiteral();
@@ -214,6 +222,21 @@
     CHECK(entry->forwarding->retryWindowMs == 2500);
 }
 
+// Guards against rollouts that are served, or not served, against what the deployment says.
+TEST_CASE("The deployment's templates turn rollouts on only with the figures that bound them", "[settings]")
+{
+    auto values = sheet();
+    CHECK(parsedTemplate("control.settings", values)->control->rolloutExposureShare == 0);
+    CHECK_FALSE(parsedTemplate("entry.settings", values)->forwarding->rollouts);
+    values["bounds"]["exposure-share"] = "0.125";
+    values["bounds"]["exposure-slack"] = "4e1";
+    auto control = parsedTemplate("control.settings", values);
+    REQUIRE(control.ok());
+    CHECK(control->control->rolloutExposureShare == 0.125);
+    CHECK(control->control->rolloutExposureSlack == 40);
+    CHECK(parsedTemplate("entry.settings", values)->forwarding->rollouts);
+}
+
 TEST_CASE("A figure that the deployment's sheet lacks is reported with its key", "[settings]")
 {
     auto key = GENERATE("retry-budget-extra", "grace-period-s", "cold-slack", "lease-ms");
