Test the commands for rollouts against control VMs

Purpose: exit codes and output of "plumfold rollout start" and "show" are part of the interface for scripts.

--- a/tests/forwarding/plumfold_rollout_order_tests.cpp
+++ b/tests/forwarding/plumfold_rollout_order_tests.cpp
@@ -51,6 +51,21 @@
         return status;
     }
 
+    /// Runs `plumfold rollout` with arguments.
+    /// @return its exit code and output; -1 if it did not end in time.
+    std::pair<int, std::string> runCommand(const std::vector<std::string>& arguments)
+    {
+        std::vector<std::string> command { PLUMFOLD_CLI, "rollout", "--platform",
+            address(11, platformPort) + ',' + address(12, platformPort) };
+        command.insert(command.end(), arguments.begin(), arguments.end());
+        auto name = "command" + std::to_string(++m_commands);
+        auto file = folder() / (name + ".out");
+        test_process run(command, file.string());
+        if (!eventually([&] { return !run.isRunning(); }))
+            return { -1, {} };
+        return { run.stop(), logOf(name) };
+    }
+
     /// @return the version of the latest rollout, as soon as a quorum confirms it.
     std::string latestVersion(int control)
     {
@@ -62,6 +77,9 @@
         return response.first == 200 ? nlohmann::json::parse(response.second).at("to").get<std::string>()
                                      : "";
     }
+
+private:
+    int m_commands = 0;
 };
 
 } // namespace
@@ -166,6 +184,30 @@
     CHECK(latestVersion(1) == "v3");
 }
 
+TEST_CASE_METHOD(
+    rollout_order_system, "The command line orders a rollout and shows it", "[forwarding][rollout]")
+{
+    REQUIRE(putDeployment(1, deployment(3)));
+    CHECK(runCommand({ "show", "shop" }).first == 3);
+    auto [code, output] = runCommand({ "start", "shop", "v2", "--duration", "1.5min" });
+    CHECK(code == 0);
+    CHECK(output == "duration_ms=90000 service=shop version=v2\n");
+    CHECK(runCommand({ "start", "shop", "v2", "--duration", "12s" }).first == 0);
+    CHECK(runCommand({ "start", "shop", "v3", "--duration", "12s" }).first == 4);
+    CHECK(runCommand({ "start", "other", "v2", "--duration", "12s" }).first == 3);
+    CHECK(runCommand({ "start", "shop", "v2", "--duration", "12 years" }).first == 3);
+    auto shown = runCommand({ "show", "shop", "--output", "json" });
+    REQUIRE(shown.first == 0);
+    auto rollout = nlohmann::json::parse(shown.second);
+    CHECK(rollout.at("state") == "running");
+    CHECK(rollout.at("version") == "v2");
+    CHECK(rollout.at("duration_ms") == 90'000);
+    CHECK(rollout.at("stage") == "preparing");
+    for (const char* name : { "c1", "c2", "c3" })
+        process(name).kill();
+    CHECK(runCommand({ "show", "shop" }).first == 5);
+}
+
 // Guards against a feature that is on without its settings.
 TEST_CASE_METHOD(forwarding_system,
     "Without the setting of the exposure the calls about rollouts do not exist", "[forwarding][rollout]")
--- a/tests/forwarding/support/plumfold_forwarding_system.hpp
+++ b/tests/forwarding/support/plumfold_forwarding_system.hpp
@@ -109,6 +109,8 @@
     test_process& process(const std::string& name) { return m_processes.at(name); }
     void rewriteSeeds(const std::string& name, const std::vector<int>& controls);
     std::string logOf(const std::string& name) const;
+    /// @return the folder that holds the data folders and the logs, each named after its process.
+    const std::filesystem::path& folder() const { return m_folder; }
     /// @return the bytes of the files in the data folder of a process.
     std::size_t folderBytes(const std::string& name) const;
     void removeFolder(const std::string& name) { std::filesystem::remove_all(m_folder / name); }
