Script software versions for the tests of whole rollouts

Purpose: the process tests of docs/design/rollouts.md need targets of two versions, of which the next one is good or bad: a portion of failures, several times slower, from a time on, above a rate, or on one path only.

Targets may now start while others announce themselves: the map of targets has a mutex, and a target gets its behaviour before it is announced.

--- a/tests/forwarding/support/plumfold_forwarding_system.cpp
+++ b/tests/forwarding/support/plumfold_forwarding_system.cpp
@@ -229,13 +229,21 @@
 }
 
 scripted_target& forwarding_system::startTarget(const std::string& name, const std::string& service,
-    std::chrono::milliseconds coldFor, const std::string& version)
+    std::chrono::milliseconds coldFor, const std::string& version,
+    const std::function<void(scripted_target&)>& prepare)
 {
     auto host = firstTargetHost + static_cast<int>(m_targets.size());
-    m_targets[name] = { std::make_unique<scripted_target>(name, address(host, 8080), version), service,
+    announced_target started { std::make_unique<scripted_target>(name, address(host, 8080), version), service,
         std::chrono::steady_clock::now() + coldFor };
+    auto& server = *started.server;
+    if (prepare)
+        prepare(server);
+    {
+        std::lock_guard lock(m_targetsMutex);
+        m_targets[name] = std::move(started);
+    }
     announce(name);
-    return *m_targets[name].server;
+    return server;
 }
 
 std::pair<int, std::string> forwarding_system::call(
@@ -259,7 +267,10 @@
 
 void forwarding_system::announce(const std::string& target, const std::string& state)
 {
-    const auto& announced = m_targets.at(target);
+    const auto& announced = [&]() -> const announced_target& {
+        std::lock_guard lock(m_targetsMutex);
+        return m_targets.at(target);
+    }();
     auto coldFor = std::chrono::duration_cast<std::chrono::milliseconds>(
         announced.coldUntil - std::chrono::steady_clock::now());
     json body { { "service", announced.service }, { "address", announced.server->address() },
@@ -279,10 +290,16 @@
 {
     m_announcer = std::thread([this, interval] {
         while (!m_stopping) {
-            for (const auto& [name, target] : m_targets) {
-                if (!target.server->isSilent())
-                    announce(name);
+            std::vector<std::string> names;
+            {
+                std::lock_guard lock(m_targetsMutex);
+                for (const auto& [name, target] : m_targets) {
+                    if (!target.server->isSilent() && !target.server->hasCrashed())
+                        names.push_back(name);
+                }
             }
+            for (const auto& name : names)
+                announce(name);
             std::this_thread::sleep_for(interval);
         }
     });
--- a/tests/forwarding/support/plumfold_forwarding_system.hpp
+++ b/tests/forwarding/support/plumfold_forwarding_system.hpp
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <thread>
@@ -76,8 +77,10 @@
     void blockOutput(const std::string& name);
     /// @param coldFor how long the target announces itself as cold.
     /// @param version software version that it announces.
+    /// @param prepare called before the target announces itself.
     scripted_target& startTarget(const std::string& name, const std::string& service = "shop",
-        std::chrono::milliseconds coldFor = {}, const std::string& version = "v1");
+        std::chrono::milliseconds coldFor = {}, const std::string& version = "v1",
+        const std::function<void(scripted_target&)>& prepare = {});
 
     /// Calls the platform interface of a control VM.
     /// @return HTTP status and body; status 0 when there was no response.
@@ -140,10 +143,11 @@
         std::string service;
         std::chrono::steady_clock::time_point coldUntil {};
     };
+    mutable std::mutex m_targetsMutex; // of the map, as targets may start while others announce themselves
     std::map<std::string, announced_target> m_targets;
     std::map<std::string, test_process> m_processes;
     std::vector<int> m_pipes;
-    std::uint64_t m_sequence = 0;
+    std::atomic<std::uint64_t> m_sequence { 0 };
     std::atomic<std::uint64_t> m_targetStart { 1000 };
     std::atomic<bool> m_stopping { false };
     std::thread m_announcer;
--- a/tests/forwarding/support/plumfold_scripted_target.cpp
+++ b/tests/forwarding/support/plumfold_scripted_target.cpp
@@ -18,6 +18,28 @@
 constexpr std::chrono::milliseconds timeUntilListenerCloses { 15 };
 constexpr std::chrono::milliseconds silencePollInterval { 2 };
 constexpr int listenerQueue = 64;
+constexpr const char* streamPath = "/words/"; // of the streaming route that may be taken up
+
+/// Counts a request as running as long as it exists.
+class running_count {
+public:
+    explicit running_count(std::atomic<int>* count)
+        : m_count(count)
+    {
+        if (m_count)
+            ++*m_count;
+    }
+    ~running_count()
+    {
+        if (m_count)
+            --*m_count;
+    }
+    running_count(const running_count&) = delete;
+    running_count& operator=(const running_count&) = delete;
+
+private:
+    std::atomic<int>* m_count;
+};
 
 } // namespace
 
@@ -269,6 +291,11 @@
                 serveWithRoom(current);
                 continue;
             }
+            running_count running(isControlCall ? nullptr : &m_running);
+            if (m_versionBehaviour && !isControlCall && !path.starts_with(streamPath)) {
+                serveAsVersion(current);
+                continue;
+            }
             auto found
                 = behaviours.find(isControlCall ? m_controlBehaviour : path.substr(path.rfind('/') + 1));
             (this->*(found == behaviours.end() ? &scripted_target::respondComplete : found->second))(current);
--- a/tests/forwarding/support/plumfold_scripted_target.hpp
+++ b/tests/forwarding/support/plumfold_scripted_target.hpp
@@ -2,6 +2,7 @@
 
 #include "plumfold_link_cuts.hpp"
 #include "plumfold_scripted_room.hpp"
+#include "plumfold_scripted_version.hpp"
 
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocket.h>
@@ -109,6 +110,18 @@
     /// @return null unless setRoom() was called.
     scripted_room* room() { return m_room.get(); }
 
+    /// Lets the target serve callers' requests but streams (paths below /words/) as its software version
+    /// does. Call it before the target serves requests.
+    void setVersionBehaviour(scripted_version behaviour)
+    {
+        m_versionBehaviour = std::make_unique<scripted_version_run>(behaviour, m_name);
+    }
+    /// @return null unless setVersionBehaviour() was called.
+    const scripted_version_run* versionBehaviour() const { return m_versionBehaviour.get(); }
+
+    /// @return number of callers' requests that the target runs now.
+    int runningRequests() const { return m_running; }
+
     /// Lets the target crash while it runs a request for which the condition holds. Call it before the target
     /// serves requests.
     void setCrashCondition(std::function<bool(const recorded_request&)> condition)
@@ -153,6 +166,7 @@
     /// @return whether the request was rejected because of the target's weights.
     bool rejectForWeights(exchange& current);
     void serveWithRoom(exchange& current);
+    void serveAsVersion(exchange& current);
     /// @return whether the request runs; false if its connection was closed while it waited.
     bool waitForStart(exchange& current);
     void respondReport(exchange& current);
@@ -220,6 +234,8 @@
     std::optional<scripted_weights> m_weights;
     std::atomic<std::chrono::milliseconds> m_queueTime { std::chrono::milliseconds(0) };
     std::unique_ptr<scripted_room> m_room;
+    std::unique_ptr<scripted_version_run> m_versionBehaviour;
+    std::atomic<int> m_running { 0 };
     std::atomic<int> m_abandoned { 0 };
     std::atomic<bool> m_stopping { false };
     std::atomic<bool> m_crashed { false };
