--- a/packages/core/include/plumfold/core/rollout/plumfold_rollout_record.hpp
+++ b/packages/core/include/plumfold/core/rollout/plumfold_rollout_record.hpp
@@ -39,6 +39,9 @@
     std::string version; ///< The next software version.
     /// Software versions that the service's targets had when the rollout was ordered; without the next one.
     std::set<std::string> formerVersions;
+    /// Software versions that earlier rollouts of the service have ended the use of. Their targets may still
+    /// run, and get no requests.
+    std::set<std::string> endedVersions;
     std::uint64_t durationMs = 0; ///< From the order to the deadline.
     unix_milliseconds orderedAt = 0; ///< Time of the command, for operators; decisions don't use it.
     rollout_state state = rollout_state::running;
--- a/packages/core/src/rollout/plumfold_rollout_cohorts.cpp
+++ b/packages/core/src/rollout/plumfold_rollout_cohorts.cpp
@@ -92,8 +92,11 @@
 bool rollout_cohorts::isGoverned(const std::string& service, const std::string& version) const
 {
     auto found = m_rollouts.find(service);
-    return found != m_rollouts.end()
-        && (version == found->second.version || found->second.formerVersions.contains(version));
+    if (found == m_rollouts.end())
+        return false;
+    const auto& rollout = found->second;
+    return version == rollout.version || rollout.formerVersions.contains(version)
+        || rollout.endedVersions.contains(version);
 }
 
 std::vector<version_hold> rollout_cohorts::onPlanConfirmed(instant at)
@@ -185,6 +188,8 @@
     auto found = m_rollouts.find(target.service);
     if (found != m_rollouts.end()) {
         const auto& rollout = found->second;
+        if (rollout.endedVersions.contains(target.softwareVersion))
+            return rollout_role::barred;
         bool isNextVersion = target.softwareVersion == rollout.version;
         bool isFormerVersion = rollout.formerVersions.contains(target.softwareVersion);
         if (rollout.state == rollout_state::running && (isNextVersion || isFormerVersion))
--- a/packages/core/src/rollout/plumfold_rollout_record.cpp
+++ b/packages/core/src/rollout/plumfold_rollout_record.cpp
@@ -2,6 +2,21 @@
 
 namespace plumfold::core {
 
+namespace {
+
+/// @return the software versions that must not be used once a rollout has ended.
+std::set<std::string> endedVersionsOf(const rollout_record& ended)
+{
+    auto versions = ended.endedVersions;
+    if (ended.state == rollout_state::completed)
+        versions.insert(ended.formerVersions.begin(), ended.formerVersions.end());
+    else
+        versions.insert(ended.version);
+    return versions;
+}
+
+} // namespace
+
 rollout_result beginRollout(std::optional<rollout_record>& latest, const begin_rollout_command& command,
     unix_milliseconds at, std::uint64_t logIndex)
 {
@@ -19,7 +34,12 @@
     next.id = logIndex;
     next.version = command.version;
     next.formerVersions = command.formerVersions;
+    if (latest)
+        next.endedVersions = endedVersionsOf(*latest);
+    next.endedVersions.erase(command.version);
     next.formerVersions.erase(command.version);
+    std::erase_if(
+        next.formerVersions, [&](const auto& version) { return next.endedVersions.contains(version); });
     next.durationMs = command.durationMs;
     next.orderedAt = at;
     latest = std::move(next);
--- a/packages/wire/schema/plumfold.capnp
+++ b/packages/wire/schema/plumfold.capnp
@@ -153,6 +153,7 @@
   orderedAt @5 :UInt64;
   sequence @6 :UInt64;
   decision @7 :RolloutDecision;
+  endedVersions @8 :List(Text);
 }
 struct BeginRollout {
   service @0 :Text;
--- a/packages/wire/src/plumfold_convert_rollouts.cpp
+++ b/packages/wire/src/plumfold_convert_rollouts.cpp
@@ -100,6 +100,7 @@
     out.setId(value.id);
     out.setVersion(value.version);
     writeTexts(out.initFormerVersions(value.formerVersions.size()), listOf(value.formerVersions));
+    writeTexts(out.initEndedVersions(value.endedVersions.size()), listOf(value.endedVersions));
     out.setDurationMs(value.durationMs);
     out.setOrderedAt(value.orderedAt);
     out.setSequence(value.sequence);
@@ -112,6 +113,7 @@
     value.id = in.getId();
     value.version = text(in.getVersion());
     value.formerVersions = readTextSet(in.getFormerVersions());
+    value.endedVersions = readTextSet(in.getEndedVersions());
     value.durationMs = in.getDurationMs();
     value.orderedAt = in.getOrderedAt();
     value.sequence = in.getSequence();
--- a/tests/control/plumfold_rollout_wire_tests.cpp
+++ b/tests/control/plumfold_rollout_wire_tests.cpp
@@ -33,6 +33,7 @@
     value.id = *rc::gen::arbitrary<std::uint64_t>();
     value.version = *rc::gen::arbitrary<std::string>();
     value.formerVersions = *rc::gen::arbitrary<std::set<std::string>>();
+    value.endedVersions = *rc::gen::arbitrary<std::set<std::string>>();
     value.durationMs = *rc::gen::arbitrary<std::uint64_t>();
     value.orderedAt = *rc::gen::arbitrary<std::uint64_t>();
     return value;
--- a/tests/core/plumfold_rollout_cohorts_tests.cpp
+++ b/tests/core/plumfold_rollout_cohorts_tests.cpp
@@ -320,6 +320,20 @@
     CHECK(cohortOf(selector.rolloutStanding("n0-0")) == rollout_cohort::next);
 }
 
+// Guards against requests to a version that an earlier rollout has rolled back.
+TEST_CASE("A version that an earlier rollout has ended gets no requests", "[rollout]")
+{
+    auto state = GENERATE(rollout_state::running, rollout_state::completed, rollout_state::rolled_back);
+    rollout_cohorts cohorts(false);
+    auto rollout = rolloutOf(500, state);
+    rollout.endedVersions = { "v0" };
+    cohorts.setRollouts({ { service, rollout } });
+    auto target = targetOf("e1", "v0");
+    rollout_standing standing;
+    cohorts.assign({ { &target, false, &standing } });
+    CHECK(standing.role == rollout_role::barred);
+}
+
 // Guards against a third version that is locked out by a rollout that does not name it.
 TEST_CASE("A version that a rollout does not name is used like the former one", "[rollout]")
 {
--- a/tests/core/plumfold_rollout_record_tests.cpp
+++ b/tests/core/plumfold_rollout_record_tests.cpp
@@ -228,3 +228,22 @@
     CHECK_FALSE(latestOf(state));
     CHECK(state.deployment().revision == 0);
 }
+
+// Guards against a bad version that gets requests as a former one of the next rollout, while its targets
+// still run.
+TEST_CASE("A version that was rolled back or replaced is not used by later rollouts", "[rollout]")
+{
+    control_state state;
+    apply(state, beginAt(start, "v2"), 1);
+    apply(state, decideAt(start + 1'000, 1, 0, rollout_state::rolled_back), 2);
+    command next { start + 2'000, begin_rollout_command { service, "v3", { "v1", "v2" }, 12'000, 1 } };
+    REQUIRE(apply(state, next, 3).outcome == rollout_outcome::begun);
+    CHECK(latestOf(state)->formerVersions == std::set<std::string> { "v1" });
+    CHECK(latestOf(state)->endedVersions == std::set<std::string> { "v2" });
+
+    apply(state, decideAt(start + 3'000, 3, 0, rollout_state::completed), 4);
+    command again { start + 60'000, begin_rollout_command { service, "v2", { "v1", "v3" }, 12'000, 3 } };
+    REQUIRE(apply(state, again, 5).outcome == rollout_outcome::begun);
+    CHECK(latestOf(state)->formerVersions == std::set<std::string> { "v3" });
+    CHECK(latestOf(state)->endedVersions == std::set<std::string> { "v1" });
+}
--- a/tests/forwarding/plumfold_rollout_entry_tests.cpp
+++ b/tests/forwarding/plumfold_rollout_entry_tests.cpp
@@ -1,4 +1,4 @@
-#include "support/plumfold_rollout_system.hpp"
+#include "support/plumfold_decided_rollout_system.hpp"
 
 #include "plumfold/core/rollout/plumfold_rollout_recorder.hpp"
 #include "plumfold/wire/plumfold_convert.hpp"
@@ -29,7 +29,7 @@
 // its share is raised.
 TEST_CASE("Entries send the share of a rollout to the next version", "[forwarding][rollout]")
 {
-    rollout_system system(false);
+    decided_rollout_system system(false);
     system.begin();
     system.startNext();
     system.startAnnouncing();
@@ -55,7 +55,7 @@
 TEST_CASE("A request that fails at a next target is retried at a former one if it may be repeated",
     "[forwarding][rollout]")
 {
-    rollout_system system;
+    decided_rollout_system system;
     system.startAnnouncing();
     system.begin();
     system.decide(650);
@@ -71,7 +71,7 @@
 // Guards against requests that wait at a version that was rolled back until they time out.
 TEST_CASE("Requests that wait at a version that is rolled back are sent elsewhere", "[forwarding][rollout]")
 {
-    rollout_system system;
+    decided_rollout_system system;
     system.startAnnouncing();
     system.begin();
     system.decide(999);
@@ -82,7 +82,8 @@
     auto slowest = milliseconds(0);
     for (int number = 0; number < 10; ++number) {
         callers.emplace_back([&, number] {
-            auto status = system.request(1 + number % rollout_system::entries, "/stock/v2-never").status;
+            auto status
+                = system.request(1 + number % decided_rollout_system::entries, "/stock/v2-never").status;
             auto took = std::chrono::steady_clock::now() - sentAt;
             std::lock_guard lock(mutex);
             served += status == 200;
@@ -105,7 +106,7 @@
 TEST_CASE("A request that may run once is not sent elsewhere when its version is rolled back",
     "[forwarding][rollout]")
 {
-    rollout_system system;
+    decided_rollout_system system;
     system.startAnnouncing();
     system.begin();
     system.decide(999);
@@ -122,7 +123,7 @@
 TEST_CASE("An entry without a control VM in touch with the quorum uses the former version only",
     "[forwarding][rollout]")
 {
-    rollout_system system;
+    decided_rollout_system system;
     system.startAnnouncing();
     system.begin();
     system.decide(650);
@@ -146,7 +147,7 @@
 TEST_CASE(
     "An entry that was suspended over the rollback does not use the next version", "[forwarding][rollout]")
 {
-    rollout_system system;
+    decided_rollout_system system;
     system.startAnnouncing();
     system.begin();
     system.decide(999);
@@ -168,7 +169,7 @@
 TEST_CASE("A stream is taken up at the version that began it unless that may no longer be used",
     "[forwarding][rollout]")
 {
-    rollout_system system;
+    decided_rollout_system system;
     system.startAnnouncing();
     system.begin();
     system.decide(999);
@@ -195,7 +196,7 @@
 // Guards against use of a version before the order for it has arrived, and against one that stays unused.
 TEST_CASE("A version that joins without an order is used after a second", "[forwarding][rollout]")
 {
-    rollout_system system(false);
+    decided_rollout_system system(false);
     system.startNext();
     auto joinedAt = std::chrono::steady_clock::now();
     system.startAnnouncing();
@@ -228,7 +229,7 @@
 // Guards against a service that is not served since its only version is new.
 TEST_CASE("A service whose only version is new is served at once", "[forwarding][rollout]")
 {
-    rollout_system system(false);
+    decided_rollout_system system(false);
     system.announce("a1", "leaving");
     system.announce("a2", "leaving");
     system.startNext();
--- a/tests/forwarding/support/plumfold_rollout_system.cpp
+++ b/tests/forwarding/support/plumfold_decided_rollout_system.cpp
@@ -1,4 +1,4 @@
-#include "plumfold_rollout_system.hpp"
+#include "plumfold_decided_rollout_system.hpp"
 
 #include "plumfold/wire/plumfold_convert.hpp"
 #include "plumfold/wire/plumfold_entry_session.hpp"
@@ -39,7 +39,7 @@
 
 } // namespace
 
-rollout_system::rollout_system(bool hasNext)
+decided_rollout_system::decided_rollout_system(bool hasNext)
 {
     enableRollouts();
     for (int number = 1; number <= controls; ++number)
@@ -55,19 +55,19 @@
         waitForTarget(number);
 }
 
-scripted_target& rollout_system::start(const std::string& name, const std::string& version)
+scripted_target& decided_rollout_system::start(const std::string& name, const std::string& version)
 {
     m_started.push_back(&startTarget(name, "shop", {}, version));
     return *m_started.back();
 }
 
-void rollout_system::startNext()
+void decided_rollout_system::startNext()
 {
     for (const char* name : { "b1", "b2" })
         start(name, "v2");
 }
 
-core::rollout_result rollout_system::submit(const core::command& command)
+core::rollout_result decided_rollout_system::submit(const core::command& command)
 {
     wire::rpc_thread rpc;
     std::optional<core::rollout_result> result;
@@ -81,14 +81,14 @@
     return *result;
 }
 
-void rollout_system::begin()
+void decided_rollout_system::begin()
 {
     m_rollout = submit({ 0, core::begin_rollout_command { "shop", "v2", { "v1" }, 60'000, 0 } });
     for (int number = 1; number <= entries; ++number)
         eventually([&] { return logged(number, "rollout_in_force") > 0; });
 }
 
-void rollout_system::decide(std::uint32_t share, core::rollout_state state, bool waits)
+void decided_rollout_system::decide(std::uint32_t share, core::rollout_state state, bool waits)
 {
     core::decide_rollout_command decision;
     decision.service = "shop";
@@ -105,7 +105,7 @@
         eventually([&] { return logged(number, text) > 0 && logged(number, sequence) > 0; });
 }
 
-std::map<int, int> rollout_system::send(int count, const std::string& path)
+std::map<int, int> decided_rollout_system::send(int count, const std::string& path)
 {
     std::map<int, int> statuses;
     for (int number = 0; number < count; ++number)
@@ -113,7 +113,7 @@
     return statuses;
 }
 
-std::vector<std::string> rollout_system::idsAt(const std::string& version) const
+std::vector<std::string> decided_rollout_system::idsAt(const std::string& version) const
 {
     std::vector<std::string> ids;
     for (const auto* target : m_started) {
@@ -126,12 +126,12 @@
     return ids;
 }
 
-std::size_t rollout_system::requestsTo(const std::string& version) const
+std::size_t decided_rollout_system::requestsTo(const std::string& version) const
 {
     return idsAt(version).size();
 }
 
-std::size_t rollout_system::logged(int entry, const std::string& text) const
+std::size_t decided_rollout_system::logged(int entry, const std::string& text) const
 {
     auto log = logOf("n" + std::to_string(entry));
     std::size_t count = 0;
--- a/tests/forwarding/support/plumfold_forwarding_system.hpp
+++ b/tests/forwarding/support/plumfold_forwarding_system.hpp
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <thread>
@@ -85,8 +86,10 @@
     void blockOutput(const std::string& name);
     /// @param coldFor how long the target announces itself as cold.
     /// @param version software version that it announces.
+    /// @param prepare called before the target announces itself.
     scripted_target& startTarget(const std::string& name, const std::string& service = "shop",
-        std::chrono::milliseconds coldFor = {}, const std::string& version = "v1");
+        std::chrono::milliseconds coldFor = {}, const std::string& version = "v1",
+        const std::function<void(scripted_target&)>& prepare = {});
 
     /// Calls the platform interface of a control VM.
     /// @return HTTP status and body; status 0 when there was no response.
@@ -120,6 +123,8 @@
     std::string logOf(const std::string& name) const;
     /// @return the size of a file in the data folder of a process, in bytes; 0 if there is none.
     std::size_t fileBytes(const std::string& name, const std::string& file) const;
+    /// @return the folder that holds the data folders and the logs, each named after its process.
+    const std::filesystem::path& folder() const { return m_folder; }
     /// @return the bytes of the files in the data folder of a process.
     std::size_t folderBytes(const std::string& name) const;
     void removeFolder(const std::string& name) { std::filesystem::remove_all(m_folder / name); }
@@ -151,10 +156,11 @@
         std::string service;
         std::chrono::steady_clock::time_point coldUntil {};
     };
+    mutable std::mutex m_targetsMutex; // of the map, as targets may start while others announce themselves
     std::map<std::string, announced_target> m_targets;
     std::map<std::string, test_process> m_processes;
     std::vector<int> m_pipes;
-    std::uint64_t m_sequence = 0;
+    std::atomic<std::uint64_t> m_sequence { 0 };
     std::atomic<std::uint64_t> m_targetStart { 1000 };
     std::atomic<bool> m_stopping { false };
     std::thread m_announcer;
