--- a/packages/wire/src/plumfold_convert_rollouts.cpp
+++ b/packages/wire/src/plumfold_convert_rollouts.cpp
@@ -133,7 +133,9 @@
     out.setNextRequests(value.nextRequests);
     out.setFormerInFlight(value.formerInFlight);
     capnp::MallocMessageBuilder message;
-    writeList(message.initRoot<RolloutRows>().initRows(value.rows.size()), value.rows);
+    auto rows = message.initRoot<RolloutRows>().initRows(value.rows.size());
+    for (unsigned index = 0; index < value.rows.size(); ++index)
+        write(rows[index], value.rows[index]);
     kj::VectorOutputStream packed;
     capnp::writePackedMessage(packed, message);
     out.setRows(packed.getArray());
@@ -153,7 +155,8 @@
     value.formerInFlight = in.getFormerInFlight();
     kj::ArrayInputStream packed(in.getRows());
     capnp::PackedMessageReader message(packed);
-    value.rows = readList(message.getRoot<RolloutRows>().getRows());
+    for (auto each : message.getRoot<RolloutRows>().getRows())
+        value.rows.push_back(read(each));
     return value;
 }
 
