Complete rollouts only by recent reports, and count all requests

Found by review, by reading: - A rollout could be completed by the old report of an entry that was cut off since and had gone back to former targets. Reports count for 1.2 s. - An entry that was replaced held the rollout up until shortly before its deadline.

--- a/packages/core/include/plumfold/core/rollout/plumfold_rollout_evidence.hpp
+++ b/packages/core/include/plumfold/core/rollout/plumfold_rollout_evidence.hpp
@@ -49,9 +49,9 @@
     /// @return the answers by window, oldest first; without the window that has not ended.
     const std::deque<strata>& windows() const { return m_windows; }
 
-    /// @return the newest report of the current process of each entry, by entry. The current process is the
-    /// one that reported last.
-    std::vector<rollout_report> currentReports() const;
+    /// @return the newest report of the current process of each entry, by entry; valid until the next change.
+    /// The current process is the one that reported last.
+    std::vector<const rollout_report*> currentReports() const;
 
 private:
     using process = std::pair<std::string, std::uint64_t>; // entry and incarnation
--- a/packages/core/include/plumfold/core/rollout/plumfold_rollout_planner.hpp
+++ b/packages/core/include/plumfold/core/rollout/plumfold_rollout_planner.hpp
@@ -14,11 +14,16 @@
     milliseconds elapsed { 0 }; ///< Since the order.
     milliseconds sinceDecision { 0 }; ///< Since the share in force was decided, as far as known.
     rollout_totals totals; ///< Requests as reported by the entries.
+    std::uint64_t nextSinceShare = 0; ///< Requests to the next version since the share in force was decided.
     double requestsPerSecond = 0; ///< Of the service, over all entries.
     std::uint32_t nextTargets = 0; ///< Warm targets of the next version that are not silent.
     std::uint32_t nextSlots = 0; ///< Of these targets.
-    std::uint32_t formerSlots = 0; ///< Of the warm targets of the former versions that are not silent.
-    std::uint32_t entries = 0; ///< Entries that have reported on the rollout.
+    /// Of the warm targets with other versions that are in use and not silent.
+    std::uint32_t formerSlots = 0;
+    /// Entries that have reported on the rollout; without those that are gone for good.
+    std::uint32_t entries = 0;
+    /// Those whose latest report may be outdated: they may have gone back to former targets since.
+    std::uint32_t silentEntries = 0;
     std::uint32_t lateEntries = 0; ///< Those that have not applied the share in force.
     std::uint32_t recentEntries = 0; ///< Entries that have reported within rollout_planner::recentTime().
     std::uint32_t recentLateEntries = 0; ///< Those that have not applied the share in force.
@@ -36,6 +41,9 @@
     /// Answers that a canary needs; the canary share is larger for services with too few requests.
     double canaryAnswers = 120;
     double canaryUntil = 0.55; ///< A version may turn bad late, so that a verdict is final only then.
+    double minCanaryUntil = 0.35; ///< For rollouts so short that finishTime would not be left.
+    /// After the canary: the steps take some 2 s, and requests that former targets run have some 4 s to end.
+    milliseconds finishTime { 7'000 };
     double verdictUntil = 0.85; ///< Without a verdict by then, the rollout is rolled back.
     double capacity = 0.9; ///< Of the former slots that warm next targets need.
     milliseconds reportDelay { 700 }; ///< Age of reports, and time in which entries apply a decision.
@@ -107,6 +115,7 @@
     double budget(const input& from) const;
     std::uint32_t fittingShare(const input& from) const;
     std::uint32_t canaryShare(const input& from) const;
+    double canaryEnd(const input& from) const;
     bool hasCapacity(const rollout_situation& situation) const;
     std::string missing(const input& from) const;
 
--- a/packages/core/include/plumfold/core/rollout/plumfold_rollout_report.hpp
+++ b/packages/core/include/plumfold/core/rollout/plumfold_rollout_report.hpp
@@ -52,7 +52,7 @@
     std::uint64_t rollout = 0; ///< See rollout_record::id.
     std::uint64_t number = 0; ///< Increases with each report of the process.
     std::uint64_t decision = 0; ///< Sequence of the decision that is in force at the entry.
-    std::uint64_t formerRequests = 0; ///< Requests sent to former targets.
+    std::uint64_t formerRequests = 0; ///< Requests sent to targets with other versions.
     std::uint64_t nextRequests = 0; ///< Requests sent to targets of the next version, cold ones included.
     std::uint32_t formerInFlight = 0; ///< Requests of the entry that former targets run.
     std::vector<row> rows;
--- a/packages/core/include/plumfold/core/rollout/plumfold_rollout_tracker.hpp
+++ b/packages/core/include/plumfold/core/rollout/plumfold_rollout_tracker.hpp
@@ -47,6 +47,7 @@
     instant m_windowAt; ///< Start of the open window.
     bool m_isRestored = false;
     std::uint32_t m_share = 0;
+    std::uint64_t m_shareNextRequests = 0; ///< To the next version before that decision.
     std::uint64_t m_shareSequence = 0; ///< Of the decision that set the share, as far as known.
     instant m_shareAt;
 };
--- a/packages/core/src/rollout/plumfold_rollout_evidence.cpp
+++ b/packages/core/src/rollout/plumfold_rollout_evidence.cpp
@@ -77,11 +77,11 @@
         m_requests.nextRequests + m_restored.nextRequests, 0 };
 }
 
-std::vector<rollout_report> rollout_evidence::currentReports() const
+std::vector<const rollout_report*> rollout_evidence::currentReports() const
 {
-    std::vector<rollout_report> out;
+    std::vector<const rollout_report*> out;
     for (const auto& [entry, incarnation] : m_current)
-        out.push_back(m_reports.at({ entry, incarnation }));
+        out.push_back(&m_reports.at({ entry, incarnation }));
     return out;
 }
 
--- a/packages/core/src/rollout/plumfold_rollout_planner.cpp
+++ b/packages/core/src/rollout/plumfold_rollout_planner.cpp
@@ -136,8 +136,7 @@
         return step { rollout_state::running, rollout_stage::preparing, 0, "no next target is warm" };
     if (budget(from) < 0)
         return step { rollout_state::running, rollout_stage::preparing, 0, "the exposure bound is reached" };
-    bool isJudged = from.progress() >= m_options.canaryUntil
-        && from.assessment.verdict == rollout_verdict::good
+    bool isJudged = from.progress() >= canaryEnd(from) && from.assessment.verdict == rollout_verdict::good
         && from.assessment.suspicion < m_options.maxSuspicion;
     auto fitting = fittingShare(from);
     if (isJudged && hasCapacity(situation)) {
@@ -180,10 +179,8 @@
         if (share >= minIncrease * from.record.share)
             return step { rollout_state::running, rollout_stage::raising, share, from.assessment.reason };
     }
-    auto seen = situation.totals.nextRequests
-        - std::min(situation.totals.nextRequests, from.record.totals.nextRequests);
     bool isWatched = situation.sinceDecision >= m_options.watchTime && situation.recentLateEntries == 0
-        && seen >= m_options.watchRequests;
+        && situation.nextSinceShare >= m_options.watchRequests;
     if (!isWatched)
         return std::nullopt;
     return shifted;
@@ -199,7 +196,8 @@
     if (!isClear && !situation.isDisturbed)
         return step { rollout_state::running, rollout_stage::canary, canaryShare(from),
             from.assessment.reason };
-    bool isApplied = situation.entries > 0 && situation.lateEntries == 0 && situation.formerInFlight == 0;
+    bool isApplied = situation.entries > 0 && situation.silentEntries == 0 && situation.lateEntries == 0
+        && situation.formerInFlight == 0;
     bool isForced = from.remaining() <= m_options.forceTime && situation.recentEntries > 0
         && situation.recentLateEntries == 0;
     if (!isClear || (!isApplied && !isForced))
@@ -249,6 +247,14 @@
     return thousandthsOf(std::max(share, std::min(wanted, withSlack)));
 }
 
+/// @return the part of the duration after which the canary may end.
+double rollout_planner::canaryEnd(const input& from) const
+{
+    auto duration = std::max(secondsOf(milliseconds(from.record.durationMs)), 0.001);
+    return std::clamp(
+        1 - secondsOf(m_options.finishTime) / duration, m_options.minCanaryUntil, m_options.canaryUntil);
+}
+
 bool rollout_planner::hasCapacity(const rollout_situation& situation) const
 {
     return situation.nextSlots > 0 && situation.nextSlots >= m_options.capacity * situation.formerSlots;
--- a/packages/core/src/rollout/plumfold_rollout_record.cpp
+++ b/packages/core/src/rollout/plumfold_rollout_record.cpp
@@ -36,6 +36,9 @@
     next.formerVersions = command.formerVersions;
     if (latest)
         next.endedVersions = endedVersionsOf(*latest);
+    // Those without a target are forgotten, so that the record does not grow with each rollout.
+    std::erase_if(
+        next.endedVersions, [&](const auto& version) { return !command.formerVersions.contains(version); });
     next.endedVersions.erase(command.version);
     next.formerVersions.erase(command.version);
     std::erase_if(
--- a/packages/core/src/rollout/plumfold_rollout_recorder.cpp
+++ b/packages/core/src/rollout/plumfold_rollout_recorder.cpp
@@ -102,7 +102,8 @@
     auto* rollout = find(assignment);
     if (!rollout)
         return;
-    rollout->formerRequests += assignment.cohort == rollout_cohort::former;
+    // Requests to a version that the rollout does not name reach the service, too.
+    rollout->formerRequests += assignment.cohort != rollout_cohort::next;
     rollout->nextRequests += assignment.cohort == rollout_cohort::next;
 }
 
--- a/packages/core/src/rollout/plumfold_rollout_tracker.cpp
+++ b/packages/core/src/rollout/plumfold_rollout_tracker.cpp
@@ -11,6 +11,12 @@
 constexpr milliseconds settleTime { 1'000 };
 constexpr milliseconds rateTime { 2'000 };
 constexpr milliseconds disturbanceTime { 5'000 };
+/// An entry that is cut off goes back to former targets 2 s after its latest update, so an older report of it
+/// says nothing about the present.
+constexpr milliseconds maxReportAge { 1'200 };
+/// An entry that has not reported for this long is gone: it was replaced or removed. It is longer than a
+/// failure domain is usually cut off.
+constexpr milliseconds goneTime { 12'000 };
 
 milliseconds between(instant from, instant to)
 {
@@ -39,6 +45,7 @@
     if (record.share != m_share) {
         m_share = record.share;
         m_shareSequence = record.sequence;
+        m_shareNextRequests = m_evidence.totals().nextRequests;
         m_shareAt = now;
     }
     if (!m_isRestored && isSettled(now)) {
@@ -71,6 +78,7 @@
     out.sinceDecision = between(m_shareAt, now);
     out.totals = m_evidence.totals();
     out.totals.nextBad = m_assessment.nextBad;
+    out.nextSinceShare = out.totals.nextRequests - std::min(out.totals.nextRequests, m_shareNextRequests);
     if (m_requests.size() >= 2) {
         auto span = std::chrono::duration<double>(m_requests.back().first - m_requests.front().first);
         auto requests = static_cast<double>(m_requests.back().second - m_requests.front().second);
@@ -86,7 +94,7 @@
         if (target.last.softwareVersion == record.version) {
             ++out.nextTargets;
             out.nextSlots += target.last.slots;
-        } else if (record.formerVersions.contains(target.last.softwareVersion)) {
+        } else if (!record.endedVersions.contains(target.last.softwareVersion)) {
             out.formerSlots += target.last.slots;
         }
     }
@@ -96,18 +104,20 @@
 
 void rollout_tracker::addEntries(rollout_situation& out, milliseconds recentTime, instant now) const
 {
-    for (const auto& report : m_evidence.currentReports()) {
-        bool isLate = report.decision < m_shareSequence;
-        auto age = now - m_reportedAt.at(report.entry);
+    for (const auto* report : m_evidence.currentReports()) {
+        auto age = between(m_reportedAt.at(report->entry), now);
+        if (age > goneTime)
+            continue;
+        bool isLate = report->decision < m_shareSequence;
+        bool isRecent = age <= recentTime;
         ++out.entries;
+        out.silentEntries += age > maxReportAge ? 1 : 0;
         out.lateEntries += isLate ? 1 : 0;
-        out.formerInFlight += report.formerInFlight;
-        if (age <= recentTime) {
-            ++out.recentEntries;
-            out.recentLateEntries += isLate ? 1 : 0;
-        }
+        out.formerInFlight += report->formerInFlight;
+        out.recentEntries += isRecent ? 1 : 0;
+        out.recentLateEntries += isLate && isRecent ? 1 : 0;
+        out.isDisturbed = out.isDisturbed || (!isRecent && age < recentTime + disturbanceTime);
     }
-    out.isDisturbed = out.isDisturbed || out.recentEntries < out.entries;
 }
 
 } // namespace plumfold::core
