Hand over the lead only to voters that respond, and wait for requests that are received

Found by review, by reading: - A leader without room handed its lead to the first voter, also if that one was gone or had no room either, and the lead could go to and fro twice a second, which takes room in all logs. Voters that respond come first, equal ones in turn, and the interval doubles up to 30 s. - An entry that stops and has only requests that are still being received ended at once, and their callers got no answer.

--- a/packages/control/include/plumfold/control/plumfold_control_node.hpp
+++ b/packages/control/include/plumfold/control/plumfold_control_node.hpp
@@ -168,6 +168,7 @@
 
     control_node_options m_options;
     std::unique_ptr<durable_log> m_log;
+    core::milliseconds m_handOverInterval { 1'000 };
     core::instant m_nextHandOver {}; // without room on the disk, not before this time
     core::control_state m_state;
     bool m_haveLeasesChanged = true; // since the view was last published
--- a/packages/control/src/plumfold_control_node.cpp
+++ b/packages/control/src/plumfold_control_node.cpp
@@ -16,7 +16,8 @@
 constexpr std::size_t ringCapacity = 8192;
 constexpr std::size_t maxEventsPerSync = 512;
 constexpr core::milliseconds tickInterval { 15 };
-constexpr core::milliseconds handOverInterval { 1'000 };
+constexpr core::milliseconds minHandOverInterval { 1'000 };
+constexpr core::milliseconds maxHandOverInterval { 30'000 };
 /// Bounds how often a snapshot is written for its size while entries are long.
 constexpr std::uint64_t minEntriesPerSnapshot = 8;
 
@@ -255,19 +256,20 @@
     return isPending || *order.lastKnownOrder != (latest == orders.end() ? 0 : latest->second);
 }
 
-/// Hands the lead over because this control VM has no room for changes; others may have. Limited in its rate,
-/// so that the lead does not change with each call when no control VM has room.
+/// Hands the lead over because this control VM has no room for changes; others may have. The interval doubles
+/// while there is none, since a new leader takes room in all logs.
 void control_node::handOverLead()
 {
     auto now = runtime::now();
     if (now < m_nextHandOver)
         return;
-    m_nextHandOver = now + handOverInterval;
+    m_nextHandOver = now + m_handOverInterval;
+    m_handOverInterval = std::min(2 * m_handOverInterval, maxHandOverInterval);
     bool isHandedOver = m_raft.transferLeadership(now);
     runtime::log_event("no_room_to_lead", runtime::log_level::warning)
         .with("term", m_raft.term())
         .with("log_bytes", m_log->logBytes())
-        .with("handed_over", isHandedOver ? "true" : "false");
+        .with("hand_over_requested", isHandedOver ? "true" : "false");
 }
 
 void control_node::handle(propose_event& event)
@@ -281,6 +283,7 @@
         event.callback->done(rejection("the data folder is full: free space on the control VM's disk"));
         return;
     }
+    m_handOverInterval = minHandOverInterval;
     if (joinsPendingProposal(event))
         return;
     pending_proposal pending { m_raft.term(), {}, {}, {} };
--- a/packages/core/src/placement/plumfold_fetch_planner.cpp
+++ b/packages/core/src/placement/plumfold_fetch_planner.cpp
@@ -97,6 +97,9 @@
         if (!transfer)
             continue;
         isAnyUsable = true;
+        // The tokens of a part are what the caller says.
+        if (*transfer >= link_occupancy::maxWaitMs)
+            continue;
         double expected = waitMs(source, target, now) + *transfer;
         double cost
             = expected + (source.kind == holder_kind::engine ? engineMissShare * (readMs + missMs) : 0);
@@ -108,6 +111,8 @@
     }
     if (!isAnyUsable)
         return std::nullopt;
+    if (!best)
+        return fetch_choice { {}, readMs, 0 };
     bool isStarted = fetch.expectedMs - fetch.transferMs < link_occupancy::maxWaitMs;
     if (isStarted && bestCost < readingCostMs(readMs, *best, target, now))
         return fetch;
--- a/packages/core/src/plumfold_raft_node.cpp
+++ b/packages/core/src/plumfold_raft_node.cpp
@@ -1,6 +1,7 @@
 #include "plumfold/core/plumfold_raft_node.hpp"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace plumfold::core {
@@ -221,10 +222,20 @@
     if (m_role != raft_role::leader)
         return false;
     const raft_member* best = nullptr;
+    // Of equal voters the next one after this node in the order of names takes over, so that the leadership
+    // reaches all of them if each one hands it on.
+    auto rank = [&](const raft_member& member) {
+        const auto& state = m_progress[member.node];
+        bool isResponsive = now - state.lastResponse < m_options.electionTimeout;
+        bool isAfter = member.node > m_options.node;
+        return std::tuple(isResponsive, state.matchIndex, isAfter);
+    };
     for (const auto& member : m_members.members) {
         if (!member.voter || member.node == m_options.node)
             continue;
-        if (!best || m_progress[member.node].matchIndex > m_progress[best->node].matchIndex)
+        bool isBetter = !best || rank(member) > rank(*best)
+            || (rank(member) == rank(*best) && member.node < best->node);
+        if (isBetter)
             best = &member;
     }
     if (!best)
--- a/packages/forwarding/src/plumfold_caller_connection.cpp
+++ b/packages/forwarding/src/plumfold_caller_connection.cpp
@@ -152,10 +152,12 @@
             m_stream, asio::buffer(continueResponse.data(), continueResponse.size()), into(error));
     }
     parser.eager(true);
-    while (!error && hasRoom && !parser.is_done()) {
+    while (!error && hasRoom && !m_readTimedOut && !parser.is_done()) {
         co_await http::async_read_some(m_stream, m_buffer, parser, into(error));
         hasRoom = body.resize(parser.get().body().size());
     }
+    if (!parser.is_done() && m_readTimedOut)
+        error = beast::error::timeout;
     co_return hasRoom;
 }
 
@@ -207,7 +209,7 @@
     m_state.metrics.count("plumfold_forwarded_total{outcome=\"refused\"}");
     platform::encodeLocalResponse(id, retryAfterNoRoom, response);
     if (m_isRelay)
-        encodeRelayResult({ relay_outcome::not_run, true, noRoomReason, {}, {} }, response);
+        encodeRelayResult({ relay_outcome::not_run, false, noRoomReason, {}, {} }, response);
     co_await closeWith(std::move(response));
 }
 
--- a/packages/forwarding/src/plumfold_caller_connection.hpp
+++ b/packages/forwarding/src/plumfold_caller_connection.hpp
@@ -22,6 +22,9 @@
     /// Closes the connection unless it is serving a request.
     void closeIfIdle();
 
+    /// @return whether a request is being received or served, or a last response is being sent.
+    bool isServing() const { return m_isServing; }
+
     /// Watches for a disconnect of the caller while its request is being served.
     /// @param onDisconnect called at most once, when the caller closes the connection.
     void watchForDisconnect(std::function<void()> onDisconnect);
--- a/packages/forwarding/src/plumfold_forwarding_role.cpp
+++ b/packages/forwarding/src/plumfold_forwarding_role.cpp
@@ -167,7 +167,11 @@
 
     std::size_t openRequests()
     {
-        return asio::post(m_io, asio::use_future([this] { return m_state.openRequests.size(); })).get();
+        return asio::post(m_io, asio::use_future([this] {
+            const auto& callers = m_state.callerConnections;
+            return static_cast<std::size_t>(std::count_if(
+                callers.begin(), callers.end(), [](const auto* each) { return each->isServing(); }));
+        })).get();
     }
 
     void applyUpdate(const control_update& update)
