--- a/tests/core/plumfold_rollout_record_tests.cpp
+++ b/tests/core/plumfold_rollout_record_tests.cpp
@@ -79,8 +79,14 @@
         rollout_record expected;
         expected.id = index;
         expected.version = order.version;
-        expected.formerVersions = order.formerVersions;
-        expected.formerVersions.erase(order.version);
+        for (const auto& version : order.formerVersions) {
+            bool isEnded = before
+                && (before->endedVersions.contains(version)
+                    || (before->state == rollout_state::completed && before->formerVersions.contains(version))
+                    || (before->state == rollout_state::rolled_back && before->version == version));
+            if (version != order.version)
+                (isEnded ? expected.endedVersions : expected.formerVersions).insert(version);
+        }
         expected.durationMs = order.durationMs;
         expected.orderedAt = at;
         RC_ASSERT(after == expected);
