Notice slow versions of fast services

A process test with a next version that takes 100 ms where the former one takes 20 ms was completed: answers within 100 ms never counted as slow. The floor is 40 ms now, below the latency targets of routes. The simulation of the judge plays answers below the present floor.

--- a/packages/core/include/plumfold/core/rollout/plumfold_rollout_judge.hpp
+++ b/packages/core/include/plumfold/core/rollout/plumfold_rollout_judge.hpp
@@ -39,7 +39,8 @@
     double badWindowsAlone = 6;
     std::uint64_t minAnswers = 30; ///< Of the next version in a group; no verdict "bad" with fewer.
     std::uint64_t minBad = 6; ///< The same for bad answers.
-    milliseconds slowFloor { 100 }; ///< Answers within this time are never too slow.
+    /// Answers within this time are never too slow; a fraction of the shortest latency targets of routes.
+    milliseconds slowFloor { 40 };
 };
 
 /// Compares the answers of the next version with those of the former one in the same stratum.
--- a/tests/core/plumfold_rollout_judge_tests.cpp
+++ b/tests/core/plumfold_rollout_judge_tests.cpp
@@ -179,7 +179,7 @@
     }
     auto belowFloor = [](int, const std::string&, bool isNext) {
         answer_behavior out;
-        out.medianMs = isNext ? 60 : 8;
+        out.medianMs = isNext ? 15 : 3;
         return out;
     };
     CHECK(countOf(rollout_verdict::bad, runs, lateWindows, belowFloor) == 0);
