--- a/tests/forwarding/plumfold_rollout_tests.cpp
+++ b/tests/forwarding/plumfold_rollout_tests.cpp
@@ -59,6 +59,23 @@
     system.startControls(false);
 }
 
+/// Checks the rollback of a bad version of each kind.
+void checkRollback(rollout_system& system, disruption what)
+{
+    auto bad = GENERATE(from_range(badVersions()));
+    CAPTURE(bad.name);
+    system.startCallers();
+    system.startCallers("/shop/whole", rollout_system::requestsPerSecond / 2);
+    REQUIRE(system.startRollout(duration, bad.version));
+    disrupt(system, what);
+    CHECK(system.waitForEnd() == "rolled_back");
+    std::this_thread::sleep_for(observation);
+    system.stopCallers();
+    CHECK(system.keepsExposure());
+    CHECK(system.lateRequests() == 0);
+    CHECK(system.nextRequests(system.endedAt() + milliseconds(1'000)) == 0);
+}
+
 } // namespace
 
 // Guards against a good version that is rolled back, or that former targets still serve beside.
@@ -82,19 +99,14 @@
 TEST_CASE_METHOD(
     rollout_system, "A bad version is rolled back within the bounds of its exposure", "[forwarding][rollout]")
 {
-    auto what = GENERATE(disruption::none, disruption::kill_leader);
-    auto bad = GENERATE(from_range(badVersions()));
-    CAPTURE(what, bad.name);
-    startCallers();
-    startCallers("/shop/whole", requestsPerSecond / 2);
-    REQUIRE(startRollout(duration, bad.version));
-    disrupt(*this, what);
-    CHECK(waitForEnd() == "rolled_back");
-    std::this_thread::sleep_for(observation);
-    stopCallers();
-    CHECK(keepsExposure());
-    CHECK(lateRequests() == 0);
-    CHECK(nextRequests(endedAt() + milliseconds(1'000)) == 0);
+    checkRollback(*this, disruption::none);
+}
+
+// Guards against the same while a successor takes the decisions over.
+TEST_CASE_METHOD(
+    rollout_system, "A bad version is rolled back beside the kill of the leader", "[forwarding][rollout]")
+{
+    checkRollback(*this, disruption::kill_leader);
 }
 
 // Guards against a rollout that a total power loss undoes, or whose exposure is counted anew after it.
