--- a/packages/plumfoldd/src/plumfoldd_main.cpp
+++ b/packages/plumfoldd/src/plumfoldd_main.cpp
@@ -95,12 +95,15 @@
     plumfold::runtime::blockStopSignals();
     CLI::App app { "plumfoldd: the plumfold server" };
     std::string file;
+    std::vector<std::string> overrides;
     app.add_option("--settings", file, "settings file, JSON with comments")
         ->envname("PLUMFOLD_CONFIG")
         ->required();
+    app.add_option("--set", overrides, "KEY=VALUE, replaces a setting of the file; may be repeated")
+        ->allow_extra_args(false);
     CLI11_PARSE(app, argc, argv);
 
-    auto settings = plumfold::runtime::loadSettings(file);
+    auto settings = plumfold::runtime::loadSettings(file, overrides);
     absl::Status status = settings.status();
     if (status.ok())
         status = plumfold::runtime::checkAddresses(*settings, file);
--- a/packages/runtime/include/plumfold/runtime/plumfold_settings.hpp
+++ b/packages/runtime/include/plumfold/runtime/plumfold_settings.hpp
@@ -142,13 +142,17 @@
 
 /// Parses and validates settings in JSON with comments.
 /// @param file file name for error messages.
+/// @param overrides KEY=VALUE each, such as /process/name=e1, which replace what the text says. The value is
+/// JSON, or else text; an empty one changes nothing.
 /// @return the settings, or invalid_argument with one line per error: file, path of the key and allowed
 /// values.
-absl::StatusOr<settings> parseSettings(const std::string& text, const std::string& file);
+absl::StatusOr<settings> parseSettings(
+    const std::string& text, const std::string& file, const std::vector<std::string>& overrides = {});
 
 /// Reads, parses and validates a settings file.
 /// @return the settings, not_found when the file cannot be read, or the errors of parseSettings().
-absl::StatusOr<settings> loadSettings(const std::string& file);
+absl::StatusOr<settings> loadSettings(
+    const std::string& file, const std::vector<std::string>& overrides = {});
 
 /// Checks that the listening addresses can be bound on this machine.
 /// @return OK, or invalid_argument with one line per address that cannot be bound.
--- a/packages/runtime/src/plumfold_settings.cpp
+++ b/packages/runtime/src/plumfold_settings.cpp
@@ -291,7 +291,35 @@
     return addresses;
 }
 
-absl::StatusOr<settings> parseSettings(const std::string& text, const std::string& file)
+namespace {
+
+void applyOverride(json& in, const std::string& override, settings_reader& reader)
+{
+    auto separator = override.find('=');
+    auto key = override.substr(0, separator);
+    auto value = separator == std::string::npos ? std::string() : override.substr(separator + 1);
+    if (separator != std::string::npos && value.empty())
+        return;
+    try {
+        json::json_pointer place(key);
+        bool isInRole = separator != std::string::npos && !place.empty()
+            && in.contains(place.parent_pointer()) && in.at(place.parent_pointer()).is_object();
+        if (!isInRole) {
+            reader.addError(key, "cannot be set; give KEY=VALUE with a key of a role that the file has");
+            return;
+        }
+        auto parsed = json::parse(value, nullptr, false);
+        in[place] = parsed.is_discarded() ? json(value) : parsed;
+    } catch (const json::exception& error) {
+        reader.addError(
+            key, absl::StrCat("is no path of a key (", error.what(), "); give one such as /process/name"));
+    }
+}
+
+} // namespace
+
+absl::StatusOr<settings> parseSettings(
+    const std::string& text, const std::string& file, const std::vector<std::string>& overrides)
 {
     constexpr bool allowExceptions = true;
     constexpr bool ignoreComments = true;
@@ -313,6 +341,8 @@
         reader.addError("/", "must be an object with the keys process, entry, control, forwarding, store");
         return reader.status();
     }
+    for (const auto& each : overrides)
+        applyOverride(in, each, reader);
     for (const auto& [key, value] : in.items()) {
         bool known
             = key == "process" || key == "entry" || key == "control" || key == "forwarding" || key == "store";
@@ -346,14 +376,14 @@
     return out;
 }
 
-absl::StatusOr<settings> loadSettings(const std::string& file)
+absl::StatusOr<settings> loadSettings(const std::string& file, const std::vector<std::string>& overrides)
 {
     std::ifstream in(file);
     if (!in)
         return absl::NotFoundError(file + ": cannot be read; give the path of a settings file");
     std::stringstream text;
     text << in.rdbuf();
-    return parseSettings(text.str(), file);
+    return parseSettings(text.str(), file, overrides);
 }
 
 absl::Status checkAddresses(const settings& checked, const std::string& file)
--- a/tests/runtime/plumfold_settings_number_tests.cpp
+++ b/tests/runtime/plumfold_settings_number_tests.cpp
@@ -222,19 +222,26 @@
     CHECK(entry->forwarding->retryWindowMs == 2500);
 }
 
-// Guards against rollouts that are served, or not served, against what the deployment says.
-TEST_CASE("The deployment's templates turn rollouts on only with the figures that bound them", "[settings]")
+// Guards against settings of the command line that are ignored, or that a figure which the deployment lacks
+// makes invalid.
+TEST_CASE("Settings of the command line replace those of the file unless they are empty", "[settings]")
 {
-    auto values = sheet();
-    CHECK(parsedTemplate("control.settings", values)->control->rolloutExposureShare == 0);
-    CHECK_FALSE(parsedTemplate("entry.settings", values)->forwarding->rollouts);
-    values["bounds"]["exposure-share"] = "0.125";
-    values["bounds"]["exposure-slack"] = "4e1";
-    auto control = parsedTemplate("control.settings", values);
-    REQUIRE(control.ok());
-    CHECK(control->control->rolloutExposureShare == 0.125);
-    CHECK(control->control->rolloutExposureSlack == 40);
-    CHECK(parsedTemplate("entry.settings", values)->forwarding->rollouts);
+    auto text = rendered(readFile(PLUMFOLD_SOURCE_FOLDER "/deploy/control.settings"), sheet());
+    auto unset = parseSettings(text, "f", { "/control/rolloutExposureShare=" });
+    REQUIRE(unset.ok());
+    CHECK(unset->control->rolloutExposureShare == 0);
+    auto set = parseSettings(text, "f",
+        { "/control/rolloutExposureShare=0.125", "/control/rolloutExposureSlack=4e1",
+            "/process/name=other" });
+    REQUIRE(set.ok());
+    CHECK(set->control->rolloutExposureShare == 0.125);
+    CHECK(set->control->rolloutExposureSlack == 40);
+    CHECK(set->process.name == "other");
+    auto bad = GENERATE("/control/rolloutExposureShare=2", "/control/unknown=1", "/forwarding/rollouts=true",
+        "/control/rolloutExposureShare", "control=1", "/=1");
+    auto status = parseSettings(text, "f", { bad }).status();
+    INFO(bad << " " << status);
+    CHECK_FALSE(status.ok());
 }
 
 TEST_CASE("A figure that the deployment's sheet lacks is reported with its key", "[settings]")
