--- a/packages/forwarding/src/plumfold_request_attempt.cpp
+++ b/packages/forwarding/src/plumfold_request_attempt.cpp
@@ -157,7 +157,7 @@
     }
     if (error == beast::error::timeout || runtime::now() >= m_deadline) {
         m_timedOut = true;
-        m_reason = isStopped(runtime::now()) ? "stopping" : "timeout";
+        m_reason = isStopped() ? "stopping" : "timeout";
         return core::attempt_result::abandoned;
     }
     m_reason = "connection_lost: " + error.message();
--- a/packages/forwarding/src/plumfold_request_forwarder.cpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.cpp
@@ -89,11 +89,6 @@
     armDeadline();
 }
 
-bool request_forwarder::isStopped(core::instant now) const
-{
-    return m_stopAt && now >= *m_stopAt;
-}
-
 core::milliseconds request_forwarder::timeLeft() const
 {
     return std::chrono::duration_cast<core::milliseconds>(m_deadline - runtime::now());
@@ -508,7 +503,7 @@
     std::string reason = m_reason;
     if (m_streamStarted)
         return;
-    if (m_timedOut && m_mayHaveExecuted && !isStopped(runtime::now()))
+    if (m_timedOut && m_mayHaveExecuted && !isStopped())
         reject(http::status::gateway_timeout, "timeout");
     else if (m_mayHaveExecuted)
         reject(http::status::bad_gateway, reason.empty() ? "target_lost" : reason);
--- a/packages/forwarding/src/plumfold_request_forwarder.hpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.hpp
@@ -63,7 +63,8 @@
     bool admitRelayed();
     std::string hostOfRequest() const;
     bool isIdempotent() const;
-    bool isStopped(core::instant now) const;
+    /// @return whether the time of the request ends with this entry instead of with the caller's deadline.
+    bool isStopped() const { return m_stopAt.has_value(); }
     bool hasBody() const;
     std::size_t maxAttempts() const;
     relay_result relayResult(bool isFromTarget) const;
--- a/packages/forwarding/src/plumfold_request_relay.cpp
+++ b/packages/forwarding/src/plumfold_request_relay.cpp
@@ -231,7 +231,9 @@
     if (relayed.outcome == relay_outcome::not_run)
         co_return core::attempt_result::refused;
     if (status == statusGatewayTimeout) {
+        // A helper ends a request a moment before this entry, whose stop has limited its time.
         m_timedOut = true;
+        m_reason = isStopped() ? "stopping" : m_reason;
         co_return core::attempt_result::abandoned;
     }
     co_return core::attempt_result::lost;
--- a/packages/forwarding/src/plumfold_request_rollout.cpp
+++ b/packages/forwarding/src/plumfold_request_rollout.cpp
@@ -65,7 +65,7 @@
     bool isFailure = result == core::attempt_result::lost || result == core::attempt_result::failed;
     m_hasFailedAtNext = m_hasFailedAtNext || (isNext && (isFailure || isRefused));
     auto now = runtime::now();
-    bool hasTimedOut = result == core::attempt_result::abandoned && m_timedOut && !isStopped(now);
+    bool hasTimedOut = result == core::attempt_result::abandoned && m_timedOut && !isStopped();
     bool isEvidence
         = m_rollout.rollout != 0 && m_isSent && !m_recallReason && !isLinkFault && !m_callerDisconnected;
     if (!isEvidence)
