Schema, types and setting of places on targets

Interfaces of a service that grants places on the targets of plain services to all entries; see docs/design/places.md. Nothing uses them yet.

--- a/packages/control/src/plumfold_durable_log.cpp
+++ b/packages/control/src/plumfold_durable_log.cpp
@@ -165,8 +165,9 @@
         return absl::UnavailableError(
             absl::StrCat(folder, ": cannot be created: check the path and its rights"));
     using step = absl::Status (durable_log::*)();
-    constexpr step steps[] = { &durable_log::lock, &durable_log::removePartialFiles, &durable_log::loadIdentity, &durable_log::loadSnapshot,
-        &durable_log::loadLog, &durable_log::openLogForAppend };
+    constexpr step steps[]
+        = { &durable_log::lock, &durable_log::removePartialFiles, &durable_log::loadIdentity,
+              &durable_log::loadSnapshot, &durable_log::loadLog, &durable_log::openLogForAppend };
     for (step next : steps) {
         if (auto status = ((*log).*next)(); !status.ok())
             return status;
--- a/packages/wire/include/plumfold/wire/plumfold_convert.hpp
+++ b/packages/wire/include/plumfold/wire/plumfold_convert.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "plumfold/core/places/plumfold_place_ledger.hpp"
 #include "plumfold/core/plumfold_configuration_view.hpp"
 #include "plumfold/core/plumfold_control_state.hpp"
 #include "plumfold/core/plumfold_crash_screen.hpp"
@@ -137,6 +138,14 @@
 
 void write(TargetDemand::Builder out, const core::target_demand& value);
 core::target_demand read(TargetDemand::Reader in);
+void write(PlaceRequest::Builder out, const core::place_request& value);
+core::place_request read(PlaceRequest::Reader in);
+void write(HeldPlace::Builder out, const core::held_place& value);
+core::held_place read(HeldPlace::Reader in);
+void write(PlaceEnd::Builder out, const core::place_end& value);
+core::place_end read(PlaceEnd::Reader in);
+void write(PlaceDecision::Builder out, const core::place_decision& value);
+core::place_decision read(PlaceDecision::Reader in);
 
 void write(StreamRecord::Builder out, const core::stream_record& value);
 core::stream_record read(StreamRecord::Reader in);
--- a/packages/wire/schema/plumfold.capnp
+++ b/packages/wire/schema/plumfold.capnp
@@ -288,11 +288,13 @@
   # service are those at the time of the response. The helpers are other entries to which this one
   # may relay requests; they are left out if their digest is the known one. Demands are sent in both directions:
   # those that the entry has learned from responses, and those that changed after the known number. limitIssuers are
-  # the control VMs that serve startLimited, by failure domain of the target; they are left out if no target limits
-  # its requests. An entry that accepts outlines gets an outline instead of the deployment, and then calls readPieces.
+  # the control VMs that serve startLimited, by failure domain of the target, and acquirePlace; they are left out if no
+  # target limits its requests and the entry does not use places. An entry that accepts outlines gets an outline
+  # instead of the deployment, and then calls readPieces.
   follow @2 (knownDeployment :UInt64, feed :UInt64, knownChange :UInt64, waitMs :UInt32, confirmed :Bool,
       parts :List(PartCursor), knownVerdicts :UInt64, knownSuspects :UInt64, relayAddress :Text, knownHelpers :UInt64,
-      demands :List(TargetDemand), knownDemands :UInt64, acceptsOutline :Bool, rollouts :List(RolloutReport))
+      demands :List(TargetDemand), knownDemands :UInt64, acceptsOutline :Bool, rollouts :List(RolloutReport),
+      usesPlaces :Bool)
       -> (fresh :Bool, deployment :DeploymentState, feed :UInt64, change :UInt64, everything :Bool,
           targets :List(AnnouncedTarget), control :List(ControlAddress), entries :UInt32, parts :List(PartNews), clock :UInt64,
           loads :List(TargetLoad), sharedLimits :Text, verdictsDigest :UInt64, verdicts :List(CrashVerdict),
@@ -320,8 +322,29 @@
   # Returns pieces of the current document by their digests, each compressed with zlib. Those that it does not have are
   # left out.
   readPieces @9 (digests :List(UInt64)) -> (pieces :List(Data));
+  # Asks the holder of the lease shared-limits/ of a failure domain for a place on a target of a service. The call stays
+  # open while the request waits; dropping it withdraws the request. It has not decided if it does not hold the lease.
+  acquirePlace @10 (failureDomain :Text, request :PlaceRequest) -> (decided :Bool, decision :PlaceDecision);
+  # Renews the places on targets of a service that this entry uses, and ends those that it does not use any more.
+  updatePlaces @11 (failureDomain :Text, service :Text, held :List(HeldPlace), ended :List(PlaceEnd))
+      -> (decided :Bool);
 }
 
+# Places on targets, see core::place_request, core::held_place, core::place_end and core::place_decision.
+struct PlaceId { client @0 :UInt64; number @1 :UInt64; }
+struct PlaceCandidate { target @0 :Text; startedAt @1 :UInt64; slots @2 :UInt32; withoutPlace @3 :UInt32; }
+struct PlaceRequest {
+  id @0 :PlaceId;
+  service @1 :Text;
+  customer @2 :Text;
+  priority @3 :UInt32;
+  maxWaitMs @4 :UInt32;
+  candidates @5 :List(PlaceCandidate);
+}
+struct HeldPlace { id @0 :PlaceId; target @1 :PlaceCandidate; }
+struct PlaceEnd { id @0 :PlaceId; outcome @1 :UInt8; }
+struct PlaceDecision { target @0 :Text; startedAt @1 :UInt64; refusal @2 :UInt8; retryAfterMs @3 :UInt32; }
+
 # Requests that crash targets, see core::request_traits, core::crash_report, core::suspect_success,
 # core::recorded_success, core::crash_suspect and core::crash_verdict.
 struct RequestTraits { fingerprint @0 :UInt64; customer @1 :UInt64; isolated @2 :Bool; parts @3 :List(UInt64); }
