--- a/packages/core/include/plumfold/core/places/plumfold_place_ledger.hpp
+++ b/packages/core/include/plumfold/core/places/plumfold_place_ledger.hpp
@@ -24,6 +24,7 @@
     std::uint64_t refused = 0; ///< Since the start.
     std::uint64_t rejected = 0; ///< Places whose target had no room after all, since the start.
     std::uint64_t expired = 0; ///< Places that were not renewed, since the start.
+    double freedPerSecond = 0; ///< Places that became free while requests waited; 0 if not known.
     auto operator<=>(const place_ledger_figures&) const = default;
 };
 
@@ -38,6 +39,11 @@
     place_ledger(place_ledger&&) noexcept;
     place_ledger& operator=(place_ledger&&) noexcept;
 
+    /// Grants only half of each target's room for a while, since places that another control VM granted are
+    /// known only from their renewal.
+    /// @param from when this control VM became the issuer.
+    void onTakeover(instant from);
+
     /// Adds a request. Its decision is among those that the next takeDecisions() returns, or a later one
     /// while it waits. A request that is repeated gets the same place.
     void submit(const place_request& request, instant now);
