Issuer of places in control VMs

Serves acquirePlace and updatePlaces for the failure domains whose lease this control VM holds, and sends limitIssuers to entries that use places.

--- a/packages/control/src/plumfold_control_role.cpp
+++ b/packages/control/src/plumfold_control_role.cpp
@@ -5,6 +5,7 @@
 #include "plumfold_load_poller.hpp"
 #include "plumfold_part_pollers.hpp"
 #include "plumfold_peer_links.hpp"
+#include "plumfold_place_issuer.hpp"
 #include "plumfold_platform_api_server.hpp"
 #include "plumfold_rollout_controller.hpp"
 #include "plumfold_shared_limit_issuer.hpp"
@@ -69,6 +70,8 @@
         m_rpc.run([&] {
             m_leader = std::make_unique<leader_client>(m_rpc, m_settings, *m_node, *m_feed);
             m_sharedLimits = std::make_unique<shared_limit_issuer>(m_settings, *m_feed, *m_leader);
+            m_places = std::make_unique<place_issuer>(m_rpc.timer(), m_sharedLimits->failureDomains(),
+                [this](const std::string& domain) { return m_sharedLimits->holdsLease(domain); });
             m_crashes = std::make_unique<crash_judge>(*m_feed, *m_leader);
             m_departures = std::make_unique<departure_recorder>(*m_feed, *m_leader);
             m_versions = std::make_unique<software_versions>(*m_feed, *m_leader);
@@ -77,8 +80,8 @@
                       return m_leader->submit(std::move(command), rolloutDecisionTimeout);
                   });
             m_context = std::make_unique<service_context>(
-                service_context { m_settings, *m_node, m_rpc, *m_feed, *m_leader, *m_sharedLimits, *m_crashes,
-                    *m_versions, *m_rollouts, {}, core::stream_origin_table(maxStreams) });
+                service_context { m_settings, *m_node, m_rpc, *m_feed, *m_leader, *m_sharedLimits, *m_places,
+                    *m_crashes, *m_versions, *m_rollouts, {}, core::stream_origin_table(maxStreams) });
             m_listener = std::make_unique<wire::rpc_listener>(
                 m_rpc, runtime::listenAddress(*m_settings.control), makeControlService(*m_context));
             m_tasks->add(feedLoop());
@@ -108,6 +111,7 @@
             m_versions.reset();
             m_departures.reset();
             m_crashes.reset();
+            m_places.reset();
             m_sharedLimits.reset();
             m_leader.reset();
             m_links.reset();
@@ -126,6 +130,7 @@
         m_links->share(*m_feed, *m_crashes, *m_rollouts);
         if (!m_settings.control->platformAddress.empty()) {
             m_sharedLimits->tick();
+            m_places->followLeases();
             m_versions->tick();
         }
         return m_rpc.timer().afterDelay(feedInterval).then([this] { return feedLoop(); });
@@ -138,6 +143,7 @@
     std::unique_ptr<deployment_feed> m_feed;
     std::unique_ptr<leader_client> m_leader;
     std::unique_ptr<shared_limit_issuer> m_sharedLimits;
+    std::unique_ptr<place_issuer> m_places;
     std::unique_ptr<crash_judge> m_crashes;
     std::unique_ptr<departure_recorder> m_departures;
     std::unique_ptr<software_versions> m_versions;
--- a/packages/control/src/plumfold_control_service.cpp
+++ b/packages/control/src/plumfold_control_service.cpp
@@ -184,6 +184,27 @@
         return kj::READY_NOW;
     }
 
+    kj::Promise<void> acquirePlace(AcquirePlaceContext call) override
+    {
+        auto params = call.getParams();
+        return m_context.places.acquire(m_name, params.getFailureDomain().cStr(),
+            wire::read(params.getRequest()), [call](const auto& decision) mutable {
+                auto out = call.getResults();
+                out.setDecided(decision.has_value());
+                if (decision)
+                    wire::write(out.initDecision(), *decision);
+            });
+    }
+
+    kj::Promise<void> updatePlaces(UpdatePlacesContext call) override
+    {
+        auto params = call.getParams();
+        call.getResults().setDecided(
+            m_context.places.update(params.getFailureDomain().cStr(), params.getService().cStr(),
+                readList<core::held_place>(params.getHeld()), readList<core::place_end>(params.getEnded())));
+        return kj::READY_NOW;
+    }
+
     kj::Promise<void> retry(RetryContext call) override
     {
         call.getResults().setGranted(
@@ -286,7 +307,7 @@
         out.setLatestDemand(demands.latestChange());
         auto changed = demands.changedAfter(known);
         writeList(out.initDemands(changed.size()), changed);
-        if (demands.limitedTargets() == 0)
+        if (demands.limitedTargets() == 0 && !call.getParams().getUsesPlaces())
             return;
         auto domains = m_context.sharedLimits.failureDomains();
         auto issuers = out.initLimitIssuers(domains.size());
--- a/packages/control/src/plumfold_control_service.hpp
+++ b/packages/control/src/plumfold_control_service.hpp
@@ -3,6 +3,7 @@
 #include "plumfold_crash_judge.hpp"
 #include "plumfold_deployment_feed.hpp"
 #include "plumfold_leader_client.hpp"
+#include "plumfold_place_issuer.hpp"
 #include "plumfold_rollout_controller.hpp"
 #include "plumfold_shared_limit_issuer.hpp"
 #include "plumfold_software_versions.hpp"
@@ -38,6 +39,7 @@
     deployment_feed& feed;
     leader_client& leader;
     shared_limit_issuer& sharedLimits;
+    place_issuer& places;
     crash_judge& crashes;
     software_versions& versions;
     rollout_controller& rollouts;
--- a/packages/control/src/plumfold_shared_limit_issuer.cpp
+++ b/packages/control/src/plumfold_shared_limit_issuer.cpp
@@ -46,6 +46,12 @@
     return names;
 }
 
+bool shared_limit_issuer::holdsLease(const std::string& failureDomain) const
+{
+    auto found = m_domains.find(failureDomain);
+    return found != m_domains.end() && found->second.lease.isUsable(runtime::nowWithSuspension());
+}
+
 void shared_limit_issuer::tick()
 {
     auto now = runtime::nowWithSuspension();
--- a/packages/control/src/plumfold_shared_limit_issuer.hpp
+++ b/packages/control/src/plumfold_shared_limit_issuer.hpp
@@ -24,6 +24,9 @@
     /// @return the failure domains of the system.
     std::vector<std::string> failureDomains() const;
 
+    /// @return whether this control VM holds the lease of the failure domain and may act on it.
+    bool holdsLease(const std::string& failureDomain) const;
+
     /// Renews the leases that this control VM has to hold. Call it periodically.
     void tick();
 
