--- a/packages/core/src/places/plumfold_place_schedule.cpp
+++ b/packages/core/src/places/plumfold_place_schedule.cpp
@@ -8,8 +8,9 @@
 namespace {
 
 constexpr double meanSeconds = 2;
-/// A shorter time has too few ends of requests, which take 30 to 60 ms each.
+/// A shorter time, or fewer places, gives a rate by chance, which would refuse requests in short peaks.
 constexpr double minSeconds = 0.2;
+constexpr double minFreed = 5;
 constexpr milliseconds minRetryAfter { 250 };
 constexpr milliseconds maxRetryAfter { 5'000 };
 constexpr double assumedPerSecond = 100; // until the rate is known
@@ -35,7 +36,7 @@
 
 std::optional<double> place_rate::perSecond() const
 {
-    if (m_seconds < minSeconds || m_freed < 1)
+    if (m_seconds < minSeconds || m_freed < minFreed)
         return std::nullopt;
     return m_freed / m_seconds;
 }
