--- a/packages/core/src/places/plumfold_place_ledger.cpp
+++ b/packages/core/src/places/plumfold_place_ledger.cpp
@@ -135,12 +135,10 @@
 void place_ledger::state::grantWaiting(
     waiting_map::iterator request, const place_target_key& key, instant now)
 {
-    auto id = request->second.id;
-    auto level = request->second.order.priority;
-    auto granted = key; // may be part of the request
+    // The key may be part of the request, which is removed last.
+    grant(request->second.id, key, request->second.order.priority, now);
     m_queue.grant(request->second.order);
     removeWaiting(request);
-    grant(id, granted, level, now);
 }
 
 void place_ledger::state::refuse(
