Calls for places may outlive the issuer

When a control VM stops, the RPC system cancels open calls in later turns of its loop, perhaps after the issuer has been destroyed. Guards of calls therefore refer to it weakly, and the continuation of a call does not use it.

--- a/packages/control/src/plumfold_place_issuer.cpp
+++ b/packages/control/src/plumfold_place_issuer.cpp
@@ -36,8 +36,8 @@
 /// Withdraws the request of a call that is dropped before it was answered.
 class place_issuer::call_guard {
 public:
-    call_guard(place_issuer& issuer, service_key key, core::place_id id, std::uint64_t call)
-        : m_issuer(issuer)
+    call_guard(std::weak_ptr<place_issuer*> issuer, service_key key, core::place_id id, std::uint64_t call)
+        : m_issuer(std::move(issuer))
         , m_key(std::move(key))
         , m_id(id)
         , m_call(call)
@@ -46,8 +46,9 @@
 
     ~call_guard() noexcept(false)
     {
-        if (!m_isAnswered)
-            m_issuer.withdraw(m_key, m_id, m_call);
+        auto issuer = m_issuer.lock();
+        if (issuer && !m_isAnswered)
+            (*issuer)->withdraw(m_key, m_id, m_call);
     }
 
     call_guard(const call_guard&) = delete;
@@ -56,7 +57,7 @@
     void setAnswered() { m_isAnswered = true; }
 
 private:
-    place_issuer& m_issuer;
+    std::weak_ptr<place_issuer*> m_issuer;
     service_key m_key;
     core::place_id m_id;
     std::uint64_t m_call;
@@ -86,15 +87,13 @@
     auto& pending = places->calls[request.id];
     if (pending.fulfiller.get() != nullptr)
         pending.fulfiller->fulfill(std::nullopt); // the call that this one repeats
-    pending = { call, kj::mv(pair.fulfiller) };
-    auto guard = kj::heap<call_guard>(*this, key, request.id, call);
-    auto answered = pair.promise.then([this, entry, service = request.service, respond = std::move(respond),
-                                          &guard = *guard](std::optional<core::place_decision> decision) {
-        if (decision && decision->refusal == core::place_refusal::unusable)
-            logUnusable(entry, service);
-        guard.setAnswered();
-        respond(decision);
-    });
+    pending = { call, entry, kj::mv(pair.fulfiller) };
+    auto guard = kj::heap<call_guard>(m_self, key, request.id, call);
+    auto answered = pair.promise.then(
+        [respond = std::move(respond), &guard = *guard](std::optional<core::place_decision> decision) {
+            guard.setAnswered();
+            respond(decision);
+        });
     places->ledger.submit(request, runtime::nowWithSuspension());
     decide(key, *places);
     return answered.attach(kj::mv(guard));
@@ -189,6 +188,8 @@
             places.ledger.cancel(id, now);
             continue;
         }
+        if (decision.refusal == core::place_refusal::unusable)
+            logUnusable(pending->second.entry, key.second);
         auto fulfiller = kj::mv(pending->second.fulfiller);
         places.calls.erase(pending);
         fulfiller->fulfill(std::move(decision));
--- a/packages/control/src/plumfold_place_issuer.hpp
+++ b/packages/control/src/plumfold_place_issuer.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -55,6 +56,7 @@
 
     struct pending_call {
         std::uint64_t call = 0; ///< Number of the latest call for the place.
+        std::string entry;
         decision_fulfiller fulfiller;
     };
 
@@ -87,6 +89,8 @@
     std::uint64_t m_latestCall = 0;
     bool m_isTicking = false;
     runtime::metrics m_metrics;
+    /// For the guards of calls, which the RPC system may drop after the issuer has ended.
+    std::shared_ptr<place_issuer*> m_self = std::make_shared<place_issuer*>(this);
     wire::task_group m_tasks;
 };
 
--- a/tests/control/plumfold_place_issuer_tests.cpp
+++ b/tests/control/plumfold_place_issuer_tests.cpp
@@ -112,6 +112,15 @@
         });
     }
 
+    /// Ends the issuer, and then drops all calls.
+    void endIssuer()
+    {
+        m_rpc.run([&] {
+            m_issuer.reset();
+            m_calls.clear();
+        });
+    }
+
     /// @return the answer to a call, within 200 ms.
     std::optional<answer> answerOf(std::uint64_t number)
     {
@@ -311,3 +320,13 @@
     CHECK((*found)->refusal == core::place_refusal::unusable);
     CHECK(f.hasMetric("plumfold_place_refusals_total{service=\"shop\",reason=\"unusable\"} 1"));
 }
+
+// Guards against a process that crashes at its stop because the RPC system drops open calls last.
+TEST_CASE("Calls may be dropped after the issuer has ended", "[places]")
+{
+    fixture f;
+    f.fill();
+    f.ask(10);
+    f.endIssuer();
+    CHECK_FALSE(f.answerOf(10));
+}
