Compact the log when there is no room for a change

Operators saw every change refused for good once the data limit was reached on all control VMs: the log is compacted only from snapshotEveryEntries entries on, or for its size while there is free space, and the lead went round between control VMs that had no room.

This happens only while the disk itself has room for the new files, so a compaction cannot end the process on a full disk. The proposal waits for the end of the event batch, since a compaction between append and persist would write entries twice.

--- a/packages/control/include/plumfold/control/plumfold_control_node.hpp
+++ b/packages/control/include/plumfold/control/plumfold_control_node.hpp
@@ -160,6 +160,7 @@
     void completeWatches();
     watch_response makeWatchResponse(std::uint64_t knownRevision) const;
     bool isCompactionDue() const;
+    bool canMakeRoom() const;
     void maybeCompact();
     void publishView();
     void logRoleChange();
@@ -183,6 +184,8 @@
     core::raft_role m_loggedRole = core::raft_role::follower;
     std::function<void(const std::string&)> m_onDiskFailure;
     std::map<std::uint64_t, pending_proposal> m_proposals; // by log index
+    /// Proposals that wait until the log is compacted. That must not happen while entries are not persisted.
+    std::vector<propose_event> m_awaitingRoom;
     std::vector<watch_event> m_watches;
     runtime::bounded_ring<control_event> m_ring;
     std::atomic<bool> m_stopping { false };
--- a/packages/control/include/plumfold/control/plumfold_durable_log.hpp
+++ b/packages/control/include/plumfold/control/plumfold_durable_log.hpp
@@ -55,10 +55,13 @@
     /// @return whether the size limit and the file system leave space for another command, besides the
     /// reserve for hard states, truncations and the next snapshot.
     bool hasFreeSpace() const;
+    /// @return whether the file system, regardless of the size limit, leaves space for a compaction.
+    bool hasSpaceToCompact() const;
     std::uint64_t logBytes() const { return m_logBytes; }
 
 private:
     durable_log(std::string folder, std::uint64_t maxBytes);
+    std::uint64_t freeDiskBytes() const;
 
     absl::Status lock();
     absl::Status removePartialFiles();
--- a/packages/control/src/plumfold_control_node.cpp
+++ b/packages/control/src/plumfold_control_node.cpp
@@ -87,6 +87,8 @@
         publishView();
         logRoleChange();
         maybeCompact();
+        for (auto& each : std::exchange(m_awaitingRoom, {}))
+            handle(each);
     }
 }
 
@@ -279,6 +281,10 @@
         return;
     }
     if (!m_log->hasFreeSpace()) {
+        if (canMakeRoom()) {
+            m_awaitingRoom.push_back(std::move(event));
+            return;
+        }
         handOverLead();
         event.callback->done(rejection("the data folder is full: free space on the control VM's disk"));
         return;
@@ -383,9 +389,15 @@
     return applied >= m_options.snapshotEveryEntries || (isLarge && m_log->hasFreeSpace());
 }
 
+/// @return whether a snapshot can take the place of entries, however few they are.
+bool control_node::canMakeRoom() const
+{
+    return m_appliedIndex >= m_raft.firstIndex() && m_log->hasSpaceToCompact();
+}
+
 void control_node::maybeCompact()
 {
-    if (!isCompactionDue())
+    if (!isCompactionDue() && m_awaitingRoom.empty())
         return;
     core::raft_snapshot snapshot;
     snapshot.index = m_appliedIndex;
--- a/packages/control/src/plumfold_durable_log.cpp
+++ b/packages/control/src/plumfold_durable_log.cpp
@@ -369,15 +369,25 @@
     return openLogForAppend();
 }
 
-bool durable_log::hasFreeSpace() const
+std::uint64_t durable_log::freeDiskBytes() const
 {
-    if (m_maxBytes > 0 && m_logBytes + m_snapshotBytes + reservedBytes > m_maxBytes)
-        return false;
     struct statvfs disk { };
     if (::statvfs(m_folder.c_str(), &disk) != 0)
+        return 0;
+    return static_cast<std::uint64_t>(disk.f_bavail) * disk.f_frsize;
+}
+
+bool durable_log::hasFreeSpace() const
+{
+    if (m_maxBytes > 0 && m_logBytes + m_snapshotBytes + reservedBytes > m_maxBytes)
         return false;
-    std::uint64_t free = static_cast<std::uint64_t>(disk.f_bavail) * disk.f_frsize;
-    return free > reservedBytes + m_snapshotBytes;
+    return freeDiskBytes() > reservedBytes + m_snapshotBytes;
+}
+
+bool durable_log::hasSpaceToCompact() const
+{
+    // The new snapshot holds at most the old one and the entries; the new log holds a part of them.
+    return freeDiskBytes() > reservedBytes + m_snapshotBytes + 2 * m_logBytes;
 }
 
 } // namespace plumfold::control
