Answer all requests of the own interface before the end of a planned stop

Open requests were told of the end only when it had come, and calls to services, probes and cancellations could not be ended.

Open requests now end 0.9 s before the end of the grace period. Their connections to targets are shut down, which ends all pending reads and writes; callers that are still sending have their receiving side shut down. 502 if a target may have run the request, 503 if none has. Claims are finished without waiting for a quorum, and no orders or exports begin.

--- a/packages/entry/include/plumfold/entry/plumfold_http_target_adapter.hpp
+++ b/packages/entry/include/plumfold/entry/plumfold_http_target_adapter.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "plumfold/entry/plumfold_target_adapter.hpp"
+#include "plumfold/runtime/plumfold_socket_group.hpp"
 
 #include <Poco/Net/HTTPClientSession.h>
 
+#include <atomic>
 #include <functional>
 #include <map>
 #include <memory>
@@ -25,6 +27,7 @@
     void cancel(const std::string& address, const std::string& requestId) override;
     bool exportBlocks(const std::string& address, const export_call& call) override;
     bool loadVersion(const target_process& target, const load_call& call) override;
+    void endCalls() override;
     process_state probeProcess(const target_process& target) override;
 
 private:
@@ -35,11 +38,18 @@
     session connect(const target_process& target);
     /// @return a pooled session that is still open; null if there is none.
     session popIdleConnection(const target_process& target);
+    /// Opens a connection and checks the incarnation of the process at the address.
+    /// @return a session on that connection.
+    /// @throws Poco::Exception if nothing responds or the incarnation differs.
+    session openVerified(const target_process& target);
     /// Returns a session to the pool and removes the sessions to other incarnations of the target.
     void returnIdleConnection(const target_process& target, session idle);
 
     std::mutex m_mutex;
     std::map<target_process, std::vector<session>> m_idle;
+    std::atomic<bool> m_isEnding { false };
+    runtime::socket_group m_calls { runtime::socket_group::direction::both };
+    runtime::socket_group m_shortRequests { runtime::socket_group::direction::both };
 };
 
 } // namespace plumfold::entry
--- a/packages/entry/include/plumfold/entry/plumfold_target_adapter.hpp
+++ b/packages/entry/include/plumfold/entry/plumfold_target_adapter.hpp
@@ -133,6 +133,10 @@
     /// @return whether the target accepted the order.
     virtual bool loadVersion(const target_process& target, const load_call& call) = 0;
 
+    /// Ends all completions and calls to services. Those that were sent, and later ones, end as lost or as
+    /// not reached.
+    virtual void endCalls() = 0;
+
     /// Checks whether a target process still runs, after the connection to it was lost.
     virtual process_state probeProcess(const target_process& target) = 0;
 };
--- a/packages/entry/src/plumfold_caller_api.cpp
+++ b/packages/entry/src/plumfold_caller_api.cpp
@@ -10,6 +10,7 @@
 #include "plumfold/runtime/plumfold_secrets.hpp"
 
 #include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/HTTPServerResponse.h>
 #include <nlohmann/json.hpp>
 
@@ -68,11 +69,17 @@
     }
 
 private:
+    static Poco::Net::StreamSocket& socketOf(Poco::Net::HTTPServerRequest& request)
+    {
+        return static_cast<Poco::Net::HTTPServerRequestImpl&>(request).socket();
+    }
+
     /// Sends an error without using the body. Reads and discards the rest of the body first: closing a
     /// connection with unread bytes resets it, and the caller could lose the response.
-    static void reject(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response,
+    void reject(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response,
         const error_info& error)
     {
+        runtime::socket_group::member receiving(m_context.receivingCallers, socketOf(request));
         request.stream().ignore(maxDroppedBytes);
         response.setKeepAlive(false);
         sendError(response, error);
@@ -119,7 +126,14 @@
         std::uint64_t limit = m_context.settings.entry->maxBodyBytes;
         bool declaredTooLarge
             = request.hasContentLength() && static_cast<std::uint64_t>(request.getContentLength64()) > limit;
-        auto body = declaredTooLarge ? nullptr : runtime::readBody(request.stream(), limit);
+        std::unique_ptr<std::string> body;
+        if (!declaredTooLarge) {
+            runtime::socket_group::member receiving(m_context.receivingCallers, socketOf(request));
+            body = runtime::readBody(request.stream(), limit);
+        }
+        // The stop may have begun while the body was received, or have ended its reception.
+        if (rejectWhenStopping(request, response))
+            return nullptr;
         if (!body) {
             reject(request, response,
                 { error_kind::too_large, run_state::not_run,
--- a/packages/entry/src/plumfold_completion_flow.cpp
+++ b/packages/entry/src/plumfold_completion_flow.cpp
@@ -94,9 +94,10 @@
         auto started = runtime::now();
         completion_result result = runAttempt(*plan);
         core::attempt_report report = makeReport(*plan, result, started);
+        bool isAborted = m_flow.context.aborting && result.outcome != attempt_outcome::succeeded;
         bool ended
             = result.outcome == attempt_outcome::succeeded || result.outcome == attempt_outcome::cancelled;
-        if (ended) {
+        if (ended && !isAborted) {
             finish(*plan, result, report);
             break;
         }
@@ -105,6 +106,10 @@
             m_spec.version = plan->version;
         if (result.outcome != attempt_outcome::not_reached && result.outcome != attempt_outcome::refused)
             m_attemptMayHaveRun = true;
+        if (isAborted) {
+            abort(*plan, report);
+            break;
+        }
         plan = m_flow.dispatchRetry(m_spec, report);
     }
     if (!plan.ok())
@@ -212,14 +217,16 @@
         result.outcome = attempt_outcome::lost;
     m_flow.writeSpan("target", from,
         { { "target", plan.target }, { "outcome", std::to_string(static_cast<int>(result.outcome)) } });
-    if (result.outcome == attempt_outcome::lost) {
+    // The end of the process, which ends calls, says nothing about the target.
+    bool isAborted = m_flow.context.aborting;
+    if (!isAborted && result.outcome == attempt_outcome::lost) {
         auto state = m_flow.context.targets.probeProcess({ plan.address, plan.incarnation });
         if (state == process_state::ended)
             result.outcome = attempt_outcome::crashed;
         else
             m_flow.context.targets.cancel(plan.address, m_flow.requestId);
     }
-    if (result.outcome == attempt_outcome::cancelled)
+    if (!isAborted && result.outcome == attempt_outcome::cancelled)
         m_flow.context.targets.cancel(plan.address, m_flow.requestId);
     if (result.outcome != attempt_outcome::succeeded) {
         runtime::log_event("attempt_failed", runtime::log_level::warning)
@@ -253,8 +260,6 @@
     completion_summary summary { result.finishReason, result.promptTokens, result.cachedTokens,
         m_assembly.next() };
     if (result.outcome == attempt_outcome::cancelled) {
-        if (m_flow.context.aborting)
-            m_writer.writeError(core::errorInfoOf(gracePeriodExpiredStatus(core::run_state::unknown)));
         if (m_claim)
             m_claim->reportUnknown();
         recordUsage(summary, true);
@@ -274,6 +279,16 @@
     exportToStore(plan);
 }
 
+void completion_flow::abort(const core::dispatch_plan& plan, core::attempt_report report)
+{
+    report.outcome = attempt_outcome::cancelled;
+    m_flow.context.dispatchThread.post(finished_event { m_spec.number, report });
+    fail(gracePeriodExpiredStatus(core::run_state::not_run));
+    // After the response, since the process ends soon.
+    if (m_attemptMayHaveRun)
+        m_flow.context.targets.cancel(plan.address, m_flow.requestId);
+}
+
 void completion_flow::fail(const absl::Status& status)
 {
     bool mayHaveRun = m_attemptMayHaveRun || m_assembly.next() > 0;
@@ -289,9 +304,7 @@
         m_flow.logEnd("completion", "caller_left", m_attempts);
         return;
     }
-    core::error_info error = core::errorInfoOf(status);
-    if (mayHaveRun && error.ran == core::run_state::not_run)
-        error.ran = core::run_state::unknown;
+    core::error_info error = finalError(status, mayHaveRun);
     // Shared before the response is sent, so that a retry through another entry is rejected there as well.
     if (error.kind == core::error_kind::crashes_targets && m_attempts > 0)
         m_flow.context.mesh.broadcastSuspect({ m_flow.fingerprint, core::crashesToCondemn });
@@ -315,7 +328,8 @@
 void completion_flow::exportToStore(const core::dispatch_plan& plan)
 {
     auto& context = m_flow.context;
-    bool worthwhile = m_spec.chain.size() >= context.settings.entry->minStoreBlocks
+    // The end of the process does not wait for stores and engines.
+    bool worthwhile = !context.stopping && m_spec.chain.size() >= context.settings.entry->minStoreBlocks
         && m_spec.chain.size() > m_spec.storeBlocks && plan.version == m_chainOwner.version;
     if (!worthwhile || !context.dispatchThread.snapshot().backgroundTransferAllowed)
         return;
--- a/packages/entry/src/plumfold_completion_flow.hpp
+++ b/packages/entry/src/plumfold_completion_flow.hpp
@@ -38,6 +38,8 @@
         const core::dispatch_plan& plan, const completion_result& result, const core::attempt_report& report);
     /// Ends a request that gets no further attempt.
     void fail(const absl::Status& status);
+    /// Ends a completion whose attempt was ended because the grace period is nearly over.
+    void abort(const core::dispatch_plan& plan, core::attempt_report report);
     /// Asks the target to copy the request's new KV blocks to a store in the background. Called after the
     /// response was sent, so that the caller does not wait for it.
     void exportToStore(const core::dispatch_plan& plan);
--- a/packages/entry/src/plumfold_entry_context.hpp
+++ b/packages/entry/src/plumfold_entry_context.hpp
@@ -9,6 +9,7 @@
 #include "plumfold/entry/plumfold_target_adapter.hpp"
 #include "plumfold/runtime/plumfold_metrics.hpp"
 #include "plumfold/runtime/plumfold_settings.hpp"
+#include "plumfold/runtime/plumfold_socket_group.hpp"
 #include "plumfold/runtime/plumfold_trace.hpp"
 
 #include <atomic>
@@ -28,9 +29,13 @@
     runtime::metrics& metrics;
     runtime::trace_writer& traces;
     std::atomic<bool> stopping { false }; ///< New requests are rejected.
-    std::atomic<bool> aborting { false }; ///< The grace period has expired: open requests end with an error.
+    std::atomic<bool> aborting {
+        false
+    }; ///< The grace period is nearly over: open requests end with an error.
     std::atomic<int> openRequests { 0 };
     std::atomic<std::uint64_t> activeExports { 0 }; ///< Threads that are starting an export of KV blocks.
+    /// Connections on which a request is being received.
+    runtime::socket_group receivingCallers { runtime::socket_group::direction::receive };
 };
 
 } // namespace plumfold::entry
--- a/packages/entry/src/plumfold_entry_role.cpp
+++ b/packages/entry/src/plumfold_entry_role.cpp
@@ -11,6 +11,7 @@
 #include "plumfold/runtime/plumfold_log.hpp"
 #include "plumfold/runtime/plumfold_secrets.hpp"
 
+#include <algorithm>
 #include <thread>
 
 namespace plumfold::entry {
@@ -19,6 +20,13 @@
 
 constexpr core::milliseconds drainCheckInterval { 20 };
 constexpr core::milliseconds condemnTimeout { 60'000 };
+/// Part of the grace period that is reserved for the exit of the process. Each of the two listeners needs up
+/// to 250 ms to stop.
+constexpr core::milliseconds exitMargin { 600 };
+/// Part of the grace period before that in which the last responses are sent.
+constexpr core::milliseconds lastResponseMargin { 300 };
+/// The two margins take at most the grace period divided by this.
+constexpr int marginDivisor = 2;
 
 core::dispatch_options dispatchOptions(const runtime::settings& settings, std::uint64_t seed)
 {
@@ -80,15 +88,26 @@
         m_context.stopping = true;
         m_dispatchThread.post(leaving_event {});
         m_mesh.setLeaving();
-        auto until = runtime::now() + core::milliseconds(m_settings.process.gracePeriodMs);
-        while (m_context.openRequests > 0 && runtime::now() < until)
-            std::this_thread::sleep_for(drainCheckInterval);
+        auto grace = core::milliseconds(m_settings.process.gracePeriodMs);
+        auto margin = std::min(exitMargin + lastResponseMargin, grace / marginDivisor);
+        auto stopAt = runtime::now() + grace - margin;
+        waitForRequests(stopAt);
         m_context.aborting = true;
+        m_targets.endCalls();
+        m_context.receivingCallers.shutdown();
         m_callers->stopAccepting();
+        waitForRequests(
+            stopAt + margin * lastResponseMargin.count() / (exitMargin + lastResponseMargin).count());
         runtime::log_event("entry_drained").with("open_requests", m_context.openRequests.load());
     }
 
 private:
+    void waitForRequests(core::instant until) const
+    {
+        while (m_context.openRequests > 0 && runtime::now() < until)
+            std::this_thread::sleep_for(drainCheckInterval);
+    }
+
     dispatch_outputs outputs()
     {
         dispatch_outputs out;
--- a/packages/entry/src/plumfold_http_target_adapter.cpp
+++ b/packages/entry/src/plumfold_http_target_adapter.cpp
@@ -24,6 +24,8 @@
 constexpr milliseconds connectTimeout { 300 };
 constexpr milliseconds shortRequestTimeout { 1000 };
 constexpr milliseconds probeTimeout { 200 };
+/// Timeout of cancellations that are sent when the process is about to end.
+constexpr milliseconds lastCancelTimeout { 100 };
 constexpr int maxProbes = 3;
 constexpr std::size_t maxIdlePerTarget = 32;
 constexpr std::size_t maxEventBytes = 1 << 20;
@@ -130,17 +132,13 @@
 
 } // namespace
 
-namespace {
-
-/// Opens a connection and checks the incarnation of the process at the address.
-/// @return a session on that connection.
-/// @throws Poco::Exception if nothing responds or the incarnation differs.
-std::unique_ptr<Poco::Net::HTTPClientSession> openVerified(const target_process& target)
+http_target_adapter::session http_target_adapter::openVerified(const target_process& target)
 {
     Poco::Net::StreamSocket socket;
     socket.connect(runtime::socketAddress(target.address), timespan(connectTimeout));
     socket.setNoDelay(true);
     runtime::setIoTimeout(socket, connectTimeout);
+    runtime::socket_group::member call(m_calls, socket);
     auto session = std::make_unique<Poco::Net::HTTPClientSession>(socket);
     session->setKeepAlive(true);
     Poco::Net::HTTPRequest healthRequest("GET", "/healthz", "HTTP/1.1");
@@ -155,8 +153,6 @@
     return session;
 }
 
-} // namespace
-
 http_target_adapter::session http_target_adapter::popIdleConnection(const target_process& target)
 {
     std::lock_guard lock(m_mutex);
@@ -197,6 +193,7 @@
     auto started = runtime::now();
     try {
         session used = connect(target);
+        runtime::socket_group::member ending(m_calls, used->socket());
         runtime::setIoTimeout(used->socket(), call.firstTokenTimeout);
         Poco::Net::HTTPRequest request("POST", "/v1/completions", "HTTP/1.1");
         request.setContentType("application/json");
@@ -237,6 +234,7 @@
         // A service may close a pooled connection while a call is in flight, which leaves it unknown whether
         // the call ran. Each call to a service therefore opens a new connection.
         session used = openVerified(target);
+        runtime::socket_group::member ending(m_calls, used->socket());
         runtime::setIoTimeout(used->socket(), call.timeout);
         Poco::Net::HTTPRequest request(call.method, "/v1/services/" + call.service + call.path, "HTTP/1.1");
         if (!call.contentType.empty())
@@ -273,12 +271,13 @@
 
 /// Sends a request to a target over a new connection.
 /// @return the body of the response; null if there was no response with status 200.
-std::unique_ptr<std::string> sendShortRequest(const std::string& address, const std::string& method,
-    const std::string& path, const std::string& body, milliseconds timeout)
+std::unique_ptr<std::string> sendShortRequest(runtime::socket_group& pending, const std::string& address,
+    const std::string& method, const std::string& path, const std::string& body, milliseconds timeout)
 {
     try {
         Poco::Net::StreamSocket socket;
         socket.connect(runtime::socketAddress(address), timespan(timeout));
+        runtime::socket_group::member ending(pending, socket);
         Poco::Net::HTTPClientSession session(socket);
         runtime::setIoTimeout(session.socket(), timeout);
         Poco::Net::HTTPRequest request(method, path, "HTTP/1.1");
@@ -299,8 +298,8 @@
 
 void http_target_adapter::cancel(const std::string& address, const std::string& requestId)
 {
-    sendShortRequest(
-        address, "POST", "/v1/cancel", json { { "request_id", requestId } }.dump(), shortRequestTimeout);
+    sendShortRequest(m_shortRequests, address, "POST", "/v1/cancel",
+        json { { "request_id", requestId } }.dump(), m_isEnding ? lastCancelTimeout : shortRequestTimeout);
 }
 
 bool http_target_adapter::exportBlocks(const std::string& address, const export_call& call)
@@ -312,7 +311,9 @@
         { "blocks", call.blocks },
         { "url", call.url },
     };
-    return sendShortRequest(address, "POST", "/v1/kv/export", body.dump(), shortRequestTimeout) != nullptr;
+    return sendShortRequest(
+               m_shortRequests, address, "POST", "/v1/kv/export", body.dump(), shortRequestTimeout)
+        != nullptr;
 }
 
 bool http_target_adapter::loadVersion(const target_process& target, const load_call& call)
@@ -323,10 +324,18 @@
         { "version", call.version },
         { "fence", call.fence },
     };
-    return sendShortRequest(target.address, "POST", "/v1/orders", body.dump(), shortRequestTimeout)
+    return sendShortRequest(
+               m_shortRequests, target.address, "POST", "/v1/orders", body.dump(), shortRequestTimeout)
         != nullptr;
 }
 
+void http_target_adapter::endCalls()
+{
+    m_isEnding = true;
+    m_calls.shutdown();
+    m_shortRequests.interrupt();
+}
+
 process_state http_target_adapter::probeProcess(const target_process& target)
 {
     for (int tries = 0; tries < maxProbes; ++tries) {
@@ -339,7 +348,7 @@
             return process_state::unknown;
         }
         auto sentAt = std::chrono::steady_clock::now();
-        auto body = sendShortRequest(target.address, "GET", "/healthz", "", probeTimeout);
+        auto body = sendShortRequest(m_shortRequests, target.address, "GET", "/healthz", "", probeTimeout);
         json reply = json::parse(body ? *body : "", nullptr, false);
         if (reply.is_object()) {
             bool same = reply.value("incarnation", std::uint64_t(0)) == target.incarnation;
--- a/packages/entry/src/plumfold_request_claim.cpp
+++ b/packages/entry/src/plumfold_request_claim.cpp
@@ -12,6 +12,8 @@
 
 constexpr core::milliseconds claimTimeout { 1500 };
 constexpr core::milliseconds finishTimeout { 1000 };
+/// While the process stops. Below the time in which the last responses are sent.
+constexpr core::milliseconds lastFinishTimeout { 300 };
 constexpr core::milliseconds releaseTimeout { 30'000 };
 constexpr core::milliseconds retryAfterUnavailable { 1000 };
 constexpr std::size_t holderIdBytes = 12;
@@ -88,7 +90,8 @@
         core::finish_claim_command { m_claim.key, m_claim.holder, outcome, response } };
     // Stored before the response is sent, so that a retry after a lost response finds it. The wait is short:
     // without a quorum, delivering the response matters more than storing it.
-    if (m_context.control.submit(command, finishTimeout).ok())
+    auto timeout = m_context.stopping ? lastFinishTimeout : finishTimeout;
+    if (!m_context.aborting && m_context.control.submit(command, timeout).ok())
         return;
     runtime::log_event("claim_not_finished", runtime::log_level::warning).with("holder", m_claim.holder);
     m_context.control.submitAsync(std::move(command), releaseTimeout);
--- a/packages/entry/src/plumfold_request_flow.cpp
+++ b/packages/entry/src/plumfold_request_flow.cpp
@@ -22,8 +22,23 @@
 
 absl::Status gracePeriodExpiredStatus(core::run_state ran)
 {
-    return core::toStatus({ core::error_kind::shutting_down, ran,
-        "this entry has stopped before the request ended: send it again", retryAfterShutdown });
+    if (ran == core::run_state::not_run)
+        return core::toStatus({ core::error_kind::shutting_down, ran,
+            "this entry has stopped before the request was sent to a target: send it again",
+            retryAfterShutdown });
+    return core::toStatus({ core::error_kind::target_failed, ran,
+        "this entry has stopped before the target answered: the request may have run", std::nullopt });
+}
+
+core::error_info finalError(const absl::Status& status, bool mayHaveRun)
+{
+    core::error_info error = core::errorInfoOf(status);
+    if (!mayHaveRun || error.ran != core::run_state::not_run)
+        return error;
+    if (error.kind == core::error_kind::shutting_down)
+        return core::errorInfoOf(gracePeriodExpiredStatus(core::run_state::unknown));
+    error.ran = core::run_state::unknown;
+    return error;
 }
 
 bool request_flow::isCallerDisconnected()
--- a/packages/entry/src/plumfold_request_flow.hpp
+++ b/packages/entry/src/plumfold_request_flow.hpp
@@ -50,6 +50,10 @@
 /// @return the error of a request that is still open when the grace period of a shutdown expires.
 absl::Status gracePeriodExpiredStatus(core::run_state ran);
 
+/// @param mayHaveRun whether an attempt may have run the request.
+/// @return the error for the caller of a request that gets no further attempt.
+core::error_info finalError(const absl::Status& status, bool mayHaveRun);
+
 /// @return a cancelled status, for a request whose caller disconnected.
 absl::Status callerDisconnectedStatus();
 
--- a/packages/entry/src/plumfold_service_flow.cpp
+++ b/packages/entry/src/plumfold_service_flow.cpp
@@ -53,7 +53,9 @@
         service_result result
             = m_flow.context.targets.callService({ plan->address, plan->incarnation }, makeCall());
         m_flow.writeSpan("target", from, { { "target", plan->target } });
-        if (result.outcome == attempt_outcome::lost
+        // The end of the process, which ends calls, says nothing about the target.
+        bool isAborted = m_flow.context.aborting && result.outcome != attempt_outcome::succeeded;
+        if (!isAborted && result.outcome == attempt_outcome::lost
             && m_flow.context.targets.probeProcess({ plan->address, plan->incarnation })
                 == process_state::ended)
             result.outcome = attempt_outcome::crashed;
@@ -67,6 +69,12 @@
         }
         if (result.outcome != attempt_outcome::not_reached && result.outcome != attempt_outcome::refused)
             m_attemptMayHaveRun = true;
+        if (isAborted) {
+            report.outcome = attempt_outcome::cancelled;
+            m_flow.context.dispatchThread.post(finished_event { m_spec.number, report });
+            plan = gracePeriodExpiredStatus(core::run_state::not_run);
+            break;
+        }
         plan = m_flow.dispatchRetry(m_spec, report);
     }
     fail(plan.status());
@@ -146,9 +154,7 @@
         m_flow.logEnd("service", "caller_left", m_attempts);
         return;
     }
-    core::error_info error = core::errorInfoOf(status);
-    if (m_attemptMayHaveRun && error.ran == core::run_state::not_run)
-        error.ran = core::run_state::unknown;
+    core::error_info error = finalError(status, m_attemptMayHaveRun);
     sendError(m_response, error);
     m_flow.logEnd("service", core::errorKindName(error.kind), m_attempts);
 }
--- a/packages/entry/src/plumfold_weight_load_thread.cpp
+++ b/packages/entry/src/plumfold_weight_load_thread.cpp
@@ -38,7 +38,7 @@
     while (!m_stopping) {
         if (runtime::now() >= m_nextRenewal && !m_context.stopping)
             renewLease();
-        if (holdsLease() && runtime::now() - m_heldSince >= firstOrderDelay)
+        if (holdsLease() && !m_context.stopping && runtime::now() - m_heldSince >= firstOrderDelay)
             sendLoadOrders();
         std::this_thread::sleep_for(planInterval);
     }
@@ -77,6 +77,8 @@
     auto orders
         = m_planner.plan(*snapshot.config, snapshot.ownTargets, domain->maxConcurrentLoads, runtime::now());
     for (const auto& order : orders) {
+        if (m_context.stopping)
+            return;
         bool accepted = holdsLease()
             && m_context.targets.loadVersion(
                 { order.address, order.incarnation }, { order.model, order.version, *m_fence });
--- a/tests/process/support/plumfold_test_system.cpp
+++ b/tests/process/support/plumfold_test_system.cpp
@@ -67,7 +67,7 @@
         { "process",
             { { "name", name }, { "failureDomain", failureDomainName(domain) },
                 { "dataFolder", folder(name) }, { "logFile", folder(name) + ".log" },
-                { "clusterSecret", "test-secret" }, { "gracePeriodMs", 8000 } } },
+                { "clusterSecret", "test-secret" }, { "gracePeriodMs", m_gracePeriod.count() } } },
         { role, std::move(body) },
     };
     std::ofstream(folder(name) + ".json") << settings.dump(2);
--- a/tests/process/support/plumfold_test_system.hpp
+++ b/tests/process/support/plumfold_test_system.hpp
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <chrono>
 #include <filesystem>
 #include <functional>
 #include <map>
@@ -40,6 +41,8 @@
     {
         m_extraSettings[role] = std::move(more);
     }
+    /// Sets the grace period of processes that start later.
+    void setGracePeriod(std::chrono::milliseconds time) { m_gracePeriod = time; }
     void startEntry(int number);
     void startStore();
     /// Starts or restarts a fake engine. A restart keeps the address.
@@ -64,6 +67,8 @@
     int leader();
 
     std::string callerAddress(int entry) const { return address(20 + entry, 8000); }
+    std::string storeAddress() const { return address(31, 7100); }
+    std::string storeBlockAddress() const { return address(31, 7101); }
     client::call_response complete(int entry, const std::string& prompt, std::uint32_t tokens = 8,
         bool stream = true, std::map<std::string, std::string> headers = {}, const std::string& key = apiKey);
     client::call_response order(int entry, const std::string& idempotencyKey, const std::string& body = "{}",
@@ -97,6 +102,7 @@
     std::filesystem::path m_folder;
     std::string m_network;
     int m_nextTarget = 60;
+    std::chrono::milliseconds m_gracePeriod { 8000 };
     std::map<std::string, nlohmann::json> m_extraSettings;
     std::map<std::string, std::string> m_targetAddresses;
     std::map<std::string, test_process> m_processes;
