Refuse a body that can never have room as too large

Callers with a body over half of /forwarding/requestBufferBytes got 503 with Retry-After each time: a buffer may only grow as long as as much is free beside it, so such a body never fits. The limit of the parser is now the smaller of the deployment's limit and the largest size that can have room, which gives 413 for announced and for chunked bodies. Relayed requests keep their answer, which tells the relaying entry the outcome.

--- a/packages/core/include/plumfold/core/plumfold_buffer_budget.hpp
+++ b/packages/core/include/plumfold/core/plumfold_buffer_budget.hpp
@@ -21,6 +21,9 @@
 
     std::size_t usedBytes() const { return m_usedBytes; }
 
+    /// @return the size beyond which a buffer has no room even if there is no other one.
+    std::size_t maxBufferBytes() const { return m_uncountedBytes + m_totalBytes / 2; }
+
 private:
     friend class buffer_share;
 
--- a/packages/forwarding/src/plumfold_caller_connection.cpp
+++ b/packages/forwarding/src/plumfold_caller_connection.cpp
@@ -6,6 +6,7 @@
 #include "plumfold/runtime/plumfold_clock.hpp"
 #include "plumfold/runtime/plumfold_log.hpp"
 
+#include <algorithm>
 #include <sys/socket.h>
 
 namespace plumfold::forwarding {
@@ -75,7 +76,12 @@
             = static_cast<std::uint32_t>(limits.maxHeaderBytes) + (m_isRelay ? maxRelayHeaderBytes : 0);
         parser.header_limit(headerBytes);
         m_buffer.max_size(headerBytes + maxUnparsedRequestBytes);
-        parser.body_limit(limits.maxBodyBytes);
+        // A body that can never have room is too large. A helper tells the relaying entry the outcome
+        // instead.
+        auto maxBodyBytes = std::uint64_t(limits.maxBodyBytes);
+        parser.body_limit(m_isRelay
+                ? maxBodyBytes
+                : std::min(maxBodyBytes, std::uint64_t(m_state.requestBodies.maxBufferBytes())));
         core::buffer_share body(m_state.requestBodies);
         if (!co_await readRequest(parser, body))
             co_return;
--- a/tests/forwarding/plumfold_request_body_tests.cpp
+++ b/tests/forwarding/plumfold_request_body_tests.cpp
@@ -224,3 +224,44 @@
         CHECK(request(1, "/shop/whole").status == 200);
     }
 }
+
+// Guards against callers that are told to come back with a body that never fits.
+TEST_CASE("A body that can never have room is refused as too large", "[forwarding][request_bodies]")
+{
+    constexpr std::size_t maxBody = 20 << 20; // half of /forwarding/requestBufferBytes
+    constexpr std::size_t tooLarge = maxBody + (1 << 20);
+    serving_system system;
+    auto deployment = system.deployment(4);
+    deployment["limits"]["max-body-bytes"] = 64 << 20;
+    deployment["limits"]["idle-timeout-ms"] = 10'000;
+    REQUIRE(system.putDeployment(1, deployment));
+    system.startAnnouncing();
+    auto exchange = [&](const std::string& bytes) {
+        raw_caller caller(system.callerAddress(1));
+        caller.setReceiveTimeout(callerTimeout);
+        try {
+            caller.send(bytes);
+        } catch (const Poco::Exception&) {
+            // The response tells why.
+        }
+        return caller.receive();
+    };
+    auto sized = [](std::size_t bytes) {
+        return forwarding_system::requestBytes(
+            "/shop/whole", forwarding_system::nextId(), std::string(bytes, 'b'));
+    };
+    REQUIRE(forwarding_system::eventually([&] { return exchange(sized(8 << 20)).status == 200; }));
+    auto announced = exchange(sized(tooLarge));
+    CHECK(announced.status == 413);
+    CHECK(announced.headers.find("retry-after: ") == std::string::npos);
+    auto chunked = forwarding_system::requestBytes("/shop/whole", forwarding_system::nextId(), "",
+        { { "Content-Length", "" }, { "Transfer-Encoding", "chunked" } });
+    constexpr std::size_t chunkBytes = 64 << 10;
+    for (std::size_t sent = 0; sent < tooLarge; sent += chunkBytes)
+        chunked += "10000\r\n" + std::string(chunkBytes, 'b') + "\r\n";
+    auto received = exchange(chunked + "0\r\n\r\n");
+    CHECK(received.status == 413);
+    CHECK(received.headers.find("retry-after: ") == std::string::npos);
+    // A body that has room is sent. The scripted target reads at most 8 MiB, so it fails there.
+    CHECK(exchange(sized(maxBody - (1 << 20))).status == 502);
+}
