Limit the memory of the bodies that callers send to control VMs

Callers that send bodies without end drove a control VM beyond the 256 MB of its machine: each of up to 200 connections may hold 16 MiB.

The bodies of all calls now share 48 MiB; a call that finds no room has 503, and its connection is closed.

--- a/packages/control/src/plumfold_platform_api_server.cpp
+++ b/packages/control/src/plumfold_platform_api_server.cpp
@@ -3,6 +3,7 @@
 #include "plumfold_api_response.hpp"
 #include "plumfold_rollout_api.hpp"
 
+#include "plumfold/core/plumfold_buffer_budget.hpp"
 #include "plumfold/platform/plumfold_platform_control_calls.hpp"
 #include "plumfold/platform/plumfold_platform_deployment.hpp"
 #include "plumfold/runtime/plumfold_clock.hpp"
@@ -14,6 +15,8 @@
 
 #include <algorithm>
 #include <functional>
+#include <istream>
+#include <mutex>
 #include <optional>
 
 namespace plumfold::control {
@@ -24,6 +27,10 @@
 
 constexpr int maxConnections = 200;
 constexpr std::size_t maxCallBytes = 16 << 20; // of the request body
+/// Limit of the bodies of all calls. The rest of the memory of a control VM, 256 MB, is for the state, the
+/// log and decoded configurations.
+constexpr std::size_t allCallsBytes = 48 << 20;
+constexpr std::size_t readBytes = 16 << 10;
 /// Below the second after which operators try another control VM.
 constexpr auto responseTimeout = 850 * kj::MILLISECONDS;
 /// Longer limit for bodies above largeBodyBytes, such as a configuration with many routes.
@@ -206,10 +213,65 @@
     core::milliseconds m_waited;
 };
 
+/// Memory for the bodies of all calls, which threads of the listener share.
+class call_bodies {
+public:
+    /// The part that the body of one call uses, until destruction.
+    class share {
+    public:
+        explicit share(call_bodies& bodies)
+            : m_mutex(bodies.m_mutex)
+            , m_share(std::in_place, bodies.m_budget)
+        {
+        }
+        ~share()
+        {
+            std::lock_guard lock(m_mutex);
+            m_share.reset();
+        }
+        share(const share&) = delete;
+        share& operator=(const share&) = delete;
+
+        /// @return whether the body may have this size.
+        bool resize(std::size_t bytes)
+        {
+            std::lock_guard lock(m_mutex);
+            return m_share->resize(bytes);
+        }
+
+    private:
+        std::mutex& m_mutex;
+        std::optional<core::buffer_share> m_share;
+    };
+
+private:
+    std::mutex m_mutex;
+    core::buffer_budget m_budget { allCallsBytes };
+};
+
+enum class body_result { complete, too_large, no_room };
+
+/// Reads the body of a call as far as the limits allow.
+body_result readCallBody(std::istream& in, call_bodies::share& share, std::string& body)
+{
+    std::string part(readBytes, '\0');
+    while (in.good()) {
+        in.read(part.data(), static_cast<std::streamsize>(part.size()));
+        auto received = static_cast<std::size_t>(in.gcount());
+        if (body.size() + received > maxCallBytes)
+            return body_result::too_large;
+        if (!share.resize(body.size() + received))
+            return body_result::no_room;
+        body.append(part, 0, received);
+    }
+    return body_result::complete;
+}
+
 class api_request_handler final : public Poco::Net::HTTPRequestHandler {
 public:
-    explicit api_request_handler(platform_api_context& context)
+    api_request_handler(platform_api_context& context, call_bodies& bodies)
         : m_context(context)
+        , m_bodies(bodies)
     {
     }
 
@@ -219,14 +281,24 @@
         auto receivedAt = runtime::now();
         auto& connection = dynamic_cast<Poco::Net::HTTPServerRequestImpl&>(request).socket();
         auto waited = runtime::sinceLastData(connection);
-        auto body = runtime::readBody(request.stream(), maxCallBytes);
-        api_response apiResponse
-            = errorResponse(HTTPResponse::HTTP_REQUEST_ENTITY_TOO_LARGE, "the body is too large");
+        call_bodies::share share(m_bodies);
+        std::string body;
+        auto result = readCallBody(request.stream(), share, body);
+        api_response apiResponse;
         bool isAnnouncement = false;
-        if (body) {
-            auto call = platform::decodeControlCall(request.getMethod(), request.getURI(), *body);
+        if (result == body_result::complete) {
+            auto call = platform::decodeControlCall(request.getMethod(), request.getURI(), body);
             isAnnouncement = std::holds_alternative<platform::announce_call>(call);
-            apiResponse = std::visit(call_visitor(m_context, std::move(*body), waited), call);
+            apiResponse = std::visit(call_visitor(m_context, std::move(body), waited), call);
+        } else {
+            // The rest of the body is not read, so no other call can follow.
+            response.setKeepAlive(false);
+            std::string().swap(body);
+            share.resize(0);
+            apiResponse = result == body_result::too_large
+                ? errorResponse(HTTPResponse::HTTP_REQUEST_ENTITY_TOO_LARGE, "the body is too large")
+                : errorResponse(HTTPResponse::HTTP_SERVICE_UNAVAILABLE,
+                    "the bodies of other calls leave no room for this one: try again");
         }
         // Each target announces itself every second; the feed logs changes.
         if (!isAnnouncement) {
@@ -244,6 +316,7 @@
 
 private:
     platform_api_context& m_context;
+    call_bodies& m_bodies;
 };
 
 class api_handler_factory final : public Poco::Net::HTTPRequestHandlerFactory {
@@ -255,11 +328,12 @@
 
     Poco::Net::HTTPRequestHandler* createRequestHandler(const Poco::Net::HTTPServerRequest&) override
     {
-        return new api_request_handler(m_context);
+        return new api_request_handler(m_context, m_bodies);
     }
 
 private:
     platform_api_context& m_context;
+    call_bodies m_bodies;
 };
 
 runtime::http_limits apiLimits()
--- a/packages/plumfoldd/src/plumfoldd_main.cpp
+++ b/packages/plumfoldd/src/plumfoldd_main.cpp
@@ -15,6 +15,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
+#include <malloc.h>
 
 namespace {
 
@@ -24,6 +25,9 @@
 constexpr int exitInvalidSettings = 2;
 constexpr int exitStartFailed = 3;
 constexpr int exitDiskFailed = 4;
+/// Blocks of this size are returned to the system when they are freed. Without a fixed threshold, glibc keeps
+/// freed blocks of up to 32 MiB for each thread, which for bodies exceeds the memory of a control VM.
+constexpr int largeBlockBytes = 256 << 10;
 
 /// Ends the process when the disk fails, because acknowledged changes would no longer be durable.
 void stopOnDiskFailure(const std::string& message)
@@ -53,6 +57,7 @@
     std::unique_ptr<plumfold::store::store_role> store;
     std::unique_ptr<plumfold::entry::entry_role> entry;
     if (settings.control) {
+        mallopt(M_MMAP_THRESHOLD, largeBlockBytes);
         auto started = plumfold::control::control_role::start(settings, rpc, stopOnDiskFailure);
         if (!started.ok()) {
             log_event("start_failed", log_level::error)
