Reject blocks that were never allocated before their body is read

A sender of blocks without end drove a store beyond its memory: up to 256 MiB of each body were read before the lease was checked.

The lease is now checked first, and no more than the allocated size is read.

--- a/packages/core/include/plumfold/core/plumfold_block_store.hpp
+++ b/packages/core/include/plumfold/core/plumfold_block_store.hpp
@@ -6,6 +6,7 @@
 #include <absl/status/statusor.h>
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -59,6 +60,10 @@
     block_lease allocate(const chain_owner& owner, const prompt_chain& chain, std::uint32_t blockBytes,
         milliseconds leaseTime, instant now);
 
+    /// @param index position in the chain.
+    /// @return the size of an allocated block that is open for writing; nothing if write() would not find it.
+    std::optional<std::uint32_t> writableBytes(ticket_number ticket, std::uint32_t index, instant now) const;
+
     /// Writes and seals one allocated block.
     /// @param index position in the chain; blocks must be written in order.
     /// @return not_found when the lease has ended or the block is not writable; invalid_argument when the
--- a/packages/core/src/plumfold_block_store.cpp
+++ b/packages/core/src/plumfold_block_store.cpp
@@ -152,6 +152,21 @@
 
 // ---------------------------------------------------------------- reading and writing
 
+std::optional<std::uint32_t> block_store::writableBytes(
+    ticket_number number, std::uint32_t index, instant now) const
+{
+    auto found = m_tickets.find(number);
+    bool valid = found != m_tickets.end() && found->second.writes && found->second.until > now
+        && index >= found->second.firstBlock
+        && index - found->second.firstBlock < found->second.blocks.size();
+    if (!valid)
+        return std::nullopt;
+    const block& target = m_blocks.at(found->second.blocks[index - found->second.firstBlock]);
+    if (target.state != block_state::writing)
+        return std::nullopt;
+    return target.size;
+}
+
 absl::Status block_store::write(
     ticket_number number, std::uint32_t index, std::string_view bytes, instant now)
 {
--- a/packages/store/src/plumfold_block_service.cpp
+++ b/packages/store/src/plumfold_block_service.cpp
@@ -20,7 +20,6 @@
 using Poco::Net::HTTPResponse;
 
 constexpr std::uint32_t maxLeaseMs = 60'000;
-constexpr std::size_t maxBlockBytes = 256 << 20;
 
 class store_server final : public wire::Store::Server {
 public:
@@ -166,7 +165,17 @@
     void put(const block_path& path, Poco::Net::HTTPServerRequest& request,
         Poco::Net::HTTPServerResponse& response)
     {
-        auto body = runtime::readBody(request.stream(), maxBlockBytes);
+        auto size = m_context.rpc.run(
+            [&] { return m_context.blocks.writableBytes(path.ticket, *path.index, runtime::now()); });
+        if (!size) {
+            // The body is not read, so no other request can follow.
+            response.setKeepAlive(false);
+            respond(
+                response, HTTPResponse::HTTP_CONFLICT, "no write lease for this block: allocate it again");
+            return;
+        }
+        auto body = runtime::readBody(request.stream(), *size);
+        response.setKeepAlive(body != nullptr && response.getKeepAlive());
         // Rejects a truncated body.
         bool isComplete = body && request.hasContentLength()
             && static_cast<std::size_t>(request.getContentLength64()) == body->size();
