Do not repeat interrupted probes; what endless senders and stops showed

A caller of the own interface got no answer at a planned stop: the probe of a target that stands still was interrupted, taken for a closed connection and repeated, beyond the time of the last responses.

The test of open requests still fails beside other work for another fault, which is not traced: the process may end late.

--- a/packages/entry/src/plumfold_http_target_adapter.cpp
+++ b/packages/entry/src/plumfold_http_target_adapter.cpp
@@ -338,7 +338,9 @@
 
 process_state http_target_adapter::probeProcess(const target_process& target)
 {
-    for (int tries = 0; tries < maxProbes; ++tries) {
+    // A probe that the end of the process has interrupted must not be repeated: its request still needs its
+    // last response.
+    for (int tries = 0; tries < maxProbes && !m_isEnding; ++tries) {
         try {
             Poco::Net::StreamSocket socket;
             socket.connect(runtime::socketAddress(target.address), timespan(probeTimeout));
