Keep the estimates of engines' links by service

Engines of several services shared one estimate of how busy their links are, so a small service with many fetches made the links of all others look full, and their prompts were read anew. Links of stores stay in one group, since all services use the same stores. Idle services are dropped with the transfers.

Tests: [placement], [kv_links] and [part_planner] of plumfold_core_tests; the new test fails with one shared estimate.

--- a/packages/core/include/plumfold/core/placement/plumfold_fetch_planner.hpp
+++ b/packages/core/include/plumfold/core/placement/plumfold_fetch_planner.hpp
@@ -4,7 +4,6 @@
 #include "plumfold/core/placement/plumfold_link_delays.hpp"
 #include "plumfold/core/placement/plumfold_link_occupancy.hpp"
 
-#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -22,6 +21,7 @@
     double prefillTokensPerMs = 0;
     double requestsBehind = 0; ///< Requests that wait behind a prompt that is read there.
     std::size_t engines = 1; ///< Engines of the service.
+    std::string service;
     auto operator<=>(const fetch_target&) const = default;
 };
 
@@ -50,7 +50,7 @@
 class fetch_planner {
 public:
     /// @param stores number of stores in the deployment.
-    void setStoreCount(std::size_t stores) { m_groups[0].links = stores; }
+    void setStoreCount(std::size_t stores) { m_stores = stores; }
     /// @param count entries that plan fetches from the same holders.
     void setEntryCount(double count, instant now) { m_entries.update(count, now); }
 
@@ -72,16 +72,18 @@
     }
 
 private:
-    struct link_group {
-        link_occupancy occupancy;
-        std::size_t links = 1;
+    /// The links of the engines of one service. Services have different numbers of engines and loads.
+    struct engine_links {
+        link_occupancy sending;
+        link_occupancy receiving;
     };
     struct running_transfer {
         std::string source;
         instant endsAt {};
     };
     static std::uint64_t transferOf(std::uint64_t part, const fetch_target& target);
-    const link_group& groupOf(holder_kind kind) const { return m_groups[static_cast<std::size_t>(kind)]; }
+    const engine_links& engineLinksOf(const std::string& service) const;
+    const link_occupancy& sendingLinks(holder_kind kind, const fetch_target& target) const;
     std::size_t linksOf(holder_kind kind, const fetch_target& target) const;
     double waitMs(const fetch_source& source, const fetch_target& target, instant now) const;
     double readingCostMs(
@@ -90,8 +92,9 @@
         const std::vector<fetch_source>& sources, instant now) const;
 
     entry_count_filter m_entries;
-    std::array<link_group, 2> m_groups {}; // sending links by holder_kind
-    link_occupancy m_receiving; // links of engines
+    std::size_t m_stores = 1;
+    link_occupancy m_storeLinks; // all services use the same stores
+    std::unordered_map<std::string, engine_links> m_engineLinks; // by service
     link_delays m_delays;
     std::unordered_map<std::uint64_t, running_transfer> m_transfers; // by part and target
     instant m_nextCleanup {};
--- a/packages/core/include/plumfold/core/placement/plumfold_link_occupancy.hpp
+++ b/packages/core/include/plumfold/core/placement/plumfold_link_occupancy.hpp
@@ -41,6 +41,9 @@
     /// @return the expected wait until a link is free, in ms, at most maxWaitMs.
     double waitMs(const std::string& link, double entries, std::size_t links, instant now) const;
 
+    /// @return whether no transfer was recorded for so long that all are forgotten.
+    bool isUnused(instant now) const;
+
     /// A transfer that would wait longer is not started.
     static constexpr double maxWaitMs = 2'000;
 
--- a/packages/core/src/placement/plumfold_fetch_planner.cpp
+++ b/packages/core/src/placement/plumfold_fetch_planner.cpp
@@ -32,20 +32,34 @@
     return hashBytes(target.address, part);
 }
 
+const fetch_planner::engine_links& fetch_planner::engineLinksOf(const std::string& service) const
+{
+    static const engine_links unused;
+    auto found = m_engineLinks.find(service);
+    return found == m_engineLinks.end() ? unused : found->second;
+}
+
+/// @return the links of the holders of a kind from which the target can fetch. Engines that hold its parts
+/// count as engines of its service.
+const link_occupancy& fetch_planner::sendingLinks(holder_kind kind, const fetch_target& target) const
+{
+    return kind == holder_kind::store ? m_storeLinks : engineLinksOf(target.service).sending;
+}
+
 std::size_t fetch_planner::linksOf(holder_kind kind, const fetch_target& target) const
 {
-    return kind == holder_kind::store ? groupOf(kind).links : target.engines;
+    return kind == holder_kind::store ? m_stores : target.engines;
 }
 
 /// @return the expected wait for both links, in ms.
 double fetch_planner::waitMs(const fetch_source& source, const fetch_target& target, instant now) const
 {
-    const auto& group = groupOf(source.kind);
-    double sending
-        = group.occupancy.waitMs(source.address, m_entries.count(), linksOf(source.kind, target), now);
+    double sending = sendingLinks(source.kind, target)
+                         .waitMs(source.address, m_entries.count(), linksOf(source.kind, target), now);
     double receiving = target.address.empty()
         ? 0
-        : m_receiving.waitMs(target.address, m_entries.count(), target.engines, now);
+        : engineLinksOf(target.service)
+              .receiving.waitMs(target.address, m_entries.count(), target.engines, now);
     double corrected = sending + receiving + m_delays.correctionMs(source.address, now);
     return std::clamp(corrected, 0.0, link_occupancy::maxWaitMs);
 }
@@ -57,9 +71,8 @@
     double behind = std::isfinite(target.requestsBehind)
         ? std::clamp(target.requestsBehind, 0.0, maxRequestsBehind)
         : 0;
-    double busy
-        = groupOf(source.kind)
-              .occupancy.utilisation(source.address, m_entries.count(), linksOf(source.kind, target), now);
+    double busy = sendingLinks(source.kind, target)
+                      .utilisation(source.address, m_entries.count(), linksOf(source.kind, target), now);
     return readMs * (readingWeight + behind)
         + idlePreferenceMs * std::max(0.0, 1 - busy / noPreferenceUtilisation);
 }
@@ -124,12 +137,17 @@
 {
     if (now >= m_nextCleanup) {
         std::erase_if(m_transfers, [&](const auto& each) { return each.second.endsAt <= now; });
+        std::erase_if(m_engineLinks, [&](const auto& each) {
+            return each.second.sending.isUnused(now) && each.second.receiving.isUnused(now);
+        });
         m_nextCleanup = now + cleanupInterval;
     }
     if (choice.source.empty() || choice.transferMs <= 0)
         return;
-    m_groups[static_cast<std::size_t>(kind)].occupancy.record(choice.source, choice.transferMs, now);
-    m_receiving.record(target.address, choice.transferMs, now);
+    auto& engines = m_engineLinks[target.service];
+    auto& sending = kind == holder_kind::store ? m_storeLinks : engines.sending;
+    sending.record(choice.source, choice.transferMs, now);
+    engines.receiving.record(target.address, choice.transferMs, now);
     auto duration = std::chrono::duration<double, std::milli>(choice.expectedMs);
     m_transfers[transferOf(part, target)]
         = { choice.source, now + std::chrono::duration_cast<instant::duration>(duration) };
--- a/packages/core/src/placement/plumfold_link_occupancy.cpp
+++ b/packages/core/src/placement/plumfold_link_occupancy.cpp
@@ -66,6 +66,11 @@
     m_links[link].add(holdMs, now);
 }
 
+bool link_occupancy::isUnused(instant now) const
+{
+    return m_total.count <= 0 || now - m_total.at > forgetTime;
+}
+
 double link_occupancy::utilisation(
     const std::string& link, double entries, std::size_t links, instant now) const
 {
--- a/packages/forwarding/src/plumfold_request_parts.cpp
+++ b/packages/forwarding/src/plumfold_request_parts.cpp
@@ -36,6 +36,7 @@
     target.bytesPerToken = service->engine->bytesPerToken;
     target.prefillTokensPerMs = m_state.targetSelector.latencyOf(m_service).prefillTokensPerMs;
     target.engines = count == m_state.engineCounts.end() ? 1 : count->second;
+    target.service = m_service;
     return target;
 }
 
--- a/tests/core/plumfold_kv_links_tests.cpp
+++ b/tests/core/plumfold_kv_links_tests.cpp
@@ -134,6 +134,32 @@
     CHECK(planner.choose(1, 9'122, engine, { nearEngine, store }, start)->source == "store");
 }
 
+// Services have different numbers of engines, and the engines of one do not send to those of another.
+TEST_CASE("Fetches of one service do not make the engines' links of another look busy", "[kv_links]")
+{
+    fetch_planner planner;
+    planner.setStoreCount(1'000);
+    planner.setEntryCount(60, start);
+    const fetch_source other { "other", { "a", 180'000, 0 }, holder_kind::engine };
+    auto small = engine;
+    small.service = "small";
+    small.engines = 2;
+    auto large = engine;
+    large.service = "large";
+    const auto before = *planner.choose(1, 9'122, large, { other }, start);
+    const auto beforeFromStore = *planner.choose(1, 9'122, large, { store }, start);
+    REQUIRE(before.source == "other");
+    for (std::uint64_t part = 100; part < 140; ++part) {
+        small.address = "small" + std::to_string(part % 2);
+        planner.record(part, { "small", 70, 70 }, small, holder_kind::engine, start);
+        planner.record(part + 100, { "store", 70, 70 }, small, holder_kind::store, start);
+    }
+    CHECK(planner.choose(1, 9'122, small, { other }, start)->source.empty());
+    CHECK(*planner.choose(1, 9'122, large, { other }, start) == before);
+    // Stores are shared: their links are as busy for every service.
+    CHECK(planner.choose(1, 9'122, large, { store }, start)->expectedMs > beforeFromStore.expectedMs);
+}
+
 TEST_CASE("Without usable figures there is no decision", "[kv_links]")
 {
     fetch_planner planner;
