Do not count parts that the chosen engine holds as transfers

An adaptive plan names a source also for parts that the target holds, in case that it has evicted them. The entry counted them as fetches, in fetches and fetch_tokens of request_ended and in the delays of the source's link, which then looked faster or slower than it is. The plan now states which parts the target holds; plans without adaptive placement state none.

Tests: [placement], [kv_links] and [part_planner], compiled alone; the new test fails without the mark.

--- a/packages/core/include/plumfold/core/plumfold_part_directory.hpp
+++ b/packages/core/include/plumfold/core/plumfold_part_directory.hpp
@@ -125,10 +125,15 @@
     std::vector<std::string> saveTo;
     /// Until the target has all shared parts, in ms, as an adaptive plan expects it; nothing: not predicted.
     std::optional<double> sharedPartsMs;
+    /// Parts that the target of an adaptive plan is known to hold. Their source is named only in case that
+    /// the target has evicted them. Empty: none.
+    std::vector<bool> heldByTarget;
     double fetchMs = 0; ///< Part of it for fetches.
     double readTokens = 0; ///< Tokens of shared parts that the target is expected to read.
     bool fetches() const;
     bool saves() const;
+    /// @return whether a part is expected to occupy the link of its source.
+    bool isTransferExpected(std::size_t index) const;
     bool operator==(const part_plan&) const = default;
 };
 
--- a/packages/core/src/placement/plumfold_adaptive_plan.cpp
+++ b/packages/core/src/placement/plumfold_adaptive_plan.cpp
@@ -47,7 +47,8 @@
     for (std::size_t index = 0; index + 1 < parts.size(); ++index) {
         auto part = hashOf({ cacheNamespace, parts[index].id });
         if (held && held->tokens.contains(part)) {
-            // The source stays named in case that the target has evicted the part; no transfer is expected.
+            out.heldByTarget.resize(parts.size());
+            out.heldByTarget[index] = true;
             isPredicted = true;
             continue;
         }
--- a/packages/core/src/plumfold_part_directory.cpp
+++ b/packages/core/src/plumfold_part_directory.cpp
@@ -263,6 +263,11 @@
     return std::any_of(saveTo.begin(), saveTo.end(), [](const auto& each) { return !each.empty(); });
 }
 
+bool part_plan::isTransferExpected(std::size_t index) const
+{
+    return !fetchFrom[index].empty() && !(index < heldByTarget.size() && heldByTarget[index]);
+}
+
 void part_planner::setStores(const std::vector<service_limits>& services)
 {
     m_stores.clear();
--- a/packages/forwarding/src/plumfold_request_parts.cpp
+++ b/packages/forwarding/src/plumfold_request_parts.cpp
@@ -71,12 +71,12 @@
         return static_cast<std::size_t>(std::count_if(
             addresses.begin(), addresses.end(), [](const auto& each) { return !each.empty(); }));
     };
-    m_fetches = countNonEmpty(head.parts.fetchFrom);
     m_saves = countNonEmpty(head.parts.saveTo);
     for (std::size_t index = 0; index < head.parts.fetchFrom.size(); ++index) {
-        const auto& source = head.parts.fetchFrom[index];
-        if (source.empty())
+        if (!head.parts.isTransferExpected(index))
             continue;
+        const auto& source = head.parts.fetchFrom[index];
+        ++m_fetches;
         m_fetchTokens += m_head.parts[index].tokens;
         if (std::find(m_fetchedFrom.begin(), m_fetchedFrom.end(), source) == m_fetchedFrom.end())
             m_fetchedFrom.push_back(source);
--- a/tests/core/plumfold_kv_links_tests.cpp
+++ b/tests/core/plumfold_kv_links_tests.cpp
@@ -203,6 +203,33 @@
     CHECK_FALSE(plan.sharedPartsMs);
 }
 
+// Counted as a transfer, a part that is read from the engine's own memory made its source look slow, or fast.
+TEST_CASE("A part that the target holds causes no transfer", "[kv_links]")
+{
+    const std::vector<prompt_part> prompt { { "system", 650 }, { "session", 9'122 }, { "own", 50 } };
+    auto noEngines = [](const std::string&) { return std::optional<part_source>(); };
+    part_directory directory;
+    directory.reset("store", 7, start);
+    for (const auto& part : prompt)
+        directory.apply("store", { hashOf({ "w1", part.id }), static_cast<std::uint32_t>(part.tokens) });
+    directory.reset("engine", 3, start);
+    directory.apply("engine", { hashOf({ "w1", "session" }), 9'122 });
+    part_planner planner;
+    planner.setStores(services());
+    auto plan = planner.planAdaptively(prompt, "w1", engine, directory, noEngines, start);
+    CHECK(plan.isTransferExpected(0));
+    CHECK_FALSE(plan.isTransferExpected(1));
+    CHECK_FALSE(plan.isTransferExpected(2));
+    // If the engine has evicted the part, it still knows where it is.
+    CHECK(plan.fetchFrom[1] == "store");
+    auto systemMs = *transferMs(650, bytesPerToken, linkOf(*services()[0].store), engine.link);
+    CHECK(plan.fetchMs == Approx(systemMs));
+    CHECK(*plan.sharedPartsMs == Approx(systemMs));
+    // Without adaptive placement every named source counts, as before.
+    auto plain = planner.plan(prompt, "w1", { "engine", "a", 0 }, directory, noEngines, 48, start);
+    CHECK(plain.isTransferExpected(1));
+}
+
 TEST_CASE("An adaptive plan without usable figures is the plan without adaptive placement", "[kv_links]")
 {
     const std::vector<prompt_part> prompt { { "session", 9'122 }, { "own", 50 } };
