Learn the speed of engines only from prompts without fetches

First events that were late because of a fetch raised the reading time and the momentary slowness of the engine. Such an engine was avoided, and the time of the next plans predicted too long, whatever the cause. An observation now states the number of fetches instead of their predicted time, and one with fetches updates the delays of links only.

Tests: [placement], [kv_links] and [part_planner], compiled alone; the new test fails without the condition.

--- a/benchmarks/plumfold_bench_placement.cpp
+++ b/benchmarks/plumfold_bench_placement.cpp
@@ -107,7 +107,7 @@
                 findSource, tokensPerMs, now);
         microseconds.push_back(std::chrono::duration<double, std::micro>(clock_type::now() - start).count());
         selector.recordFirstEvent(
-            { "engines", chosen->target, 1'150, 3, 0, 16, 70, number % 7 == 0 ? 400.0 : 120.0 }, now);
+            { "engines", chosen->target, 1'150, 3, 0, 16, 0, number % 7 == 0 ? 400.0 : 120.0 }, now);
         selector.onAttemptEnded(
             chosen->target, attempt_result::answered, target_selector::expectedTokens(request), now);
     }
--- a/packages/core/include/plumfold/core/placement/plumfold_engine_speed_model.hpp
+++ b/packages/core/include/plumfold/core/placement/plumfold_engine_speed_model.hpp
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -27,7 +28,7 @@
     double running = 0; ///< Requests that ran there at the start.
     double waiting = 0; ///< Requests that waited there at the start.
     double slots = 0; ///< Requests that can run at the same time.
-    double otherMs = 0; ///< Predicted part of the time that does not depend on the engine's speed: fetches.
+    std::size_t fetches = 0; ///< KV parts that the engine fetched first.
     double firstEventMs = 0;
 };
 
@@ -40,7 +41,9 @@
     {
     }
 
-    /// Records an observation. Its influence is bounded, however far it is from the prediction.
+    /// Records an observation. Its influence is bounded, however far it is from the prediction. One with
+    /// fetches has none: a late fetch says nothing about the engine, and an engine that seemed slow for that
+    /// reason would be avoided although it is not.
     /// @return whether its figures are possible; those that are not (negative, not finite, more running
     /// requests than slots) are ignored.
     bool record(const engine_observation& observation, instant now);
--- a/packages/core/include/plumfold/core/plumfold_part_directory.hpp
+++ b/packages/core/include/plumfold/core/plumfold_part_directory.hpp
@@ -128,7 +128,6 @@
     /// Parts that the target of an adaptive plan is known to hold. Their source is named only in case that
     /// the target has evicted them. Empty: none.
     std::vector<bool> heldByTarget;
-    double fetchMs = 0; ///< Part of it for fetches.
     double readTokens = 0; ///< Tokens of shared parts that the target is expected to read.
     bool fetches() const;
     bool saves() const;
--- a/packages/core/src/placement/plumfold_adaptive_plan.cpp
+++ b/packages/core/src/placement/plumfold_adaptive_plan.cpp
@@ -75,7 +75,6 @@
     }
     if (isPredicted) {
         out.sharedPartsMs = fetchMs + readTokens / target.prefillTokensPerMs;
-        out.fetchMs = fetchMs;
         out.readTokens = readTokens;
     }
     return out;
--- a/packages/core/src/placement/plumfold_engine_speed_model.cpp
+++ b/packages/core/src/placement/plumfold_engine_speed_model.cpp
@@ -31,7 +31,7 @@
 bool engine_speed_model::isPossible(const engine_observation& observation)
 {
     const std::array all { observation.readTokens, observation.running, observation.waiting,
-        observation.otherMs, observation.firstEventMs };
+        observation.firstEventMs };
     bool isFinite
         = std::all_of(all.begin(), all.end(), [](double each) { return std::isfinite(each) && each >= 0; });
     return isFinite && observation.running <= observation.slots;
@@ -41,10 +41,12 @@
 {
     if (!isPossible(observation))
         return false;
+    if (observation.fetches > 0)
+        return true;
     const auto prior = priorFigures();
     auto& known = m_services.try_emplace(observation.service, prior).first->second;
     const figures inputs { observation.readTokens, observation.running, observation.waiting };
-    double predictedMs = observation.otherMs;
+    double predictedMs = 0;
     double scale = 1;
     for (std::size_t index = 0; index < figureCount; ++index) {
         predictedMs += known[index] * inputs[index];
--- a/packages/forwarding/src/plumfold_request_forwarder.hpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.hpp
@@ -213,7 +213,6 @@
     double m_predictedMs = 0; // predicted time to the first event of the current attempt
     core::placement m_startLoad; // as chosen for the current attempt
     double m_readTokens = 0; // tokens that the target is expected to read; 0: not predicted
-    double m_otherMs = 0; // expected time of fetches
     double m_firstEventMs = -1; // actual time to the first event of the current attempt; -1: none yet
     core::instant m_firstByteAt {};
     const char* m_answerFraming = "none"; // of the target's latest response, for the log
--- a/packages/forwarding/src/plumfold_request_parts.cpp
+++ b/packages/forwarding/src/plumfold_request_parts.cpp
@@ -64,7 +64,6 @@
         auto own = m_head.promptTokens - std::min(core::sharedTokensOf(m_head.parts), m_head.promptTokens);
         m_predictedMs
             = m_waitMs + static_cast<double>(own) / latency.prefillTokensPerMs + *head.parts.sharedPartsMs;
-        m_otherMs = head.parts.fetchMs;
         m_readTokens = static_cast<double>(own) + head.parts.readTokens;
     }
     auto countNonEmpty = [](const auto& addresses) {
@@ -92,7 +91,7 @@
         return;
     bool isPossible = m_state.targetSelector.recordFirstEvent(
         { m_service, m_lastTarget, m_readTokens, static_cast<double>(m_startLoad.running),
-            static_cast<double>(m_startLoad.waiting), static_cast<double>(m_startLoad.slots), m_otherMs,
+            static_cast<double>(m_startLoad.waiting), static_cast<double>(m_startLoad.slots), m_fetches,
             m_firstEventMs },
         m_firstByteAt);
     if (!isPossible && m_state.impossibleLoads.insert(m_service).second)
--- a/tests/core/plumfold_engine_placement_tests.cpp
+++ b/tests/core/plumfold_engine_placement_tests.cpp
@@ -65,6 +65,24 @@
     CHECK(model.slownessMs("t", start + milliseconds(3'000)) < 10);
 }
 
+// With fetches counted, engines whose stores were congested were avoided as slow.
+TEST_CASE("First events that waited for fetches do not make an engine look slow", "[placement]")
+{
+    engine_speed_model model;
+    auto late = observationOf(4'800, 0, 600);
+    late.fetches = 1;
+    for (int count = 0; count < 100; ++count)
+        CHECK(model.record(late, start));
+    CHECK(model.slownessMs("t", start) == 0);
+    CHECK(model.speedOf("s") == engine_speed {});
+    late.running = 17;
+    CHECK_FALSE(model.record(late, start));
+    late = observationOf(4'800, 0, 600);
+    CHECK(model.record(late, start));
+    CHECK(model.slownessMs("t", start) > 0);
+    CHECK(model.speedOf("s").prefillTokensPerMs < engine_speed {}.prefillTokensPerMs);
+}
+
 // A target that reports nonsense must not make an entry avoid or prefer all others.
 TEST_CASE("Impossible figures are ignored and large ones have bounded influence", "[placement]")
 {
--- a/tests/core/plumfold_kv_links_tests.cpp
+++ b/tests/core/plumfold_kv_links_tests.cpp
@@ -223,7 +223,6 @@
     // If the engine has evicted the part, it still knows where it is.
     CHECK(plan.fetchFrom[1] == "store");
     auto systemMs = *transferMs(650, bytesPerToken, linkOf(*services()[0].store), engine.link);
-    CHECK(plan.fetchMs == Approx(systemMs));
     CHECK(*plan.sharedPartsMs == Approx(systemMs));
     // Without adaptive placement every named source counts, as before.
     auto plain = planner.plan(prompt, "w1", { "engine", "a", 0 }, directory, noEngines, 48, start);
