--- a/tests/core/support/plumfold_fetch_site.cpp
+++ b/tests/core/support/plumfold_fetch_site.cpp
@@ -18,8 +18,8 @@
 constexpr std::size_t storeCount = 28;
 constexpr std::size_t fastStores = 13;
 constexpr std::uint64_t bytesPerToken = 163'840;
-constexpr double ownTokens = 1'400; // makes engines read a sixth of what they can
 constexpr double tokensPerMs = 48;
+constexpr std::uint64_t longestShortTokens = 2'000; // 42 ms of reading
 constexpr double reportAgeMs = 300;
 constexpr double slowShare = 0.15;
 constexpr double slowFactor = 2.5;
@@ -56,7 +56,7 @@
             entry.setStoreCount(storeCount);
         for (std::size_t store = 0; store < storeCount; ++store)
             m_stores[store] = { "store" + std::to_string(store),
-                { "a", options.rateFactor * (store < fastStores ? 690'000.0 : 430'000.0), 3 },
+                { "a", options.rateFactor * (store < fastStores ? 690'000.0 : 430'000.0), setupMs(store) },
                 holder_kind::store };
     }
 
@@ -77,6 +77,8 @@
             out.inTime[kind] = m_inTime[kind] / std::max(m_counted[kind], 1.0);
         double counted = m_counted[0] + m_counted[1] + m_counted[2];
         out.overall = (m_inTime[0] + m_inTime[1] + m_inTime[2]) / std::max(counted, 1.0);
+        out.readTokens = (m_sharedTokens - m_fetchedTokens) / std::max(m_arrived, 1.0);
+        out.busyStores = m_busyMs / ((m_options.seconds - m_options.measureFrom) * 1'000);
         out.fetchedTokens = m_fetchedTokens / std::max(m_sharedTokens, 1.0);
         out.slowStoreInTime = m_slowStoreInTime / std::max(m_slowStoreCounted, 1.0);
         return out;
@@ -110,10 +112,27 @@
                 static_cast<double>(entryCount) * (isWrong ? m_options.countFactor : 1), now());
     }
 
+    double setupMs(std::size_t store) const
+    {
+        // The order differs from that of the links' rates.
+        double share = static_cast<double>(store * 5 % storeCount) / (storeCount - 1);
+        return m_options.lowestSetupMs + share * (m_options.highestSetupMs - m_options.lowestSetupMs);
+    }
+
+    double loadFactor() const
+    {
+        if (isBetween(m_options.burstFrom, m_options.burstUntil))
+            return 2;
+        if (m_options.cycleSeconds <= 0)
+            return 1;
+        // 1.4 in a third of the time and 0.8 in the others are 1 on average.
+        double position = std::fmod(m_nowMs / 1'000, m_options.cycleSeconds) / m_options.cycleSeconds;
+        return position >= 2.0 / 3 ? 1.4 : 0.8;
+    }
+
     void scheduleArrival(std::size_t kind)
     {
-        bool isBurst = isBetween(m_options.burstFrom, m_options.burstUntil);
-        double perMs = kinds[kind].perSecond * m_options.load * (isBurst ? 2 : 1) / 1'000;
+        double perMs = kinds[kind].perSecond * m_options.load * loadFactor() / 1'000;
         double next = m_nowMs + std::exponential_distribution<double>(perMs)(m_random);
         if (next >= m_options.seconds * 1'000)
             return;
@@ -150,16 +169,21 @@
         one.store = m_random() % storeCount;
         one.arrivedMs = m_nowMs;
         fetch_target target { "engine" + std::to_string(one.engine),
-            { "a", 180'000 * m_options.rateFactor, engineSetupMs }, bytesPerToken, tokensPerMs,
-            knownWaitMs(one.engine) / waitingRequestMs, engineCount };
+            { "a", 180'000 * m_options.rateFactor * m_options.engineLinkFactor, engineSetupMs },
+            bytesPerToken, tokensPerMs, knownWaitMs(one.engine) / waitingRequestMs, engineCount };
         auto part = m_random();
         auto tokens = kinds[kind].sharedTokens;
         const auto& source = m_stores[one.store];
         double readMs = static_cast<double>(tokens) / tokensPerMs;
-        one.predictedMs = knownWaitMs(one.engine) + ownTokens / tokensPerMs + readMs;
+        one.predictedMs = knownWaitMs(one.engine) + m_options.ownTokens / tokensPerMs + readMs;
         one.isReliable = knownWaitMs(one.engine) < lightLoadMs;
         bool isHeld = !isFailed(one.store);
-        one.isFetched = m_options.policy == fetch_policy::always && isHeld;
+        if (m_options.notStoredShare > 0)
+            isHeld = isHeld && std::uniform_real_distribution<double>()(m_random) >= m_options.notStoredShare;
+        bool isShort = tokens < longestShortTokens;
+        one.isFetched = isHeld
+            && (m_options.policy == fetch_policy::always
+                || (m_options.policy == fetch_policy::long_only && !isShort));
         if (m_options.policy == fetch_policy::adaptive && isHeld) {
             auto choice = m_entries[one.entry].choose(part, tokens, target, { source }, now());
             one.isFetched = choice && !choice->source.empty();
@@ -171,6 +195,7 @@
         if (m_nowMs >= m_options.measureFrom * 1'000) {
             m_sharedTokens += static_cast<double>(tokens);
             m_fetchedTokens += one.isFetched ? static_cast<double>(tokens) : 0;
+            m_arrived += 1;
         }
         double factor = m_options.linkFactor * (one.store == 0 ? m_options.slowStoreFactor : 1);
         transfer(one, factor * *transferMs(tokens, bytesPerToken, source.link, target.link));
@@ -194,13 +219,18 @@
     void send(std::size_t store)
     {
         const auto& [one, ms] = m_storeQueues[store].front();
+        m_sendsSinceMs[store] = m_nowMs;
         double& linkFreeMs = m_engineLinkFreeMs[one.engine];
         linkFreeMs = std::max(m_nowMs, linkFreeMs) + ms;
-        at(linkFreeMs, [this, store] {
+        double receivedMs = linkFreeMs;
+        at(m_options.doStoresWaitForEngines ? receivedMs : m_nowMs + ms, [this, store, receivedMs] {
             auto [sent, tookMs] = m_storeQueues[store].front();
             m_storeQueues[store].pop();
             m_storeWorkMs[store] -= tookMs;
-            read(sent);
+            m_busyMs += std::max(0.0,
+                std::min(m_nowMs, m_options.seconds * 1'000)
+                    - std::max(m_sendsSinceMs[store], m_options.measureFrom * 1'000));
+            at(receivedMs, [this, one = sent] { read(one); });
             if (!m_storeQueues[store].empty())
                 send(store);
         });
@@ -216,7 +246,7 @@
             slowUntilMs = isSlow ? m_nowMs + slowMs : m_nowMs;
         }
         double factor = m_nowMs < slowUntilMs ? slowFactor : 1;
-        freeMs = std::max(freeMs, m_nowMs) + factor * (ownTokens + one.anewTokens) / tokensPerMs;
+        freeMs = std::max(freeMs, m_nowMs) + factor * (m_options.ownTokens + one.anewTokens) / tokensPerMs;
         at(freeMs, [this, one] { onFirstEvent(one); });
     }
 
@@ -248,6 +278,8 @@
     std::array<fetch_source, storeCount> m_stores;
     std::array<std::queue<std::pair<prompt, double>>, storeCount> m_storeQueues;
     std::array<double, storeCount> m_storeWorkMs {}; // queued and being sent
+    std::array<double, storeCount> m_sendsSinceMs {};
+    double m_busyMs = 0; // of all stores
     std::array<double, engineCount> m_engineLinkFreeMs {};
     std::array<double, engineCount> m_engineFreeMs {};
     std::array<double, engineCount> m_slowUntilMs {};
@@ -257,12 +289,27 @@
     std::array<double, 3> m_inTime {};
     double m_slowStoreCounted = 0;
     double m_slowStoreInTime = 0;
+    double m_arrived = 0;
     double m_sharedTokens = 0;
     double m_fetchedTokens = 0;
 };
 
 } // namespace
 
+fetch_site_options slowEngineSite()
+{
+    fetch_site_options options;
+    options.notStoredShare = 0.1;
+    options.doStoresWaitForEngines = false;
+    options.ownTokens = 1'100;
+    options.lowestSetupMs = 0.5;
+    options.highestSetupMs = 6;
+    options.cycleSeconds = 6;
+    options.measureFrom = 6;
+    options.seconds = 30;
+    return options;
+}
+
 fetch_site_result play(const fetch_site_options& options)
 {
     return site(options).run();
