--- a/packages/forwarding/src/plumfold_request_parts.cpp
+++ b/packages/forwarding/src/plumfold_request_parts.cpp
@@ -36,6 +36,7 @@
     target.bytesPerToken = service->engine->bytesPerToken;
     target.prefillTokensPerMs = m_state.targetSelector.latencyOf(m_service).prefillTokensPerMs;
     target.engines = count == m_state.engineCounts.end() ? 1 : count->second;
+    target.service = m_service;
     return target;
 }
 
@@ -63,19 +64,18 @@
         auto own = m_head.promptTokens - std::min(core::sharedTokensOf(m_head.parts), m_head.promptTokens);
         m_predictedMs
             = m_waitMs + static_cast<double>(own) / latency.prefillTokensPerMs + *head.parts.sharedPartsMs;
-        m_otherMs = head.parts.fetchMs;
         m_readTokens = static_cast<double>(own) + head.parts.readTokens;
     }
     auto countNonEmpty = [](const auto& addresses) {
         return static_cast<std::size_t>(std::count_if(
             addresses.begin(), addresses.end(), [](const auto& each) { return !each.empty(); }));
     };
-    m_fetches = countNonEmpty(head.parts.fetchFrom);
     m_saves = countNonEmpty(head.parts.saveTo);
     for (std::size_t index = 0; index < head.parts.fetchFrom.size(); ++index) {
-        const auto& source = head.parts.fetchFrom[index];
-        if (source.empty())
+        if (!head.parts.isTransferExpected(index))
             continue;
+        const auto& source = head.parts.fetchFrom[index];
+        ++m_fetches;
         m_fetchTokens += m_head.parts[index].tokens;
         if (std::find(m_fetchedFrom.begin(), m_fetchedFrom.end(), source) == m_fetchedFrom.end())
             m_fetchedFrom.push_back(source);
@@ -91,7 +91,7 @@
         return;
     bool isPossible = m_state.targetSelector.recordFirstEvent(
         { m_service, m_lastTarget, m_readTokens, static_cast<double>(m_startLoad.running),
-            static_cast<double>(m_startLoad.waiting), static_cast<double>(m_startLoad.slots), m_otherMs,
+            static_cast<double>(m_startLoad.waiting), static_cast<double>(m_startLoad.slots), m_fetches,
             m_firstEventMs },
         m_firstByteAt);
     if (!isPossible && m_state.impossibleLoads.insert(m_service).second)
