Send requests to former targets at the full share while no next one is usable

Before a rollout has completed, a request at the full share failed when every next target was announced as ready but cold, resting, at its limit or in back-off, although former targets were still running. Former targets now serve then. A request that was tried at a next target stays with these while any is usable, as before.

Requests sent to former targets at the full share are reported as running there at least once, so that the rollout does not complete between two reports of an entry that still falls back.

--- a/packages/core/include/plumfold/core/plumfold_target_selector.hpp
+++ b/packages/core/include/plumfold/core/plumfold_target_selector.hpp
@@ -81,6 +81,8 @@
     std::uint32_t running = 0; ///< Requests on the target as last reported; 0 without a report.
     std::uint32_t waiting = 0; ///< Requests that waited there as last reported.
     std::uint32_t slots = 0; ///< Requests that the target runs at the same time.
+    /// A former target at the full share of a rollout, because no next one was usable.
+    bool isFullShareFallback = false;
     bool operator==(const placement&) const = default;
 };
 
@@ -336,7 +338,9 @@
     };
     placement_result chooseInCohort(const placement_request& request, instant now);
     bool hasWarmTargetInCohort(const placement_request& request, instant now) const;
-    bool mayFallBack(const placement_request& request) const;
+    bool mayFallBack(const placement_request& request, instant now) const;
+    bool isAnyNextUsable(const placement_request& request, instant now) const;
+    bool mayStartNow(const tracked_target& target, const placement_request& request, instant now) const;
     void assignCohorts(instant now);
     rollout_assignment rolloutAssignment(const tracked_target& target, instant now) const;
     bool isResponsive(const tracked_target& target, instant now) const;
--- a/packages/core/include/plumfold/core/rollout/plumfold_rollout_recorder.hpp
+++ b/packages/core/include/plumfold/core/rollout/plumfold_rollout_recorder.hpp
@@ -66,6 +66,7 @@
         std::uint64_t reports = 0;
         std::uint64_t formerRequests = 0;
         std::uint64_t nextRequests = 0;
+        std::uint32_t formerSinceReport = 0; ///< Requests sent to former targets at the full share.
         std::map<rollout_stratum, rollout_report::row> rows;
     };
 
--- a/packages/core/include/plumfold/core/rollout/plumfold_rollout_report.hpp
+++ b/packages/core/include/plumfold/core/rollout/plumfold_rollout_report.hpp
@@ -54,7 +54,9 @@
     std::uint64_t decision = 0; ///< Sequence of the decision that is in force at the entry.
     std::uint64_t formerRequests = 0; ///< Requests sent to targets with other versions.
     std::uint64_t nextRequests = 0; ///< Requests sent to targets of the next version, cold ones included.
-    std::uint32_t formerInFlight = 0; ///< Requests of the entry that former targets run.
+    /// Requests of the entry that former targets run. At the full share, at least those that were sent to
+    /// them since the previous report.
+    std::uint32_t formerInFlight = 0;
     std::vector<row> rows;
     bool operator==(const rollout_report&) const = default;
 };
--- a/packages/core/src/rollout/plumfold_rollout_cohorts.cpp
+++ b/packages/core/src/rollout/plumfold_rollout_cohorts.cpp
@@ -31,7 +31,8 @@
     return standing.share >= rolloutFullShare;
 }
 
-/// At the full share, former targets may be stopped at any time, so a failed request stays with next ones.
+/// At the full share, the end of the rollout may stop former targets, so a failed request stays with next
+/// ones while any is usable.
 bool prefersNext(const rollout_standing& standing, const cohort_request& request)
 {
     return request.isPlanFresh && request.draw < standing.share
@@ -70,16 +71,14 @@
         return !isNext(standing) || request.isPlanFresh || isFull(standing);
     if (isNext(standing))
         return isFull(standing) || prefersNext(standing, request);
-    return !isFull(standing) || !request.isPlanFresh || !standing.hasReadyNext;
+    return !isFull(standing) || !request.isPlanFresh || !standing.hasReadyNext || request.isFallback;
 }
 
 bool mayFallBack(const rollout_standing& standing, const cohort_request& request)
 {
     if (standing.rollout == 0 || request.needsVersion)
         return false;
-    if (prefersNext(standing, request))
-        return !isFull(standing) || !standing.hasReadyNext;
-    return isFull(standing);
+    return prefersNext(standing, request) || isFull(standing);
 }
 
 bool rollout_cohorts::isRunning() const
--- a/packages/core/src/rollout/plumfold_rollout_recorder.cpp
+++ b/packages/core/src/rollout/plumfold_rollout_recorder.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <bit>
+#include <utility>
 
 namespace plumfold::core {
 
@@ -105,6 +106,8 @@
     // Requests to a version that the rollout does not name reach the service, too.
     rollout->formerRequests += assignment.cohort != rollout_cohort::next;
     rollout->nextRequests += assignment.cohort == rollout_cohort::next;
+    rollout->formerSinceReport
+        += assignment.cohort == rollout_cohort::former && rollout->record.share >= rolloutFullShare;
 }
 
 void rollout_recorder::onEnded(const std::string& service, const std::string& version)
@@ -161,6 +164,8 @@
             for (const auto& [version, count] : inFlight->second)
                 report.formerInFlight += rollout.record.formerVersions.contains(version) ? count : 0;
         }
+        // Former targets that still serve at times must not be stopped, even if they run nothing right now.
+        report.formerInFlight = std::max(report.formerInFlight, std::exchange(rollout.formerSinceReport, 0));
         for (const auto& [stratum, row] : rollout.rows)
             report.rows.push_back(row);
         reports.push_back(std::move(report));
--- a/packages/core/src/rollout/plumfold_rollout_selection.cpp
+++ b/packages/core/src/rollout/plumfold_rollout_selection.cpp
@@ -2,6 +2,8 @@
 
 #include "plumfold/core/plumfold_target_selector.hpp"
 
+#include <algorithm>
+
 namespace plumfold::core {
 
 void target_selector::setRollouts(const std::map<std::string, rollout_record>& rollouts, instant now)
@@ -48,20 +50,55 @@
     return found == m_targets.end() ? rollout_standing {} : found->second.rollout;
 }
 
-bool target_selector::mayFallBack(const placement_request& request) const
+/// @return whether a next target could get a request like this one that has not been tried at any.
+bool target_selector::isAnyNextUsable(const placement_request& request, instant now) const
+{
+    auto untried = request;
+    untried.excluded.clear();
+    return std::any_of(m_targets.begin(), m_targets.end(), [&](const auto& each) {
+        const auto& target = each.second;
+        return cohortOf(target.rollout) == rollout_cohort::next && isUsable(target, untried, now)
+            && mayStartNow(target, untried, now);
+    });
+}
+
+/// @return whether the demands and limits of a usable target permit the request's start.
+bool target_selector::mayStartNow(
+    const tracked_target& target, const placement_request& request, instant now) const
 {
-    return m_cohorts.isActive()
-        && core::mayFallBack(m_cohorts.standingOf(request.service), cohortRequestOf(request));
+    bool isColdExcluded = request.isWarmOnly || now < target.coldStartRefusedUntil;
+    bool isLimitedExcluded = request.isUnlimitedOnly || now < target.limitedStartRefusedUntil;
+    return !(isCold(target, now) && isColdExcluded) && !(isRateLimited(target) && isLimitedExcluded)
+        && mayStart(target, request.model, now) && !isAtLimit(target, request, now);
+}
+
+/// @return whether the request may be placed on the other cohort, its own having no target for it. At the
+/// full share, requests that were tried at a next target stay with these while any is usable, since the end
+/// of the rollout stops the former ones.
+bool target_selector::mayFallBack(const placement_request& request, instant now) const
+{
+    if (!m_cohorts.isActive())
+        return false;
+    auto standing = m_cohorts.standingOf(request.service);
+    if (!core::mayFallBack(standing, cohortRequestOf(request)))
+        return false;
+    return standing.share < rolloutFullShare || !request.isRolloutPlanFresh || !standing.hasReadyNext
+        || !isAnyNextUsable(request, now);
 }
 
 placement_result target_selector::choose(const placement_request& request, instant now)
 {
     auto result = chooseInCohort(request, now);
-    if (result.chosen || !mayFallBack(request))
+    if (result.chosen || !mayFallBack(request, now))
         return result;
     auto other = request;
     other.isCohortFallback = true;
-    return chooseInCohort(other, now);
+    auto fallback = chooseInCohort(other, now);
+    if (!fallback.chosen)
+        return fallback.reason == placement_failure::no_target ? result : fallback;
+    bool isFull = m_cohorts.standingOf(request.service).share >= rolloutFullShare;
+    fallback.chosen->isFullShareFallback = isFull && fallback.chosen->rollout.cohort != rollout_cohort::next;
+    return fallback;
 }
 
 bool target_selector::hasWarmTarget(const placement_request& request, instant now) const
@@ -70,7 +107,7 @@
         return true;
     auto other = request;
     other.isCohortFallback = true;
-    return mayFallBack(request) && hasWarmTargetInCohort(other, now);
+    return mayFallBack(request, now) && hasWarmTargetInCohort(other, now);
 }
 
 } // namespace plumfold::core
--- a/packages/forwarding/src/plumfold_request_rollout.cpp
+++ b/packages/forwarding/src/plumfold_request_rollout.cpp
@@ -33,7 +33,9 @@
 /// @return whether the request still may be sent to a target, now that it is to be sent.
 bool request_forwarder::mayBeSentByRollout(const core::placement& placement) const
 {
-    return core::mayBeSent(m_state.targetSelector.rolloutStanding(placement.target), cohortRequest());
+    auto request = cohortRequest();
+    request.isFallback = placement.isFullShareFallback;
+    return core::mayBeSent(m_state.targetSelector.rolloutStanding(placement.target), request);
 }
 
 /// @return whether the current attempt waits on a target whose version was rolled back or replaced, and the
--- a/tests/core/plumfold_rollout_cohorts_tests.cpp
+++ b/tests/core/plumfold_rollout_cohorts_tests.cpp
@@ -224,6 +224,84 @@
     CHECK(mayBeSent(former, cohortRequestOf(requestOf(999, false))));
 }
 
+// Guards against failures of requests at the full share because no next target is usable, although former
+// ones still run until the rollout has completed.
+TEST_CASE("At the full share, former targets serve while no next one is usable", "[rollout]")
+{
+    auto selector = selectorOf(bothVersions(4, 2), rolloutOf(1'000));
+    auto request = requestOf(GENERATE(0u, 999u));
+    auto until = start + milliseconds(400);
+    service_limits limits;
+    limits.name = service;
+    SECTION("because of back-off")
+    {
+        for (int target = 0; target < 2; ++target) {
+            auto result = selector.choose(request, start);
+            REQUIRE(result.chosen);
+            CHECK(result.chosen->softwareVersion == "v2");
+            selector.onAttemptEnded(result.chosen->target, attempt_result::not_reached, 0, start);
+        }
+        SECTION("also for a request that failed there")
+        {
+            request.excluded = { "n0-0", "n0-1" };
+            request.hasFailedAtNext = true;
+        }
+    }
+    SECTION("because they rest")
+    {
+        selector.onRestRequested("n0-0", 2'000, until);
+        selector.onRestRequested("n0-1", 2'000, until);
+    }
+    SECTION("because they are cold and no request may start on them")
+    {
+        limits.coldRequestsPerSecond = 9;
+        limits.coldTime = milliseconds(3'000);
+        selector.setServices({ limits });
+        auto targets = bothVersions(4, 2);
+        for (auto& each : targets)
+            each.coldFor = milliseconds(each.softwareVersion == "v2" ? 3'000 : 0);
+        selector.applyAnnouncements(targets, true, start);
+        SECTION("now")
+        {
+            selector.onColdStartRefused("n0-0", until);
+            selector.onColdStartRefused("n0-1", until);
+        }
+        SECTION("any more by this request")
+        {
+            request.isWarmOnly = true;
+        }
+    }
+    SECTION("because they are at their limit of requests per second")
+    {
+        for (const auto* name : { "n0-0", "n0-1" }) {
+            selector.applyDemands({ { name, 2'000, 1, 5, false } }, start);
+            selector.onRateLimitDecision(name, { false, milliseconds(400) }, start);
+        }
+    }
+    auto result = selector.choose(request, start);
+    REQUIRE(result.chosen);
+    CHECK(result.chosen->softwareVersion == "v1");
+    CHECK(selector.hasWarmTarget(request, start));
+    auto sent = cohortRequestOf(request);
+    sent.isFallback = result.chosen->isFullShareFallback;
+    CHECK(mayBeSent(selector.rolloutStanding(result.chosen->target), sent));
+    // Once a next target is usable again, former ones get nothing.
+    auto later = start + milliseconds(5'000);
+    CHECK(versionsFor(selector, true, later) == versions { "v2" });
+}
+
+// Guards against a less informative refusal, without the time at which a next target is usable again.
+TEST_CASE(
+    "At the full share, a request without any usable target is refused as by the next ones", "[rollout]")
+{
+    auto selector = selectorOf(bothVersions(0, 1), rolloutOf(1'000));
+    selector.onRestRequested("n0-0", 2'000, start + milliseconds(400));
+    auto result = selector.choose(requestOf(0), start);
+    CHECK_FALSE(result.chosen);
+    CHECK(result.reason == placement_failure::resting);
+    CHECK(result.retryAfter == milliseconds(400));
+}
+
 // Guards against a retry at a second target of a bad version.
 TEST_CASE("After a failure at a next target, a request goes to a former one", "[rollout]")
 {
--- a/tests/core/plumfold_rollout_recorder_tests.cpp
+++ b/tests/core/plumfold_rollout_recorder_tests.cpp
@@ -155,6 +155,24 @@
     }
 }
 
+// Guards against former targets that are stopped while requests go to them at times because no next target is
+// usable: most of these requests end before the next report.
+TEST_CASE("At the full share, requests to former targets are reported also if they have ended", "[rollout]")
+{
+    rollout_recorder recorder("n1", 42);
+    auto rollout = rolloutOf(7);
+    bool isFull = GENERATE(true, false);
+    rollout.share = isFull ? rolloutFullShare : 650;
+    recorder.setRollouts({ { service, rollout } });
+    for (int number = 0; number < 3; ++number) {
+        recorder.onSent(service, "v1", former);
+        recorder.onEnded(service, "v1");
+    }
+    recorder.onSent(service, "v2", next);
+    CHECK(reportOf(recorder).formerInFlight == (isFull ? 3 : 0));
+    CHECK(reportOf(recorder).formerInFlight == 0);
+}
+
 // Guards against comparisons of requests of different sizes.
 TEST_CASE("The size class is the logarithm to base 4 of the tokens, else of the bytes", "[rollout]")
 {
