Log version_barred for a version that joins again after its rollout

A version that joins without an order after a rollout ended its use gets no requests. Its entries now log that once for each version and rollout, with service, version, rollout and state. Targets that still run from the time when the version was used are about to be stopped, so they cause no line.

--- a/packages/core/include/plumfold/core/plumfold_target_selector.hpp
+++ b/packages/core/include/plumfold/core/plumfold_target_selector.hpp
@@ -193,6 +193,8 @@
     void onRolloutsConfirmed(instant at, instant now);
     /// @return the software versions whose hold has begun or ended since the last call.
     std::vector<version_hold> takeVersionHolds() { return std::exchange(m_versionHolds, {}); }
+    /// @return the barred versions that have joined, see rollout_cohorts::takeBarredVersions().
+    std::vector<barred_version> takeBarredVersions() { return m_cohorts.takeBarredVersions(); }
     /// @return how rollouts restrict the use of a target; not at all if it is not known.
     rollout_standing rolloutStanding(const std::string& target) const;
 
--- a/packages/core/include/plumfold/core/rollout/plumfold_rollout_cohorts.hpp
+++ b/packages/core/include/plumfold/core/rollout/plumfold_rollout_cohorts.hpp
@@ -8,7 +8,10 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <tuple>
+#include <utility>
 #include <vector>
 
 namespace plumfold::core {
@@ -80,6 +83,15 @@
     auto operator<=>(const version_hold&) const = default;
 };
 
+/// A software version that joined a service although a rollout had ended its use.
+struct barred_version {
+    std::string service;
+    std::string version;
+    std::uint64_t rollout = 0; ///< The service's latest, see rollout_record::id.
+    rollout_state state = rollout_state::running; ///< Of that rollout.
+    auto operator<=>(const barred_version&) const = default;
+};
+
 /// Determines by the rollouts of services and by the versions on hold which targets requests may go to.
 class rollout_cohorts {
 public:
@@ -108,6 +120,10 @@
     /// @return the versions whose hold began or ended.
     std::vector<version_hold> assign(const std::vector<cohort_member>& members);
 
+    /// @return the barred versions that have joined since the last call. Each is returned once for each
+    /// rollout. A version whose targets have run since it was last used has not joined.
+    std::vector<barred_version> takeBarredVersions() { return std::exchange(m_barred, {}); }
+
     /// @return the standing that the targets of a service have in common; without a role.
     rollout_standing standingOf(const std::string& service) const;
 
@@ -117,14 +133,16 @@
         bool isHeld = false;
         std::optional<instant> heldSince; ///< The first confirmation after it was seen.
         bool isPresent = false; ///< A target has it.
+        bool wasUsed = false; ///< Since it joined.
         unsigned confirmationsAbsent = 0;
         unix_milliseconds earliestStart = 0; ///< Of its targets that aren't leaving; 0: there is none.
     };
     using versions = std::map<std::string, known_version>;
 
     std::vector<version_hold> updateVersions(const std::vector<cohort_member>& members);
+    void noteBarredVersions();
     bool isGoverned(const std::string& service, const std::string& version) const;
-    rollout_role roleOf(const target_announcement& target) const;
+    rollout_role roleOf(const std::string& service, const std::string& version) const;
     void choosePart(const std::vector<cohort_member>& members) const;
 
     bool m_holdsNewVersions;
@@ -132,6 +150,8 @@
     std::map<std::string, rollout_record> m_rollouts; // by service
     std::map<std::string, bool> m_hasReadyNext; // by service with a running rollout
     std::map<std::string, versions> m_versions; // by service
+    std::set<std::tuple<std::string, std::string, std::uint64_t>> m_noted; // service, version and rollout
+    std::vector<barred_version> m_barred; // not taken yet
 };
 
 } // namespace plumfold::core
--- a/packages/core/src/rollout/plumfold_rollout_cohorts.cpp
+++ b/packages/core/src/rollout/plumfold_rollout_cohorts.cpp
@@ -182,15 +182,37 @@
     return changes;
 }
 
-rollout_role rollout_cohorts::roleOf(const target_announcement& target) const
+/// Notes the versions that joined although a rollout had ended their use.
+void rollout_cohorts::noteBarredVersions()
 {
-    auto found = m_rollouts.find(target.service);
+    for (auto& [service, versions] : m_versions) {
+        auto rollout = m_rollouts.find(service);
+        for (auto& [version, known] : versions) {
+            bool isBarred = roleOf(service, version) == rollout_role::barred;
+            bool runs = known.earliestStart != 0; // has a target that isn't leaving
+            known.wasUsed = runs && (known.wasUsed || !isBarred);
+            if (!isBarred || !runs || known.wasUsed)
+                continue;
+            const auto& record = rollout->second;
+            if (m_noted.emplace(service, version, record.id).second)
+                m_barred.push_back({ service, version, record.id, record.state });
+        }
+    }
+    std::erase_if(m_noted, [this](const auto& each) {
+        auto rollout = m_rollouts.find(std::get<0>(each));
+        return rollout == m_rollouts.end() || rollout->second.id != std::get<2>(each);
+    });
+}
+
+rollout_role rollout_cohorts::roleOf(const std::string& service, const std::string& version) const
+{
+    auto found = m_rollouts.find(service);
     if (found != m_rollouts.end()) {
         const auto& rollout = found->second;
-        if (rollout.endedVersions.contains(target.softwareVersion))
+        if (rollout.endedVersions.contains(version))
             return rollout_role::barred;
-        bool isNextVersion = target.softwareVersion == rollout.version;
-        bool isFormerVersion = rollout.formerVersions.contains(target.softwareVersion);
+        bool isNextVersion = version == rollout.version;
+        bool isFormerVersion = rollout.formerVersions.contains(version);
         if (rollout.state == rollout_state::running && (isNextVersion || isFormerVersion))
             return isNextVersion ? rollout_role::next : rollout_role::former;
         if (isNextVersion || isFormerVersion) {
@@ -205,12 +227,14 @@
 std::vector<version_hold> rollout_cohorts::assign(const std::vector<cohort_member>& members)
 {
     std::vector<version_hold> changes;
-    if (m_holdsNewVersions)
+    if (m_holdsNewVersions) {
         changes = updateVersions(members);
+        noteBarredVersions();
+    }
     m_hasReadyNext.clear();
     for (const auto& member : members) {
         const auto& target = *member.target;
-        auto role = roleOf(target);
+        auto role = roleOf(target.service, target.softwareVersion);
         bool isHeld = m_holdsNewVersions && !isGoverned(target.service, target.softwareVersion)
             && m_versions[target.service][target.softwareVersion].isHeld;
         *member.standing = { isHeld ? rollout_role::barred : role, isHeld, false, 0, 0 };
--- a/packages/forwarding/src/plumfold_entry_rollouts.cpp
+++ b/packages/forwarding/src/plumfold_entry_rollouts.cpp
@@ -1,5 +1,6 @@
 #include "plumfold_entry_rollouts.hpp"
 
+#include "plumfold/core/rollout/plumfold_rollout_names.hpp"
 #include "plumfold/runtime/plumfold_clock.hpp"
 #include "plumfold/runtime/plumfold_log.hpp"
 #include "plumfold/runtime/plumfold_secrets.hpp"
@@ -65,7 +66,7 @@
     m_rollouts = rollouts;
     m_recorder.setRollouts(rollouts);
     m_selector.setRollouts(rollouts, runtime::now());
-    logHolds();
+    logVersions();
     reportIfDue();
 }
 
@@ -75,15 +76,21 @@
         return;
     m_confirmedAt = std::max(m_confirmedAt, askedAt);
     m_selector.onRolloutsConfirmed(askedAt, runtime::now());
-    logHolds();
+    logVersions();
 }
 
-void entry_rollouts::logHolds()
+void entry_rollouts::logVersions()
 {
     for (const auto& each : m_selector.takeVersionHolds())
         runtime::log_event(each.isHeld ? "version_held" : "version_released")
             .with("service", each.service)
             .with("version", each.version.empty() ? std::string("none") : each.version);
+    for (const auto& each : m_selector.takeBarredVersions())
+        runtime::log_event("version_barred")
+            .with("service", each.service)
+            .with("version", each.version.empty() ? std::string("none") : each.version)
+            .with("rollout", each.rollout)
+            .with("state", core::rolloutStateName(each.state));
 }
 
 bool entry_rollouts::isPlanFresh() const
--- a/packages/forwarding/src/plumfold_entry_rollouts.hpp
+++ b/packages/forwarding/src/plumfold_entry_rollouts.hpp
@@ -32,8 +32,9 @@
     /// Applies that a control VM in touch with the quorum has confirmed the rollouts.
     /// @param askedAt when it was asked, with suspensions.
     void onConfirmed(core::instant askedAt);
-    /// Logs the versions whose hold began or ended. Call it after each update of the targets.
-    void logHolds();
+    /// Logs the versions whose hold began or ended, and the barred ones that joined. Call it after each
+    /// update of the targets.
+    void logVersions();
     /// Sends reports if they are due. Call it more often than every 500 ms.
     void reportIfDue();
 
--- a/packages/forwarding/src/plumfold_forwarding_role.cpp
+++ b/packages/forwarding/src/plumfold_forwarding_role.cpp
@@ -178,7 +178,7 @@
     {
         auto now = runtime::now();
         m_state.targetSelector.applyAnnouncements(update.targets, update.isSnapshot, now);
-        m_state.rollouts.logHolds();
+        m_state.rollouts.logVersions();
         m_state.targetSelector.applyLoads(update.loads, now);
         m_state.targetSelector.setEntryCount(update.entries, now);
         if (m_settings.forwarding->adaptivePlacement)
--- a/tests/core/plumfold_rollout_cohorts_tests.cpp
+++ b/tests/core/plumfold_rollout_cohorts_tests.cpp
@@ -508,6 +508,61 @@
     CHECK(versionsFor(selector, true, now) == versions { "v1" });
 }
 
+// Guards against a version that gets no requests without a trace of the reason.
+TEST_CASE("A version that joins after its rollout ended is stated as barred once", "[rollout]")
+{
+    auto isCompleted = GENERATE(true, false);
+    auto end = isCompleted ? rollout_state::completed : rollout_state::rolled_back;
+    auto share = isCompleted ? rolloutFullShare : 0u;
+    std::string ended = isCompleted ? "v1" : "v2";
+    auto remaining = isCompleted ? bothVersions(0, 2) : bothVersions(2, 0);
+    std::vector<barred_version> expected { { service, ended, 7, end } };
+    auto selector = selectorOf(bothVersions(2, 2), rolloutOf(60));
+    selector.setRollouts({ { service, rolloutOf(share, end) } }, start);
+    selector.applyAnnouncements(bothVersions(2, 2), true, start);
+    CHECK(selector.takeBarredVersions().empty()); // its targets are about to stop
+    selector.applyAnnouncements(remaining, true, start);
+    CHECK(selector.takeBarredVersions().empty());
+    selector.applyAnnouncements(bothVersions(2, 2), true, start);
+    CHECK(selector.takeBarredVersions() == expected);
+    CHECK(versionsFor(selector, true) == versions { isCompleted ? "v2" : "v1" });
+    SECTION("also if it joins several times")
+    {
+        selector.applyAnnouncements(remaining, true, start);
+        auto now = start;
+        for (int count = 0; count < 50; ++count) {
+            now += milliseconds(150);
+            selector.onRolloutsConfirmed(now, now);
+        }
+        selector.applyAnnouncements(bothVersions(2, 2), true, now);
+        selector.applyAnnouncements(bothVersions(3, 3), true, now);
+        CHECK(selector.takeBarredVersions().empty());
+    }
+    SECTION("again after a later rollout")
+    {
+        auto later = rolloutOf(share, end);
+        later.id = 9;
+        selector.applyAnnouncements(remaining, true, start);
+        selector.setRollouts({ { service, later } }, start);
+        CHECK(selector.takeBarredVersions().empty());
+        selector.applyAnnouncements(bothVersions(2, 2), true, start);
+        CHECK(selector.takeBarredVersions() == std::vector<barred_version> { { service, ended, 9, end } });
+    }
+    SECTION("not after it was ordered")
+    {
+        auto ordered = rolloutOf(0);
+        ordered.id = 9;
+        selector.setRollouts({ { service, ordered } }, start);
+        CHECK(selector.takeBarredVersions().empty());
+    }
+    SECTION("also at an entry that starts later")
+    {
+        auto other = selectorOf({}, rolloutOf(share, end));
+        other.applyAnnouncements(bothVersions(2, 2), true, start);
+        CHECK(other.takeBarredVersions() == expected);
+    }
+}
+
 // Guards against effects of rollouts where they are not enabled.
 TEST_CASE("Without rollouts and holds, all versions are used", "[rollout]")
 {
--- a/tests/forwarding/plumfold_rollout_entry_tests.cpp
+++ b/tests/forwarding/plumfold_rollout_entry_tests.cpp
@@ -9,6 +9,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <regex>
 #include <set>
 #include <thread>
 
@@ -226,6 +227,32 @@
     }
 }
 
+// Guards against a version that gets no requests without a trace of the reason in the log.
+TEST_CASE("A version that joins again after its rollout is logged as barred once", "[forwarding][rollout]")
+{
+    decided_rollout_system system;
+    system.startAnnouncing();
+    system.begin();
+    system.decide(0, core::rollout_state::rolled_back);
+    for (const char* name : { "b1", "b2" })
+        system.announce(name, "leaving");
+    std::string event = "version_barred service=shop version=v2 rollout=";
+    for (int entry = 1; entry <= decided_rollout_system::entries; ++entry)
+        CHECK(system.logged(entry, event) == 0);
+    for (const char* name : { "b3", "b4" })
+        system.start(name, "v2");
+    for (int entry = 1; entry <= decided_rollout_system::entries; ++entry)
+        CHECK(forwarding_system::eventually([&] { return system.logged(entry, event) > 0; }, 5));
+    sleepFor(milliseconds(1'000));
+    for (int entry = 1; entry <= decided_rollout_system::entries; ++entry) {
+        CHECK(system.logged(entry, event) == 1);
+        std::regex line(event + "[0-9]+ state=rolled_back");
+        CHECK(std::regex_search(system.logOf("n" + std::to_string(entry)), line));
+    }
+    CHECK(system.send(20).at(200) == 20);
+    CHECK(system.requestsTo("v2") == 0);
+}
+
 // Guards against a service that is not served since its only version is new.
 TEST_CASE("A service whose only version is new is served at once", "[forwarding][rollout]")
 {
