Look up software versions of targets once instead of at each update

Each update of targets searched the service and version of every target by name several times. The place of a version is now kept with the target until it announces itself anew, and the standing of a version is determined once. The part of the targets for a small share is chosen without sorting all.

Shares below 300, which also choose a part, were not measured.

--- a/packages/core/include/plumfold/core/plumfold_target_selector.hpp
+++ b/packages/core/include/plumfold/core/plumfold_target_selector.hpp
@@ -337,6 +337,7 @@
         bool weightsUnconfirmed = false;
         instant unconfirmedSince {};
         rollout_standing rollout {};
+        version_slot versionSlot {};
     };
     placement_result chooseInCohort(const placement_request& request, instant now);
     bool hasWarmTargetInCohort(const placement_request& request, instant now) const;
--- a/packages/core/include/plumfold/core/rollout/plumfold_rollout_cohorts.hpp
+++ b/packages/core/include/plumfold/core/rollout/plumfold_rollout_cohorts.hpp
@@ -68,11 +68,19 @@
 /// @return whether a request may be placed on the other cohort if its own has no usable target.
 bool mayFallBack(const rollout_standing& standing, const cohort_request& request);
 
+/// Where rollout_cohorts keeps what it knows of a target's software version. Saves the search by name.
+struct version_slot {
+    std::uint32_t index = 0;
+    std::uint64_t generation = 0; ///< In which the index is valid; 0: never.
+};
+
 /// A target whose standing is determined.
 struct cohort_member {
     const target_announcement* target = nullptr;
     bool isCold = false;
     rollout_standing* standing = nullptr; ///< Receives the result.
+    /// Kept with the target as long as its service and version stay the same; nothing: it is not kept.
+    version_slot* slot = nullptr;
 };
 
 /// A software version whose hold began or ended.
@@ -135,11 +143,19 @@
         bool isPresent = false; ///< A target has it.
         bool wasUsed = false; ///< Since it joined.
         unsigned confirmationsAbsent = 0;
+        bool isReady = false; ///< A target of it is ready.
         unix_milliseconds earliestStart = 0; ///< Of its targets that aren't leaving; 0: there is none.
+        std::uint32_t index = 0; ///< Different for each version of any service.
+        rollout_standing standing; ///< Of its targets, before a part of them is chosen for a small share.
     };
     using versions = std::map<std::string, known_version>;
 
-    std::vector<version_hold> updateVersions(const std::vector<cohort_member>& members);
+    std::vector<known_version*> versionsOf(
+        const std::vector<cohort_member>& members, std::vector<version_hold>& joined);
+    std::vector<version_hold> updateVersions(const std::vector<cohort_member>& members,
+        const std::vector<known_version*>& known, std::vector<version_hold> joined);
+    void updateStandings();
+    void forgetAbsentVersions();
     void noteBarredVersions();
     bool isGoverned(const std::string& service, const std::string& version) const;
     rollout_role roleOf(const std::string& service, const std::string& version) const;
@@ -150,6 +166,8 @@
     std::map<std::string, rollout_record> m_rollouts; // by service
     std::map<std::string, bool> m_hasReadyNext; // by service with a running rollout
     std::map<std::string, versions> m_versions; // by service
+    std::uint32_t m_nextIndex = 0; // see known_version
+    std::uint64_t m_generation = 1; // of the indices, see version_slot
     std::set<std::tuple<std::string, std::string, std::uint64_t>> m_noted; // service, version and rollout
     std::vector<barred_version> m_barred; // not taken yet
 };
--- a/packages/core/src/plumfold_target_selector.cpp
+++ b/packages/core/src/plumfold_target_selector.cpp
@@ -45,6 +45,7 @@
             known.silentSince = now;
         bool sameWeights = each.models == known.last.models;
         known.last = each;
+        known.versionSlot = {};
         known.coldUntil = now + each.coldFor;
         known.weightsUnconfirmed = known.weightsUnconfirmed && sameWeights;
     }
--- a/packages/core/src/rollout/plumfold_rollout_cohorts.cpp
+++ b/packages/core/src/rollout/plumfold_rollout_cohorts.cpp
@@ -4,7 +4,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <string_view>
 #include <tuple>
+#include <unordered_map>
 #include <utility>
 
 namespace plumfold::core {
@@ -39,6 +41,12 @@
         && (!request.hasFailedAtNext || isFull(standing));
 }
 
+/// @return whether the part of the targets that a small share goes to depends on a target.
+bool isOfPart(const rollout_standing& standing)
+{
+    return cohortOf(standing) != rollout_cohort::none && standing.share < minShareOfAllTargets;
+}
+
 } // namespace
 
 rollout_cohort cohortOf(const rollout_standing& standing)
@@ -105,12 +113,9 @@
     // that is known by then started.
     bool isFirst = !std::exchange(m_isConfirmed, true);
     for (auto& [service, versions] : m_versions) {
-        for (auto& [version, known] : versions)
-            known.confirmationsAbsent = known.isPresent ? 0 : known.confirmationsAbsent + 1;
-        std::erase_if(versions,
-            [](const auto& each) { return each.second.confirmationsAbsent > maxConfirmationsAbsent; });
         for (auto& [version, known] : versions) {
-            if (!known.isHeld)
+            known.confirmationsAbsent = known.isPresent ? 0 : known.confirmationsAbsent + 1;
+            if (!known.isHeld || known.confirmationsAbsent > maxConfirmationsAbsent)
                 continue;
             if (!known.heldSince)
                 known.heldSince = at;
@@ -120,35 +125,88 @@
             released.push_back({ service, version, false });
         }
     }
+    forgetAbsentVersions();
     return released;
 }
 
-/// Learns the versions of all targets, and holds those that are new.
-std::vector<version_hold> rollout_cohorts::updateVersions(const std::vector<cohort_member>& members)
+void rollout_cohorts::forgetAbsentVersions()
 {
-    std::vector<version_hold> changes;
+    std::size_t forgotten = 0;
+    for (auto& [service, versions] : m_versions)
+        forgotten += std::erase_if(versions,
+            [](const auto& each) { return each.second.confirmationsAbsent > maxConfirmationsAbsent; });
+    if (forgotten == 0)
+        return;
+    std::erase_if(m_versions, [](const auto& each) { return each.second.empty(); });
+    ++m_generation;
+    m_nextIndex = 0;
     for (auto& [service, versions] : m_versions) {
-        for (auto& [version, known] : versions) {
-            known.isPresent = false;
-            known.earliestStart = 0;
-        }
+        for (auto& [version, known] : versions)
+            known.index = m_nextIndex++;
     }
-    std::vector<version_hold> joined;
+}
+
+/// @param joined receives the versions that were not known.
+/// @return what is known of the version of each member.
+std::vector<rollout_cohorts::known_version*> rollout_cohorts::versionsOf(
+    const std::vector<cohort_member>& members, std::vector<version_hold>& joined)
+{
+    std::vector<known_version*> byIndex(m_nextIndex);
+    for (auto& [service, versions] : m_versions) {
+        for (auto& [version, known] : versions)
+            byIndex[known.index] = &known;
+    }
+    std::vector<known_version*> out;
+    out.reserve(members.size());
     for (const auto& member : members) {
+        auto* slot = member.slot;
+        if (slot && slot->generation == m_generation) {
+            out.push_back(byIndex[slot->index]);
+            continue;
+        }
         const auto& target = *member.target;
         auto [place, isNew] = m_versions[target.service].try_emplace(target.softwareVersion);
         auto& known = place->second;
-        known.isPresent = true;
-        if (isNew)
-            known.isHeld = true;
-        if (isNew)
+        if (isNew) {
+            known.index = m_nextIndex++;
+            byIndex.push_back(&known);
             joined.push_back({ target.service, target.softwareVersion, true });
+        }
+        if (slot)
+            *slot = { known.index, m_generation };
+        out.push_back(&known);
+    }
+    return out;
+}
+
+/// Learns the versions of all targets, and holds those that are new.
+std::vector<version_hold> rollout_cohorts::updateVersions(const std::vector<cohort_member>& members,
+    const std::vector<known_version*>& known, std::vector<version_hold> joined)
+{
+    std::vector<version_hold> changes;
+    for (auto& [service, versions] : m_versions) {
+        for (auto& [version, each] : versions) {
+            each.isPresent = false;
+            each.isReady = false;
+            each.earliestStart = 0;
+        }
+    }
+    for (std::size_t index = 0; index < members.size(); ++index) {
+        const auto& target = *members[index].target;
+        auto& version = *known[index];
+        version.isPresent = true;
         if (target.state == target_state::leaving)
             continue;
+        version.isReady = version.isReady || target.state == target_state::ready;
         // Targets that state no start count as the latest ones.
         auto startedAt = target.startedAt == 0 ? ~unix_milliseconds { 0 } : target.startedAt;
-        known.earliestStart = known.earliestStart == 0 ? startedAt : std::min(known.earliestStart, startedAt);
+        version.earliestStart
+            = version.earliestStart == 0 ? startedAt : std::min(version.earliestStart, startedAt);
     }
+    if (!m_holdsNewVersions)
+        return {};
+    for (const auto& each : joined)
+        m_versions[each.service][each.version].isHeld = true;
     for (auto& [service, versions] : m_versions) {
         versions::value_type* earliest = nullptr;
         bool isServed = false;
@@ -224,34 +282,44 @@
     return isRunning ? rollout_role::other : rollout_role::unrestricted;
 }
 
-std::vector<version_hold> rollout_cohorts::assign(const std::vector<cohort_member>& members)
+/// Determines what the standings of all targets of a version have in common.
+void rollout_cohorts::updateStandings()
 {
-    std::vector<version_hold> changes;
-    if (m_holdsNewVersions) {
-        changes = updateVersions(members);
-        noteBarredVersions();
-    }
     m_hasReadyNext.clear();
-    for (const auto& member : members) {
-        const auto& target = *member.target;
-        auto role = roleOf(target.service, target.softwareVersion);
-        bool isHeld = m_holdsNewVersions && !isGoverned(target.service, target.softwareVersion)
-            && m_versions[target.service][target.softwareVersion].isHeld;
-        *member.standing = { isHeld ? rollout_role::barred : role, isHeld, false, 0, 0 };
-        if (role == rollout_role::next && target.state == target_state::ready)
-            m_hasReadyNext[target.service] = true;
+    for (auto& [service, versions] : m_versions) {
+        for (auto& [version, known] : versions) {
+            auto role = roleOf(service, version);
+            known.standing = {};
+            known.standing.role = known.isHeld ? rollout_role::barred : role;
+            known.standing.isHeld = known.isHeld;
+            if (role == rollout_role::next && known.isReady)
+                m_hasReadyNext[service] = true;
+        }
     }
-    if (!isRunning())
-        return changes;
-    for (const auto& member : members) {
-        auto& standing = *member.standing;
-        auto role = standing.role;
-        bool isHeld = standing.isHeld;
-        standing = standingOf(member.target->service);
-        standing.role = role;
-        standing.isHeld = isHeld;
+    for (auto& [service, versions] : m_versions) {
+        auto common = standingOf(service);
+        for (auto& [version, known] : versions) {
+            known.standing.hasReadyNext = common.hasReadyNext;
+            known.standing.share = common.share;
+            known.standing.rollout = common.rollout;
+        }
+    }
+}
+
+std::vector<version_hold> rollout_cohorts::assign(const std::vector<cohort_member>& members)
+{
+    std::vector<version_hold> joined;
+    auto known = versionsOf(members, joined);
+    auto changes = updateVersions(members, known, std::move(joined));
+    updateStandings();
+    noteBarredVersions();
+    bool hasPart = false;
+    for (std::size_t index = 0; index < members.size(); ++index) {
+        *members[index].standing = known[index]->standing;
+        hasPart = hasPart || isOfPart(known[index]->standing);
     }
-    choosePart(members);
+    if (hasPart)
+        choosePart(members);
     return changes;
 }
 
@@ -259,37 +327,48 @@
 /// choose the same ones by rendezvous hashing, as far as they agree on which are ready and warm.
 void rollout_cohorts::choosePart(const std::vector<cohort_member>& members) const
 {
+    struct ranked_member {
+        bool isUnready = false;
+        bool isCold = false;
+        std::uint64_t hash = 0;
+        const cohort_member* member = nullptr;
+    };
     struct domain_part {
-        std::vector<const cohort_member*> next;
+        std::vector<ranked_member> next;
         std::size_t former = 0;
     };
-    std::map<std::pair<std::string, std::string>, domain_part> parts; // by service and failure domain
+    // The names are those of the targets, which outlive this call. Each rollout is of one service.
+    std::unordered_map<std::uint64_t, std::unordered_map<std::string_view, domain_part>> rollouts;
     for (const auto& member : members) {
         const auto& standing = *member.standing;
-        auto cohort = cohortOf(standing);
-        if (cohort == rollout_cohort::none || standing.share >= minShareOfAllTargets)
+        if (!isOfPart(standing))
             continue;
-        auto& part = parts[{ member.target->service, member.target->failureDomain }];
-        if (cohort == rollout_cohort::next)
-            part.next.push_back(&member);
-        else if (member.target->state != target_state::leaving)
+        const auto& target = *member.target;
+        auto& part = rollouts[standing.rollout][target.failureDomain];
+        if (standing.role == rollout_role::next)
+            part.next.push_back({ target.state != target_state::ready, member.isCold,
+                hashBytes(target.name, standing.rollout), &member });
+        else if (target.state != target_state::leaving)
             ++part.former;
     }
-    for (auto& [key, part] : parts) {
-        if (part.next.empty())
-            continue;
-        auto share = static_cast<double>(part.next.front()->standing->share) / rolloutFullShare;
-        auto count = std::max<std::size_t>(
-            1, static_cast<std::size_t>(std::lround(share * static_cast<double>(part.former))));
-        auto rank = [](const cohort_member* member) {
-            bool isReady = member->target->state == target_state::ready;
-            return std::tuple(!isReady, member->isCold,
-                hashBytes(member->target->name, member->standing->rollout), member->target->name);
-        };
-        std::sort(part.next.begin(), part.next.end(),
-            [&](const auto* left, const auto* right) { return rank(left) < rank(right); });
-        for (std::size_t index = count; index < part.next.size(); ++index)
-            part.next[index]->standing->role = rollout_role::spare;
+    auto rank = [](const ranked_member& each) {
+        return std::tie(each.isUnready, each.isCold, each.hash, each.member->target->name);
+    };
+    for (auto& [rollout, parts] : rollouts) {
+        for (auto& [domain, part] : parts) {
+            if (part.next.empty())
+                continue;
+            auto share = static_cast<double>(part.next.front().member->standing->share) / rolloutFullShare;
+            auto count = std::max<std::size_t>(
+                1, static_cast<std::size_t>(std::lround(share * static_cast<double>(part.former))));
+            if (count >= part.next.size())
+                continue;
+            auto spare = part.next.begin() + static_cast<std::ptrdiff_t>(count);
+            std::nth_element(part.next.begin(), spare, part.next.end(),
+                [&](const auto& left, const auto& right) { return rank(left) < rank(right); });
+            for (; spare != part.next.end(); ++spare)
+                spare->member->standing->role = rollout_role::spare;
+        }
     }
 }
 
--- a/packages/core/src/rollout/plumfold_rollout_selection.cpp
+++ b/packages/core/src/rollout/plumfold_rollout_selection.cpp
@@ -33,7 +33,7 @@
     std::vector<cohort_member> members;
     members.reserve(m_targets.size());
     for (auto& [name, each] : m_targets)
-        members.push_back({ &each.last, now < each.coldUntil, &each.rollout });
+        members.push_back({ &each.last, now < each.coldUntil, &each.rollout, &each.versionSlot });
     auto changes = m_cohorts.assign(members);
     m_versionHolds.insert(m_versionHolds.end(), changes.begin(), changes.end());
 }
--- a/tests/core/plumfold_rollout_cohorts_tests.cpp
+++ b/tests/core/plumfold_rollout_cohorts_tests.cpp
@@ -563,6 +563,38 @@
     }
 }
 
+// Guards against a standing by a version that a target no longer has: what is known of its version is kept
+// with the target.
+TEST_CASE("The standing of a target follows its version and the versions that are forgotten", "[rollout]")
+{
+    auto selector = selectorOf(bothVersions(2, 2), rolloutOf(650));
+    SECTION("when it starts again with another one")
+    {
+        auto restarted = targetOf("f0-0", "v2");
+        selector.applyAnnouncements({ restarted }, false, start);
+        CHECK(selector.rolloutStanding("f0-0").role == rollout_role::next);
+        CHECK(selector.rolloutStanding("f0-1").role == rollout_role::former);
+    }
+    SECTION("when others are forgotten")
+    {
+        auto more = bothVersions(2, 2);
+        more.push_back(targetOf("a", "v0"));
+        selector.applyAnnouncements(more, true, start);
+        selector.applyAnnouncements(bothVersions(2, 2), true, start);
+        auto now = start;
+        for (int count = 0; count < 50; ++count) {
+            now += milliseconds(150);
+            selector.onRolloutsConfirmed(now, now);
+        }
+        selector.applyAnnouncements({}, false, now);
+        CHECK(selector.rolloutStanding("f0-0").role == rollout_role::former);
+        CHECK(selector.rolloutStanding("n0-0").role == rollout_role::next);
+        selector.applyAnnouncements({ targetOf("a", "v0") }, false, now);
+        CHECK(selector.rolloutStanding("a").role == rollout_role::barred); // new again, so it is held
+        CHECK(selector.rolloutStanding("n0-0").role == rollout_role::next);
+    }
+}
+
 // Guards against effects of rollouts where they are not enabled.
 TEST_CASE("Without rollouts and holds, all versions are used", "[rollout]")
 {
