Keep the names of states and stages of rollouts in one place

Tests: plumfold_core_tests [rollout], 70 cases passed; plumfoldd builds. The tests of the platform's calls were not run yet.

--- a/packages/forwarding/src/plumfold_entry_rollouts.cpp
+++ b/packages/forwarding/src/plumfold_entry_rollouts.cpp
@@ -18,8 +18,6 @@
 /// Sent at once after a time without reports.
 constexpr double maxReportBurstBytes = 2'000;
 constexpr const char* cohortNames[] = { "none", "former", "next" };
-constexpr const char* stateNames[] = { "running", "completed", "rolled_back" };
-constexpr const char* stageNames[] = { "preparing", "canary", "raising", "shifting", "ended" };
 
 } // namespace
 
@@ -54,8 +52,8 @@
             .with("service", service)
             .with("rollout", next.id)
             .with("version", next.version)
-            .with("state", stateNames[static_cast<int>(next.state)])
-            .with("stage", stageNames[static_cast<int>(next.stage)])
+            .with("state", core::rolloutStateName(next.state))
+            .with("stage", core::rolloutStageName(next.stage))
             .with("share", next.share)
             .with("sequence", next.sequence)
             .with("reason", next.reason.empty() ? std::string("none") : next.reason);
--- a/tests/forwarding/support/plumfold_decided_rollout_system.cpp
+++ b/tests/forwarding/support/plumfold_decided_rollout_system.cpp
@@ -1,5 +1,6 @@
 #include "plumfold_decided_rollout_system.hpp"
 
+#include "plumfold/core/rollout/plumfold_rollout_names.hpp"
 #include "plumfold/wire/plumfold_convert.hpp"
 #include "plumfold/wire/plumfold_entry_session.hpp"
 #include "plumfold/wire/plumfold_rpc_thread.hpp"
@@ -10,7 +11,6 @@
 
 namespace {
 
-constexpr const char* stateNames[] = { "running", "completed", "rolled_back" };
 constexpr std::chrono::milliseconds callTimeout { 2'000 };
 constexpr int controls = 3;
 
@@ -99,7 +99,7 @@
         = state == core::rollout_state::running ? core::rollout_stage::canary : core::rollout_stage::ended;
     decision.share = share;
     submit({ 0, decision });
-    auto text = "state=" + std::string(stateNames[static_cast<int>(state)]);
+    auto text = "state=" + std::string(core::rolloutStateName(state));
     auto sequence = "sequence=" + std::to_string(m_sequence);
     for (int number = 1; waits && number <= entries; ++number)
         eventually([&] { return logged(number, text) > 0 && logged(number, sequence) > 0; });
