--- a/tests/forwarding/support/plumfold_rollout_system.hpp
+++ b/tests/forwarding/support/plumfold_rollout_system.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "plumfold_forwarding_system.hpp"
+#include "plumfold_link_cuts.hpp"
 #include "plumfold_steady_callers.hpp"
 
 #include <algorithm>
@@ -171,6 +172,25 @@
 
     time_point orderedAt() const { return m_orderedAt; }
 
+    /// @param index 0 to targets - 1; after startRollout().
+    scripted_target& nextTarget(std::size_t index) { return *m_next.at(index); }
+
+    /// Lets setLinks() apply to all targets. Call it before startRollout().
+    void enableLinkCuts()
+    {
+        m_cuts = std::make_shared<link_cuts>();
+        setLinks(link_state::whole);
+        for (auto* each : m_former)
+            each->setLinkCuts(m_cuts);
+    }
+
+    /// Sets the state of the links of all entries to all targets.
+    void setLinks(link_state state)
+    {
+        for (int number = 1; number <= entries; ++number)
+            m_cuts->set(process("n" + std::to_string(number)).id(), state);
+    }
+
     ~rollout_system() { stopCallers(); }
 
 private:
@@ -182,6 +202,8 @@
                 version + "-" + std::to_string(number), "shop", coldFor, version, [&](scripted_target& each) {
                     each.setVersionBehaviour(behaviour);
                     each.setPace(streamPace);
+                    if (m_cuts)
+                        each.setLinkCuts(m_cuts);
                 });
             cohort.push_back(&target);
         }
@@ -199,6 +221,7 @@
     std::vector<scripted_target*> m_former;
     std::vector<scripted_target*> m_next;
     std::vector<std::unique_ptr<steady_callers>> m_callers;
+    std::shared_ptr<link_cuts> m_cuts; // if links can be cut
     time_point m_orderedAt {};
     time_point m_deadline {};
     time_point m_endedAt {};
