--- a/packages/core/include/plumfold/core/plumfold_target_selector.hpp
+++ b/packages/core/include/plumfold/core/plumfold_target_selector.hpp
@@ -82,6 +82,8 @@
     std::uint32_t running = 0; ///< Requests on the target as last reported; 0 without a report.
     std::uint32_t waiting = 0; ///< Requests that waited there as last reported.
     std::uint32_t slots = 0; ///< Requests that the target runs at the same time.
+    /// A former target at the full share of a rollout, because no next one was usable.
+    bool isFullShareFallback = false;
     bool operator==(const placement&) const = default;
 };
 
@@ -192,6 +194,8 @@
     void onRolloutsConfirmed(instant at, instant now);
     /// @return the software versions whose hold has begun or ended since the last call.
     std::vector<version_hold> takeVersionHolds() { return std::exchange(m_versionHolds, {}); }
+    /// @return the barred versions that have joined, see rollout_cohorts::takeBarredVersions().
+    std::vector<barred_version> takeBarredVersions() { return m_cohorts.takeBarredVersions(); }
     /// @return how rollouts restrict the use of a target; not at all if it is not known.
     rollout_standing rolloutStanding(const std::string& target) const;
 
@@ -335,10 +339,13 @@
         instant unconfirmedSince {};
         rollout_standing rollout {};
         engine_slowness slowness {}; ///< As the speed model has it.
+        version_slot versionSlot {};
     };
     placement_result chooseInCohort(const placement_request& request, instant now);
     bool hasWarmTargetInCohort(const placement_request& request, instant now) const;
-    bool mayFallBack(const placement_request& request) const;
+    bool mayFallBack(const placement_request& request, instant now) const;
+    bool isAnyNextUsable(const placement_request& request, instant now) const;
+    bool mayStartNow(const tracked_target& target, const placement_request& request, instant now) const;
     void assignCohorts(instant now);
     rollout_assignment rolloutAssignment(const tracked_target& target, instant now) const;
     bool isResponsive(const tracked_target& target, instant now) const;
--- a/packages/forwarding/src/plumfold_entry_rollouts.cpp
+++ b/packages/forwarding/src/plumfold_entry_rollouts.cpp
@@ -1,5 +1,6 @@
 #include "plumfold_entry_rollouts.hpp"
 
+#include "plumfold/core/rollout/plumfold_rollout_names.hpp"
 #include "plumfold/runtime/plumfold_clock.hpp"
 #include "plumfold/runtime/plumfold_log.hpp"
 #include "plumfold/runtime/plumfold_secrets.hpp"
@@ -17,8 +18,6 @@
 /// Sent at once after a time without reports.
 constexpr double maxReportBurstBytes = 2'000;
 constexpr const char* cohortNames[] = { "none", "former", "next" };
-constexpr const char* stateNames[] = { "running", "completed", "rolled_back" };
-constexpr const char* stageNames[] = { "preparing", "canary", "raising", "shifting", "ended" };
 
 } // namespace
 
@@ -53,8 +52,8 @@
             .with("service", service)
             .with("rollout", next.id)
             .with("version", next.version)
-            .with("state", stateNames[static_cast<int>(next.state)])
-            .with("stage", stageNames[static_cast<int>(next.stage)])
+            .with("state", core::rolloutStateName(next.state))
+            .with("stage", core::rolloutStageName(next.stage))
             .with("share", next.share)
             .with("sequence", next.sequence)
             .with("reason", next.reason.empty() ? std::string("none") : next.reason);
@@ -65,7 +64,7 @@
     m_rollouts = rollouts;
     m_recorder.setRollouts(rollouts);
     m_selector.setRollouts(rollouts, runtime::now());
-    logHolds();
+    logVersions();
     reportIfDue();
 }
 
@@ -75,15 +74,21 @@
         return;
     m_confirmedAt = std::max(m_confirmedAt, askedAt);
     m_selector.onRolloutsConfirmed(askedAt, runtime::now());
-    logHolds();
+    logVersions();
 }
 
-void entry_rollouts::logHolds()
+void entry_rollouts::logVersions()
 {
     for (const auto& each : m_selector.takeVersionHolds())
         runtime::log_event(each.isHeld ? "version_held" : "version_released")
             .with("service", each.service)
             .with("version", each.version.empty() ? std::string("none") : each.version);
+    for (const auto& each : m_selector.takeBarredVersions())
+        runtime::log_event("version_barred")
+            .with("service", each.service)
+            .with("version", each.version.empty() ? std::string("none") : each.version)
+            .with("rollout", each.rollout)
+            .with("state", core::rolloutStateName(each.state));
 }
 
 bool entry_rollouts::isPlanFresh() const
--- a/tests/core/plumfold_rollout_cohorts_tests.cpp
+++ b/tests/core/plumfold_rollout_cohorts_tests.cpp
@@ -224,6 +224,84 @@
     CHECK(mayBeSent(former, cohortRequestOf(requestOf(999, false))));
 }
 
+// Guards against failures of requests at the full share because no next target is usable, although former
+// ones still run until the rollout has completed.
+TEST_CASE("At the full share, former targets serve while no next one is usable", "[rollout]")
+{
+    auto selector = selectorOf(bothVersions(4, 2), rolloutOf(1'000));
+    auto request = requestOf(GENERATE(0u, 999u));
+    auto until = start + milliseconds(400);
+    service_limits limits;
+    limits.name = service;
+    SECTION("because of back-off")
+    {
+        for (int target = 0; target < 2; ++target) {
+            auto result = selector.choose(request, start);
+            REQUIRE(result.chosen);
+            CHECK(result.chosen->softwareVersion == "v2");
+            selector.onAttemptEnded(result.chosen->target, attempt_result::not_reached, 0, start);
+        }
+        SECTION("also for a request that failed there")
+        {
+            request.excluded = { "n0-0", "n0-1" };
+            request.hasFailedAtNext = true;
+        }
+    }
+    SECTION("because they rest")
+    {
+        selector.onRestRequested("n0-0", 2'000, until);
+        selector.onRestRequested("n0-1", 2'000, until);
+    }
+    SECTION("because they are cold and no request may start on them")
+    {
+        limits.coldRequestsPerSecond = 9;
+        limits.coldTime = milliseconds(3'000);
+        selector.setServices({ limits });
+        auto targets = bothVersions(4, 2);
+        for (auto& each : targets)
+            each.coldFor = milliseconds(each.softwareVersion == "v2" ? 3'000 : 0);
+        selector.applyAnnouncements(targets, true, start);
+        SECTION("now")
+        {
+            selector.onColdStartRefused("n0-0", until);
+            selector.onColdStartRefused("n0-1", until);
+        }
+        SECTION("any more by this request")
+        {
+            request.isWarmOnly = true;
+        }
+    }
+    SECTION("because they are at their limit of requests per second")
+    {
+        for (const auto* name : { "n0-0", "n0-1" }) {
+            selector.applyDemands({ { name, 2'000, 1, 5, false } }, start);
+            selector.onRateLimitDecision(name, { false, milliseconds(400) }, start);
+        }
+    }
+    auto result = selector.choose(request, start);
+    REQUIRE(result.chosen);
+    CHECK(result.chosen->softwareVersion == "v1");
+    CHECK(selector.hasWarmTarget(request, start));
+    auto sent = cohortRequestOf(request);
+    sent.isFallback = result.chosen->isFullShareFallback;
+    CHECK(mayBeSent(selector.rolloutStanding(result.chosen->target), sent));
+    // Once a next target is usable again, former ones get nothing.
+    auto later = start + milliseconds(5'000);
+    CHECK(versionsFor(selector, true, later) == versions { "v2" });
+}
+
+// Guards against a less informative refusal, without the time at which a next target is usable again.
+TEST_CASE(
+    "At the full share, a request without any usable target is refused as by the next ones", "[rollout]")
+{
+    auto selector = selectorOf(bothVersions(0, 1), rolloutOf(1'000));
+    selector.onRestRequested("n0-0", 2'000, start + milliseconds(400));
+    auto result = selector.choose(requestOf(0), start);
+    CHECK_FALSE(result.chosen);
+    CHECK(result.reason == placement_failure::resting);
+    CHECK(result.retryAfter == milliseconds(400));
+}
+
 // Guards against a retry at a second target of a bad version.
 TEST_CASE("After a failure at a next target, a request goes to a former one", "[rollout]")
 {
@@ -430,6 +508,93 @@
     CHECK(versionsFor(selector, true, now) == versions { "v1" });
 }
 
+// Guards against a version that gets no requests without a trace of the reason.
+TEST_CASE("A version that joins after its rollout ended is stated as barred once", "[rollout]")
+{
+    auto isCompleted = GENERATE(true, false);
+    auto end = isCompleted ? rollout_state::completed : rollout_state::rolled_back;
+    auto share = isCompleted ? rolloutFullShare : 0u;
+    std::string ended = isCompleted ? "v1" : "v2";
+    auto remaining = isCompleted ? bothVersions(0, 2) : bothVersions(2, 0);
+    std::vector<barred_version> expected { { service, ended, 7, end } };
+    auto selector = selectorOf(bothVersions(2, 2), rolloutOf(60));
+    selector.setRollouts({ { service, rolloutOf(share, end) } }, start);
+    selector.applyAnnouncements(bothVersions(2, 2), true, start);
+    CHECK(selector.takeBarredVersions().empty()); // its targets are about to stop
+    selector.applyAnnouncements(remaining, true, start);
+    CHECK(selector.takeBarredVersions().empty());
+    selector.applyAnnouncements(bothVersions(2, 2), true, start);
+    CHECK(selector.takeBarredVersions() == expected);
+    CHECK(versionsFor(selector, true) == versions { isCompleted ? "v2" : "v1" });
+    SECTION("also if it joins several times")
+    {
+        selector.applyAnnouncements(remaining, true, start);
+        auto now = start;
+        for (int count = 0; count < 50; ++count) {
+            now += milliseconds(150);
+            selector.onRolloutsConfirmed(now, now);
+        }
+        selector.applyAnnouncements(bothVersions(2, 2), true, now);
+        selector.applyAnnouncements(bothVersions(3, 3), true, now);
+        CHECK(selector.takeBarredVersions().empty());
+    }
+    SECTION("again after a later rollout")
+    {
+        auto later = rolloutOf(share, end);
+        later.id = 9;
+        selector.applyAnnouncements(remaining, true, start);
+        selector.setRollouts({ { service, later } }, start);
+        CHECK(selector.takeBarredVersions().empty());
+        selector.applyAnnouncements(bothVersions(2, 2), true, start);
+        CHECK(selector.takeBarredVersions() == std::vector<barred_version> { { service, ended, 9, end } });
+    }
+    SECTION("not after it was ordered")
+    {
+        auto ordered = rolloutOf(0);
+        ordered.id = 9;
+        selector.setRollouts({ { service, ordered } }, start);
+        CHECK(selector.takeBarredVersions().empty());
+    }
+    SECTION("also at an entry that starts later")
+    {
+        auto other = selectorOf({}, rolloutOf(share, end));
+        other.applyAnnouncements(bothVersions(2, 2), true, start);
+        CHECK(other.takeBarredVersions() == expected);
+    }
+}
+
+// Guards against a standing by a version that a target no longer has: what is known of its version is kept
+// with the target.
+TEST_CASE("The standing of a target follows its version and the versions that are forgotten", "[rollout]")
+{
+    auto selector = selectorOf(bothVersions(2, 2), rolloutOf(650));
+    SECTION("when it starts again with another one")
+    {
+        auto restarted = targetOf("f0-0", "v2");
+        selector.applyAnnouncements({ restarted }, false, start);
+        CHECK(selector.rolloutStanding("f0-0").role == rollout_role::next);
+        CHECK(selector.rolloutStanding("f0-1").role == rollout_role::former);
+    }
+    SECTION("when others are forgotten")
+    {
+        auto more = bothVersions(2, 2);
+        more.push_back(targetOf("a", "v0"));
+        selector.applyAnnouncements(more, true, start);
+        selector.applyAnnouncements(bothVersions(2, 2), true, start);
+        auto now = start;
+        for (int count = 0; count < 50; ++count) {
+            now += milliseconds(150);
+            selector.onRolloutsConfirmed(now, now);
+        }
+        selector.applyAnnouncements({}, false, now);
+        CHECK(selector.rolloutStanding("f0-0").role == rollout_role::former);
+        CHECK(selector.rolloutStanding("n0-0").role == rollout_role::next);
+        selector.applyAnnouncements({ targetOf("a", "v0") }, false, now);
+        CHECK(selector.rolloutStanding("a").role == rollout_role::barred); // new again, so it is held
+        CHECK(selector.rolloutStanding("n0-0").role == rollout_role::next);
+    }
+}
+
 // Guards against effects of rollouts where they are not enabled.
 TEST_CASE("Without rollouts and holds, all versions are used", "[rollout]")
 {
