Let the barred version's target leave in its test

The announced state was no state of the wire (400), so the target never left and the version had not joined anew. With it the test passes; the product is unchanged.

--- a/tests/forwarding/plumfold_rollout_entry_tests.cpp
+++ b/tests/forwarding/plumfold_rollout_entry_tests.cpp
@@ -234,7 +234,7 @@
     auto& ended = system.start("b1", "v2");
     system.begin();
     system.decide(0, core::rollout_state::rolled_back);
-    system.announce("b1", "leaving");
+    system.announce("b1", "draining");
     sleepFor(milliseconds(500));
     ended.crash(); // so that it is not announced as ready again
     system.startAnnouncing();
