--- a/packages/core/include/plumfold/core/plumfold_admission.hpp
+++ b/packages/core/include/plumfold/core/plumfold_admission.hpp
@@ -22,6 +22,10 @@
     /// @return nothing if the prompt is admitted, otherwise the time after which the caller should retry.
     std::optional<milliseconds> rejection(const route& on, std::uint32_t priority, double predictedMs) const;
 
+    /// @param priority 0 is the most urgent.
+    /// @return the share of its route's latency target that a request may wait for others.
+    static double maxWaitShare(std::uint32_t priority);
+
 private:
     double m_bias = 1; ///< Ratio of actual to predicted wait, EWMA.
 };
--- a/packages/core/include/plumfold/core/plumfold_target_selector.hpp
+++ b/packages/core/include/plumfold/core/plumfold_target_selector.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "plumfold/core/placement/plumfold_engine_speed_model.hpp"
+#include "plumfold/core/places/plumfold_place_types.hpp"
 #include "plumfold/core/plumfold_brittle_limiter.hpp"
 #include "plumfold/core/plumfold_deployment.hpp"
 #include "plumfold/core/plumfold_event_history.hpp"
@@ -17,6 +18,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -45,6 +47,7 @@
     std::optional<shared_parts_cost> sharedCost; ///< Instead of the latency model's rates; nothing: unknown.
     std::vector<std::string> holders; ///< Addresses of targets that hold the shared part.
     std::set<std::string> excluded; ///< Targets that were already tried.
+    std::string onlyTarget; ///< On which a place was granted; empty: any.
     bool isWarmOnly = false; ///< Excludes cold targets.
     bool isUnlimitedOnly = false; ///< Excludes targets that limit their requests per second.
     /// Only targets with this software version; an empty one matches none. Nothing: any.
@@ -197,6 +200,15 @@
     /// Selects a target and records the start of an attempt on it. Each must be ended by onAttemptEnded().
     placement_result choose(const placement_request& request, instant now);
 
+    /// Lists the targets that choose() considers for a request to a plain service; nothing is recorded.
+    /// @return the best ones first, at most `maxPlaceCandidates`. withoutPlace is the number of this entry's
+    /// requests on the target, with and without a place.
+    std::vector<place_candidate> placeCandidates(const placement_request& request, instant now);
+    /// @return the requests that the usable targets of a service run at the same time.
+    std::uint32_t usableSlots(const std::string& service, instant now) const;
+    /// @return entries that send requests to the same targets.
+    std::uint32_t entryCount() const { return m_entries; }
+
     /// Records the end of an attempt that choose() started.
     /// @param tokens memory that was expected for the attempt, see expectedTokens().
     void onAttemptEnded(const std::string& target, attempt_result result, std::uint64_t tokens, instant now);
@@ -334,6 +346,15 @@
         instant unconfirmedSince {};
         rollout_standing rollout {};
     };
+    /// Targets that may get a request, and what keeps others from it.
+    struct candidate_list {
+        std::vector<tracked_target*> targets;
+        std::optional<instant> nextColdStart;
+        std::optional<instant> nextLimitedStart;
+        bool isFull = false; // a target is at its limit of concurrent requests
+    };
+    candidate_list listCandidates(const placement_request& request, instant now);
+    std::tuple<double, std::uint64_t, std::string> plainCost(const tracked_target& target) const;
     placement_result chooseInCohort(const placement_request& request, instant now);
     bool hasWarmTargetInCohort(const placement_request& request, instant now) const;
     bool mayFallBack(const placement_request& request) const;
--- a/packages/core/src/plumfold_admission.cpp
+++ b/packages/core/src/plumfold_admission.cpp
@@ -29,11 +29,15 @@
     m_bias += (ratio - m_bias) * sampleWeight;
 }
 
+double admission::maxWaitShare(std::uint32_t priority)
+{
+    return maxWaitShares[std::min<std::size_t>(priority, maxWaitShares.size() - 1)];
+}
+
 std::optional<milliseconds> admission::rejection(
     const route& on, std::uint32_t priority, double predictedMs) const
 {
-    double share = maxWaitShares[std::min<std::size_t>(priority, maxWaitShares.size() - 1)];
-    double limitMs = share * static_cast<double>(on.latencyTarget.count());
+    double limitMs = maxWaitShare(priority) * static_cast<double>(on.latencyTarget.count());
     double expectedMs = m_bias * predictedMs;
     if (predictedMs < minPredictedMs || expectedMs <= limitMs)
         return std::nullopt;
--- a/packages/core/src/plumfold_target_selector.cpp
+++ b/packages/core/src/plumfold_target_selector.cpp
@@ -215,6 +215,8 @@
         return false;
     if (m_outOfService.contains(target.last.failureDomain) || request.excluded.contains(target.last.name))
         return false;
+    if (!request.onlyTarget.empty() && request.onlyTarget != target.last.name)
+        return false;
     if (target.rollout.role != rollout_role::unrestricted
         && !isSelectable(target.rollout, cohortRequestOf(request)))
         return false;
@@ -268,14 +270,10 @@
             target.last.name, memory, target.inFlightTokens, expectedTokens(request), now);
 }
 
-placement_result target_selector::chooseInCohort(const placement_request& request, instant now)
+target_selector::candidate_list target_selector::listCandidates(const placement_request& request, instant now)
 {
-    placement_result answer;
-    std::vector<tracked_target*> candidates;
+    candidate_list out;
     std::vector<tracked_target*> paused;
-    std::optional<instant> nextColdStart;
-    std::optional<instant> nextLimitedStart;
-    bool isFull = false;
     for (auto& [name, target] : m_targets) {
         bool isUsableNow = isUsable(target, request, now);
         bool isPaused = mayBePaused(target, now) && !isCold(target, now)
@@ -285,23 +283,31 @@
         if (!isUsableNow)
             continue;
         if (isCold(target, now) && (request.isWarmOnly || now < target.coldStartRefusedUntil)) {
-            nextColdStart = std::min(nextColdStart.value_or(instant::max()), target.coldStartRefusedUntil);
+            out.nextColdStart
+                = std::min(out.nextColdStart.value_or(instant::max()), target.coldStartRefusedUntil);
             continue;
         }
         if (!mayStart(target, request.model, now))
             continue;
         if (isRateLimited(target) && (request.isUnlimitedOnly || now < target.limitedStartRefusedUntil)) {
-            nextLimitedStart
-                = std::min(nextLimitedStart.value_or(instant::max()), target.limitedStartRefusedUntil);
+            out.nextLimitedStart
+                = std::min(out.nextLimitedStart.value_or(instant::max()), target.limitedStartRefusedUntil);
             continue;
         }
         bool isTargetFull = isAtLimit(target, request, now);
-        isFull = isFull || isTargetFull;
+        out.isFull = out.isFull || isTargetFull;
         if (!isTargetFull)
-            candidates.push_back(&target);
+            out.targets.push_back(&target);
     }
-    if (candidates.empty() && !nextColdStart)
-        candidates = std::move(paused);
+    if (out.targets.empty() && !out.nextColdStart)
+        out.targets = std::move(paused);
+    return out;
+}
+
+placement_result target_selector::chooseInCohort(const placement_request& request, instant now)
+{
+    placement_result answer;
+    auto [candidates, nextColdStart, nextLimitedStart, isFull] = listCandidates(request, now);
     auto* chosen = selectTarget(candidates, request, now);
     if (chosen) {
         double wait = 0;
@@ -385,16 +391,19 @@
         return nullptr;
     if (request.session != 0)
         return selectForSession(candidates, request, now);
-    auto cost = [&](const tracked_target* target) {
-        bool isRemote = target->last.failureDomain != m_options.failureDomain;
-        // A remote target is selected once the local ones have a whole batch more in flight.
-        double load = static_cast<double>(target->inFlight) * m_entries / std::max(target->last.slots, 1u);
-        // Equal ones are ranked differently by each entry, which spreads requests over idle targets.
-        return std::tuple(load + (isRemote ? 1.0 : 0.0),
-            hashBytes(m_options.entryName, hashBytes(target->last.name)), target->last.name);
-    };
     return *std::min_element(candidates.begin(), candidates.end(),
-        [&](const auto* left, const auto* right) { return cost(left) < cost(right); });
+        [&](const auto* left, const auto* right) { return plainCost(*left) < plainCost(*right); });
+}
+
+/// @return what a request without a session costs on a target; the lowest is chosen.
+std::tuple<double, std::uint64_t, std::string> target_selector::plainCost(const tracked_target& target) const
+{
+    bool isRemote = target.last.failureDomain != m_options.failureDomain;
+    // A remote target is selected once the local ones have a whole batch more in flight.
+    double load = static_cast<double>(target.inFlight) * m_entries / std::max(target.last.slots, 1u);
+    // Equal ones are ranked differently by each entry, which spreads requests over idle targets.
+    return { load + (isRemote ? 1.0 : 0.0), hashBytes(m_options.entryName, hashBytes(target.last.name)),
+        target.last.name };
 }
 
 /// A penalty instead of an exclusion: otherwise the first targets that have loaded a new version would get
--- a/tests/core/plumfold_target_selector_tests.cpp
+++ b/tests/core/plumfold_target_selector_tests.cpp
@@ -396,3 +396,89 @@
     CHECK(budget.tryTake("pool", start + milliseconds(10'500)));
     CHECK_FALSE(budget.tryTake("pool", start + milliseconds(10'500)));
 }
+
+namespace {
+
+/// @return a target of a plain service.
+target_announcement plainTarget(const std::string& name, std::uint32_t slots = 6)
+{
+    auto out = engine(name);
+    out.models.clear();
+    out.slots = slots;
+    return out;
+}
+
+placement_request plainRequest()
+{
+    auto out = requestOf();
+    out.model.clear();
+    return out;
+}
+
+std::vector<std::string> namesOf(const std::vector<place_candidate>& candidates)
+{
+    std::vector<std::string> out;
+    for (const auto& each : candidates)
+        out.push_back(each.target);
+    return out;
+}
+
+} // namespace
+
+// Guards against places on targets that the request may not use, and against a worse order than without.
+TEST_CASE(
+    "Candidates for places are the targets that may be chosen, the least loaded first", "[selector][places]")
+{
+    auto selector = selectorOf({ plainTarget("t1"), plainTarget("t2"), plainTarget("t3") });
+    auto request = plainRequest();
+    std::vector<std::string> loaded;
+    for (int count = 0; count < 3; ++count)
+        loaded.push_back(selector.choose(request, start).chosen->target);
+    REQUIRE(std::set<std::string>(loaded.begin(), loaded.end()).size() == 3);
+    selector.onAttemptEnded("t2", attempt_result::answered, 0, start);
+    auto candidates = selector.placeCandidates(request, start);
+    REQUIRE(candidates.size() == 3);
+    CHECK(candidates.front() == place_candidate { "t2", 0, 6, 0 });
+    CHECK(candidates.back().withoutPlace == 1);
+    CHECK(selector.choose(request, start).chosen->target == "t2");
+    SECTION("without those that were tried")
+    {
+        request.excluded = { "t2" };
+        CHECK(selector.placeCandidates(request, start).size() == 2);
+    }
+    SECTION("without those in back-off or in a failure domain out of service")
+    {
+        selector.onAttemptEnded("t1", attempt_result::lost, 0, start);
+        CHECK(selector.placeCandidates(request, start).size() == 2);
+        CHECK(selector.usableSlots("pool", start) == 12);
+        selector.setOutOfService({ "a" });
+        CHECK(selector.placeCandidates(request, start).empty());
+        CHECK(selector.usableSlots("pool", start) == 0);
+    }
+}
+
+// Guards against requests that the issuer refuses because of their figures.
+TEST_CASE(
+    "Candidates for places are limited in number, and have possible numbers of slots", "[selector][places]")
+{
+    auto selector = selectorOf({ plainTarget("a0"), plainTarget("a1"), plainTarget("a2"), plainTarget("a3"),
+        plainTarget("a4"), plainTarget("a5"), plainTarget("a6"), plainTarget("a7"), plainTarget("a8"),
+        plainTarget("b0", 0), plainTarget("b1", 10'001) });
+    auto names = namesOf(selector.placeCandidates(plainRequest(), start));
+    CHECK(names.size() == 8);
+    CHECK(std::count(names.begin(), names.end(), "b0") == 0);
+    CHECK(std::count(names.begin(), names.end(), "b1") == 0);
+}
+
+// Guards against a request that is sent to a target other than that of its place.
+TEST_CASE("A request with a place is sent to the target of the place or to none", "[selector][places]")
+{
+    auto selector = selectorOf({ plainTarget("t1"), plainTarget("t2") });
+    auto request = plainRequest();
+    request.onlyTarget = "t2";
+    for (int count = 0; count < 5; ++count)
+        CHECK(selector.choose(request, start).chosen->target == "t2");
+    selector.onRestRequested("t2", 0, start + milliseconds(1'000));
+    CHECK_FALSE(selector.choose(request, start).chosen);
+    CHECK(selector.choose(plainRequest(), start).chosen->target == "t1");
+}
