--- a/packages/forwarding/src/plumfold_deployment_follower.cpp
+++ b/packages/forwarding/src/plumfold_deployment_follower.cpp
@@ -126,6 +126,7 @@
     request.setRelayAddress(m_settings.forwarding->relayAddress);
     request.setKnownHelpers(m_knownHelpers);
     request.setKnownDemands(m_knownDemand);
+    request.setUsesPlaces(m_settings.forwarding->targetPlaces);
     writeDemands(request);
     writeRollouts(request);
     request.setWaitMs(m_justConnected ? 0 : longPollWaitMs);
--- a/packages/forwarding/src/plumfold_deployment_follower.hpp
+++ b/packages/forwarding/src/plumfold_deployment_follower.hpp
@@ -40,8 +40,8 @@
     std::uint64_t targetClockMs = 0; ///< The targets' clock; 0: unknown.
     std::optional<std::vector<core::entry_address>> helpers; ///< All of them, if any has changed.
     std::vector<core::target_demand> demands; ///< Those that have changed.
-    /// Control VMs that grant starts on targets that limit their requests, by failure domain of the target;
-    /// empty if they are not needed.
+    /// Control VMs that grant starts on targets that limit their requests, by failure domain of the target,
+    /// and places on targets; empty if they are not needed.
     std::map<std::string, std::string> limitIssuers;
 };
 
--- a/packages/forwarding/src/plumfold_forwarding_role.cpp
+++ b/packages/forwarding/src/plumfold_forwarding_role.cpp
@@ -76,8 +76,10 @@
         , m_streamOrigins(m_io, rpc, *m_controlSessions, m_settings)
         , m_crashReports(rpc, *m_controlSessions)
         , m_rateLimits(m_io, rpc, *m_controlSessions)
+        , m_places(m_io, rpc, *m_controlSessions)
         , m_state { m_io, m_settings, m_metrics, m_sharedLimits, m_streamOrigins, m_crashReports,
-            m_rateLimits, [this](const core::target_demand& demand) { m_follower.reportDemand(demand); },
+            m_rateLimits, m_places,
+            [this](const core::target_demand& demand) { m_follower.reportDemand(demand); },
             [this](
                 std::vector<core::rollout_report> reports) { m_follower.reportRollouts(std::move(reports)); },
             nullptr, 0, core::target_selector(targetSelectorOptions(m_settings)),
@@ -118,6 +120,7 @@
         m_streamOrigins.stop();
         m_crashReports.stop();
         m_rateLimits.stop();
+        m_places.stop();
         m_rpc.run([this] { m_controlSessions.reset(); });
         m_io.close();
     }
@@ -223,8 +226,10 @@
     {
         for (const auto& each : m_state.targetSelector.applyDemands(update.demands, now))
             m_state.logDemand(each, "control");
-        if (!update.limitIssuers.empty())
+        if (!update.limitIssuers.empty()) {
             m_rateLimits.setIssuers(update.limitIssuers);
+            m_places.setIssuers(update.limitIssuers);
+        }
         m_metrics.set(
             "plumfold_rate_limited_targets", static_cast<double>(m_state.targetSelector.limitedTargets()));
     }
@@ -264,6 +269,8 @@
         m_state.targetSelector.setWeights(next.weights, now);
         m_state.rollouts.apply(next.rollouts);
         m_state.deploymentRevision = next.revision;
+        bool isServiceChanged = next.outOfService != m_outOfService;
+        m_outOfService = next.outOfService;
         auto previousVersion = m_state.deployment ? m_state.deployment->version() : 0;
         if (next.document.version > previousVersion) {
             auto decoded = platform::decodeDeployment(next.document.text);
@@ -279,6 +286,10 @@
             if (m_settings.forwarding->adaptivePlacement)
                 logUnusableLinks();
         }
+        if (isServiceChanged || next.document.version > previousVersion) {
+            for (auto* request : m_state.openRequests)
+                request->onDeploymentChanged();
+        }
         runtime::log_event("deployment_in_force")
             .with("revision", next.revision)
             .with("version", next.document.version)
@@ -314,6 +325,7 @@
             co_await pause(linkCheckInterval);
             m_state.checkLink(runtime::now());
             m_state.rollouts.reportIfDue();
+            m_state.places.update(runtime::now());
         }
     }
 
@@ -340,11 +352,13 @@
     shared_limit_client m_sharedLimits;
     wire::rpc_thread& m_rpc;
     std::set<std::string> m_unusableLinks; // logged already
+    std::set<std::string> m_outOfService; // failure domains, as last applied
     std::map<std::string, std::string> m_control; // failure domains of control VMs in service, as last set
     std::unique_ptr<control_sessions> m_controlSessions; // used and destroyed on the RPC thread
     stream_origin_client m_streamOrigins;
     crash_report_client m_crashReports;
     rate_limit_client m_rateLimits;
+    place_client m_places;
     forwarding_state m_state;
     asio::ip::tcp::acceptor m_acceptor;
     std::optional<asio::ip::tcp::acceptor> m_relayAcceptor; // for requests of other entries
--- a/packages/forwarding/src/plumfold_forwarding_state.hpp
+++ b/packages/forwarding/src/plumfold_forwarding_state.hpp
@@ -3,6 +3,7 @@
 #include "plumfold_asio.hpp"
 #include "plumfold_crash_detector.hpp"
 #include "plumfold_crash_report_client.hpp"
+#include "plumfold_entry_places.hpp"
 #include "plumfold_entry_rollouts.hpp"
 #include "plumfold_rate_limit_client.hpp"
 #include "plumfold_shared_limit_client.hpp"
@@ -40,6 +41,7 @@
     stream_origin_client& streamOrigins;
     crash_report_client& crashReports;
     rate_limit_client& rateLimits;
+    place_client& placeClient;
     std::function<void(const core::target_demand&)> reportDemand; ///< To control VMs.
     entry_rollouts::reporter reportRollouts; ///< To control VMs.
     std::shared_ptr<const core::deployment> deployment; ///< Null until the first one is received.
@@ -59,6 +61,7 @@
     core::link_health link {}; ///< To all targets.
     core::relay_helpers helpers { settings.process.failureDomain };
     entry_rollouts rollouts { settings, metrics, targetSelector, reportRollouts };
+    entry_places places { settings, targetSelector, placeClient };
     std::uint64_t targetClockMs = 0; ///< The targets' clock as last reported; 0: unknown.
     core::instant targetClockReadAt {}; ///< When targetClockMs was received.
     bool stopping = false; ///< Graceful shutdown: responses close their connections.
--- a/packages/forwarding/src/plumfold_request_attempt.cpp
+++ b/packages/forwarding/src/plumfold_request_attempt.cpp
@@ -15,6 +15,7 @@
 constexpr std::size_t relayBufferBytes = 16 << 10;
 constexpr std::uint64_t maxResponseBytes = 64 << 20;
 constexpr unsigned statusServerError = 500;
+constexpr unsigned statusUnavailable = 503;
 constexpr core::milliseconds streamRecordMargin { 2'000 }; // for a caller that is late at its deadline
 /// Interim responses and late responses to earlier requests that may precede the response to a request.
 constexpr unsigned maxSkippedResponses = 16;
@@ -209,6 +210,8 @@
             continue;
         }
         m_wasRejectedForRoom = m_helper.empty() && head.isNotExecuted && !head.isMisdirected;
+        m_isTargetFull = m_wasRejectedForRoom && parser.get().result_int() == statusUnavailable
+            && !head.restTime && !head.isLeaving;
         if (m_helper.empty() && !head.isMisdirected) {
             recordRoom(head);
             recordDemands(head);
--- a/packages/forwarding/src/plumfold_request_forwarder.cpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.cpp
@@ -82,6 +82,7 @@
 
 void request_forwarder::stopBy(core::instant at)
 {
+    dropPlaceWait(place_drop::stopping);
     bool isAdmitted = m_deadline != core::instant {};
     if (!isAdmitted || at >= m_deadline)
         return;
@@ -326,6 +327,14 @@
                 core::target_selector::expectedTokens(request), runtime::now());
             co_return;
         }
+        place_holder place;
+        if (needsPlace()) {
+            auto step = co_await acquirePlace(request, selection, place);
+            if (step == place_step::repeat)
+                continue;
+            if (step == place_step::over)
+                break;
+        }
         if (!co_await requestStart(*selection.chosen)) {
             m_state.targetSelector.onAttemptEnded(selection.chosen->target, core::attempt_result::not_started,
                 core::target_selector::expectedTokens(request), runtime::now());
@@ -336,7 +345,7 @@
         m_lastVersion = selection.chosen->softwareVersion;
         m_lastStart = selection.chosen->startedAt;
         m_rollout = selection.chosen->rollout;
-        auto attemptResult = co_await attempt(*selection.chosen);
+        auto attemptResult = co_await attemptWithPlace(*selection.chosen, place);
         m_connection.reset();
         m_watchdog.cancel();
         m_state.link.onEnded(m_linkAttempt);
@@ -548,6 +557,7 @@
 {
     m_callerDisconnected = true;
     m_outcome = "caller_gone";
+    dropPlaceWait(place_drop::caller_gone);
     // The target cancels the request when its connection is closed.
     if (m_connection)
         m_connection->stream.close();
--- a/packages/forwarding/src/plumfold_request_forwarder.hpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.hpp
@@ -21,6 +21,28 @@
 /// For requests that no helper took.
 inline constexpr core::milliseconds relayRetryAfter { 500 };
 
+/// How the latest request for a place on a target of a contended service ended.
+enum class place_result : std::uint8_t {
+    none, ///< No place was asked for.
+    granted,
+    refused,
+    no_issuer, ///< No issuer has decided, and the request is sent without a place.
+};
+
+/// What follows a request for a place.
+enum class place_step : std::uint8_t {
+    send, ///< The request has a target and a place on it.
+    repeat, ///< A target is to be chosen again.
+    over, ///< The request is not sent any more.
+};
+
+/// Why the wait for a place was ended by this entry.
+enum class place_drop : std::uint8_t {
+    stopping,
+    deployment_changed,
+    caller_gone,
+};
+
 /// Forwards one request of a caller to a target, with retries on others, until it has a final response.
 class request_forwarder {
 public:
@@ -37,6 +59,8 @@
 
     /// Lets the request end with a final response by a time, since this entry stops.
     void stopBy(core::instant at);
+    /// Lets a request that waits for a place choose its target again.
+    void onDeploymentChanged() { dropPlaceWait(place_drop::deployment_changed); }
 
 private:
     using target_response_parser = http::response_parser<http::buffer_body>;
@@ -80,6 +104,16 @@
     task<bool> findOrigin();
     void beginStream(std::string softwareVersion);
     task<void> runAttempts();
+    bool needsPlace();
+    void dropPlaceWait(place_drop reason);
+    core::place_request placeRequest(const core::placement_request& request);
+    task<place_step> acquirePlace(
+        const core::placement_request& request, core::placement_result& selection, place_holder& place);
+    bool useGrantedTarget(const core::place_decision& decision, core::placement_result& selection);
+    void recordPlaceResult(place_result result);
+    const char* placeResultName() const;
+    void rejectUnlessRun(const char* reason, core::milliseconds retryAfter);
+    task<core::attempt_result> attemptWithPlace(const core::placement& placement, place_holder& place);
     bool mayRetry() const;
     task<bool> takeRetryBudget();
     task<bool> requestColdStart(const core::placement& placement);
@@ -181,6 +215,12 @@
     bool m_targetUnresponsive = false; // why the current attempt was abandoned
     std::uint64_t m_verdict = 0; // by which it was rejected
     bool m_wasRejectedForRoom = false; // by the target of the current attempt
+    bool m_isTargetFull = false; // it rejected the current attempt for lack of room, and for nothing else
+    place_result m_placeResult = place_result::none;
+    place_wait m_placeWait;
+    place_drop m_placeDrop = place_drop::stopping; // why m_placeWait was dropped
+    core::milliseconds m_placeWaitTime { 0 }; // for all places of the request
+    unsigned m_unusedPlaces = 0; // granted on targets that had become unusable
     bool m_isCrashSuspect = false; // has crashed a target, and was known to crash others
     bool m_hasBegun = false; // the target of the current attempt has sent a part of the body
     const char* m_recallReason = nullptr; // why the target of the current attempt may not run it any more
--- a/tests/core/plumfold_contention_detector_tests.cpp
+++ b/tests/core/plumfold_contention_detector_tests.cpp
@@ -81,7 +81,7 @@
     }
     SECTION("one of many entries, whose few requests are a rough sample of all")
     {
-        CHECK(poisson_load(detector, 60, seed).run(0.4, std::chrono::seconds(120)) < 0.15);
+        CHECK(poisson_load(detector, 60, seed).run(0.4, std::chrono::seconds(120)) < 0.1);
     }
 }
 
--- a/tests/forwarding/support/plumfold_forwarding_system.cpp
+++ b/tests/forwarding/support/plumfold_forwarding_system.cpp
@@ -233,6 +233,8 @@
         { "weightsBoundMs", m_weightsBound.count() } };
     if (m_rolloutExposure || m_hasRollouts)
         forwarding["rollouts"] = true;
+    if (m_usesPlaces)
+        forwarding["targetPlaces"] = true;
     start(name, { { "process", process }, { "forwarding", forwarding } });
 }
 
@@ -282,9 +284,9 @@
     auto coldFor = std::chrono::duration_cast<std::chrono::milliseconds>(
         announced.coldUntil - std::chrono::steady_clock::now());
     json body { { "service", announced.service }, { "address", announced.server->address() },
-        { "zone", "east" }, { "version", announced.server->version() }, { "slots", 8 }, { "state", state },
-        { "cold-remaining-ms", std::max<std::int64_t>(coldFor.count(), 0) }, { "sequence", ++m_sequence },
-        { "born", m_targetStart.load() } };
+        { "zone", "east" }, { "version", announced.server->version() }, { "slots", m_targetSlots },
+        { "state", state }, { "cold-remaining-ms", std::max<std::int64_t>(coldFor.count(), 0) },
+        { "sequence", ++m_sequence }, { "born", m_targetStart.load() } };
     if (auto weights = announced.server->weights())
         body["models"] = { { { "name", weights->model }, { "version", weights->version },
             { "adapters", json::array() } } };
--- a/tests/forwarding/support/plumfold_forwarding_system.hpp
+++ b/tests/forwarding/support/plumfold_forwarding_system.hpp
@@ -75,6 +75,10 @@
     void serveRollouts(double share = 0.1, double slack = 50) { m_rolloutExposure = { share, slack }; }
     /// Lets entries that are started later apply rollouts of software versions.
     void enableRollouts() { m_hasRollouts = true; }
+    /// Lets entries that are started later use places on targets.
+    void enableTargetPlaces() { m_usesPlaces = true; }
+    /// Sets the slots that targets announce.
+    void setTargetSlots(int count) { m_targetSlots = count; }
     /// Lets control VMs that are started later listen for RPC at another host than their address names.
     /// @param firstHost the host of the control VM with the number 0.
     void setControlListeners(int firstHost) { m_firstControlListener = firstHost; }
@@ -149,6 +153,8 @@
     std::optional<std::pair<double, double>> m_rolloutExposure; // share and slack
     std::string m_network;
     bool m_hasRollouts = false;
+    bool m_usesPlaces = false;
+    int m_targetSlots = 8;
     int m_firstControlListener = 0; // 0: control VMs listen at their own address
     std::map<std::string, nlohmann::json> m_settings;
     struct announced_target {
