Let entries drop calls that wait for a place

Cap'n Proto 0.9 runs a call to its end unless its server allows the cancellation. Dropped requests stayed in the queue of the issuer, and places granted to them were held until they expired.

--- a/packages/control/src/plumfold_control_service.cpp
+++ b/packages/control/src/plumfold_control_service.cpp
@@ -186,6 +186,8 @@
 
     kj::Promise<void> acquirePlace(AcquirePlaceContext call) override
     {
+        // Otherwise, a request that its entry has dropped waits until its time ends, and may get a place.
+        call.allowCancellation();
         auto params = call.getParams();
         return m_context.places.acquire(m_name, params.getFailureDomain().cStr(),
             wire::read(params.getRequest()), [call](const auto& decision) mutable {
