--- a/tests/forwarding/support/plumfold_scripted_target.cpp
+++ b/tests/forwarding/support/plumfold_scripted_target.cpp
@@ -192,6 +192,10 @@
         current.sendResponse("503 Service Unavailable", "Not-Executed: 1\r\n" + m_room->headers(), "");
         return;
     }
+    {
+        std::lock_guard lock(m_mutex);
+        m_executed.push_back(current.id());
+    }
     std::this_thread::sleep_for(workTime);
     m_room->leave();
     current.sendResponse("200 OK", "Response-Signature: " + m_name + "\r\n" + m_room->headers(), "served");
