--- a/tests/forwarding/plumfold_place_tests.cpp
+++ b/tests/forwarding/plumfold_place_tests.cpp
@@ -274,7 +274,7 @@
 TEST_CASE_METHOD(place_system, "Requests that wait for a place are refused when their entry stops",
     "[forwarding][places][issuer]")
 {
-    steady_callers callers(*this, { 1 }, 1.5 * capacity, "/stock/work");
+    steady_callers callers(*this, bothEntries, 1.5 * capacity, "/stock/work");
     sleepFor(2s);
     std::vector<std::future<std::pair<std::string, raw_response>>> waitingRequests;
     for (int count = 0; count < 20; ++count)
