--- a/tests/forwarding/plumfold_place_tests.cpp
+++ b/tests/forwarding/plumfold_place_tests.cpp
@@ -276,8 +276,9 @@
 {
     steady_callers callers(*this, bothEntries, 1.5 * capacity, "/stock/work");
     sleepFor(2s);
+    REQUIRE(eventually([&] { return countEvents("n2", "request_ended", "place=granted") > 0; }));
     std::vector<std::future<std::pair<std::string, raw_response>>> waitingRequests;
-    for (int count = 0; count < 20; ++count)
+    for (int count = 0; count < 40; ++count)
         waitingRequests.push_back(std::async(std::launch::async, [this] {
             auto id = nextId();
             raw_caller caller(callerAddress(2));
