--- a/packages/forwarding/src/plumfold_request_forwarder.cpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.cpp
@@ -82,6 +82,7 @@
 
 void request_forwarder::stopBy(core::instant at)
 {
+    dropPlaceWait(place_drop::stopping);
     bool isAdmitted = m_deadline != core::instant {};
     if (!isAdmitted || at >= m_deadline)
         return;
@@ -326,6 +327,14 @@
                 core::target_selector::expectedTokens(request), runtime::now());
             co_return;
         }
+        place_holder place;
+        if (needsPlace()) {
+            auto step = co_await acquirePlace(request, selection, place);
+            if (step == place_step::repeat)
+                continue;
+            if (step == place_step::over)
+                break;
+        }
         if (!co_await requestStart(*selection.chosen)) {
             m_state.targetSelector.onAttemptEnded(selection.chosen->target, core::attempt_result::not_started,
                 core::target_selector::expectedTokens(request), runtime::now());
@@ -336,7 +345,7 @@
         m_lastVersion = selection.chosen->softwareVersion;
         m_lastStart = selection.chosen->startedAt;
         m_rollout = selection.chosen->rollout;
-        auto attemptResult = co_await attempt(*selection.chosen);
+        auto attemptResult = co_await attemptWithPlace(*selection.chosen, place);
         m_connection.reset();
         m_watchdog.cancel();
         m_state.link.onEnded(m_linkAttempt);
@@ -399,75 +408,6 @@
                                                                 : now < until;
 }
 
-/// @return whether the request may start on a target, as far as that has to be granted.
-task<bool> request_forwarder::requestStart(const core::placement& placement)
-{
-    bool mayStart = true;
-    if (placement.isCold)
-        mayStart = co_await requestColdStart(placement);
-    if (mayStart && placement.isRateLimited)
-        mayStart = co_await requestLimitedStart(placement);
-    co_return mayStart;
-}
-
-/// @return whether the request still may start on a target, now that it is to be sent.
-bool request_forwarder::hasStart(const core::placement& placement) const
-{
-    auto now = runtime::nowWithSuspension();
-    const auto& selector = m_state.targetSelector;
-    bool hasColdStart = placement.isCold && now < m_coldStartUntil;
-    bool hasLimitedStart = placement.isRateLimited && now < m_limitedStartUntil;
-    return !selector.isResting(placement.target, runtime::now()) && !selector.isLeaving(placement.target)
-        && (hasColdStart || !selector.isCold(placement.target, runtime::now()))
-        && (hasLimitedStart || !selector.isRateLimited(placement.target));
-}
-
-/// @return whether the request may start on a target that limits its requests per second.
-task<bool> request_forwarder::requestLimitedStart(const core::placement& placement)
-{
-    auto demand = m_state.targetSelector.demandOf(placement.target);
-    if (!demand)
-        co_return true;
-    ++m_limitedStartRequests;
-    auto requestedAt = runtime::nowWithSuspension();
-    auto answer = co_await m_state.rateLimits.start(placement.failureDomain, *demand);
-    auto now = runtime::now();
-    if (answer)
-        m_state.targetSelector.onRateLimitDecision(placement.target, *answer, now);
-    auto decision = answer ? *answer : m_state.targetSelector.tryStartWithoutIssuer(placement.target, now);
-    m_limitedStartUntil = requestedAt + core::startGrantLifetime;
-    m_state.metrics.count(std::string("plumfold_limited_starts_total{service=\"") + m_service
-        + (decision.isGranted ? "\",result=\"granted\"}" : "\",result=\"refused\"}"));
-    if (decision.isGranted)
-        runtime::log_event("limited_start_granted")
-            .with("request", m_head.id)
-            .with("target", placement.target)
-            .with("max_requests_per_second", core::limitText(*demand))
-            .with("by_issuer", answer ? "true" : "false")
-            .with("requests", m_limitedStartRequests);
-    co_return decision.isGranted;
-}
-
-/// @return whether the request may start on a cold target.
-task<bool> request_forwarder::requestColdStart(const core::placement& placement)
-{
-    ++m_coldStartRequests;
-    auto requestedAt = runtime::nowWithSuspension();
-    auto decision = co_await m_state.sharedLimits.startCold(m_service, placement.target);
-    if (!decision.isGranted) {
-        m_state.targetSelector.onColdStartRefused(placement.target, runtime::now() + decision.retryAfter);
-        co_return false;
-    }
-    m_coldStartUntil = requestedAt + core::startGrantLifetime;
-    auto duration = runtime::nowWithSuspension() - requestedAt;
-    runtime::log_event("cold_start_granted")
-        .with("request", m_head.id)
-        .with("target", placement.target)
-        .with("requests", m_coldStartRequests)
-        .with("took_ms", std::chrono::duration_cast<core::milliseconds>(duration).count());
-    co_return true;
-}
-
 std::uint32_t request_forwarder::priority() const
 {
     return m_customer ? m_customer->priority.value_or(m_route->priority) : m_route->priority;
@@ -548,6 +488,7 @@
 {
     m_callerDisconnected = true;
     m_outcome = "caller_gone";
+    dropPlaceWait(place_drop::caller_gone);
     // The target cancels the request when its connection is closed.
     if (m_connection)
         m_connection->stream.close();
