Places and the full share of rollouts: adapt the merged code

Candidates for places follow the rule of the full share. Whether any next target is usable is judged without the target on which a place was granted.

--- a/packages/core/src/places/plumfold_place_selection.cpp
+++ b/packages/core/src/places/plumfold_place_selection.cpp
@@ -18,7 +18,7 @@
 std::vector<place_candidate> target_selector::placeCandidates(const placement_request& request, instant now)
 {
     auto listed = listCandidates(request, now).targets;
-    if (listed.empty() && mayFallBack(request)) {
+    if (listed.empty() && mayFallBack(request, now)) {
         auto other = request;
         other.isCohortFallback = true;
         listed = listCandidates(other, now).targets;
--- a/packages/core/src/rollout/plumfold_rollout_selection.cpp
+++ b/packages/core/src/rollout/plumfold_rollout_selection.cpp
@@ -55,6 +55,7 @@
 {
     auto untried = request;
     untried.excluded.clear();
+    untried.onlyTarget.clear();
     return std::any_of(m_targets.begin(), m_targets.end(), [&](const auto& each) {
         const auto& target = each.second;
         return cohortOf(target.rollout) == rollout_cohort::next && isUsable(target, untried, now)
