--- a/packages/core/src/places/plumfold_place_selection.cpp
+++ b/packages/core/src/places/plumfold_place_selection.cpp
@@ -29,6 +29,7 @@
         [&](const auto* left, const auto* right) { return plainCost(*left) < plainCost(*right); });
     listed.resize(std::min(listed.size(), maxPlaceCandidates));
     std::vector<place_candidate> out;
+    out.reserve(listed.size());
     for (const auto* each : listed)
         out.push_back({ each->last.name, each->last.startedAt, each->last.slots, each->inFlight });
     return out;
--- a/packages/runtime/include/plumfold/runtime/plumfold_socket_group.hpp
+++ b/packages/runtime/include/plumfold/runtime/plumfold_socket_group.hpp
@@ -27,7 +27,7 @@
     /// Keeps a socket in a group until destruction. Must be destroyed before the socket is closed.
     class member {
     public:
-        member(socket_group& group, Poco::Net::StreamSocket socket);
+        member(socket_group& group, const Poco::Net::StreamSocket& socket);
         ~member();
         member(const member&) = delete;
         member& operator=(const member&) = delete;
--- a/packages/runtime/src/plumfold_socket_group.cpp
+++ b/packages/runtime/src/plumfold_socket_group.cpp
@@ -2,13 +2,11 @@
 
 #include <Poco/Exception.h>
 
-#include <utility>
-
 namespace plumfold::runtime {
 
-socket_group::member::member(socket_group& group, Poco::Net::StreamSocket socket)
+socket_group::member::member(socket_group& group, const Poco::Net::StreamSocket& socket)
     : m_group(group)
-    , m_socket(std::move(socket))
+    , m_socket(socket)
 {
     std::lock_guard lock(m_group.m_mutex);
     m_group.m_members.insert(this);
