--- a/tests/forwarding/plumfold_rollout_entry_tests.cpp
+++ b/tests/forwarding/plumfold_rollout_entry_tests.cpp
@@ -260,8 +260,8 @@
 TEST_CASE("A service whose only version is new is served at once", "[forwarding][rollout]")
 {
     decided_rollout_system system(false);
-    system.announce("a1", "leaving");
-    system.announce("a2", "leaving");
+    system.announce("a1", "draining");
+    system.announce("a2", "draining");
     system.startNext();
     CHECK(forwarding_system::eventually([&] { return system.request(1, "/stock/whole").status == 200; }, 3));
     CHECK(system.logged(1, "version_held") == 0);
