Schema: unapplied part updates and the position of an entry among those of its failure domain

ControlPeer.share returns the holders whose parts the receiver could not apply, so that the sender does not have to assume what the receiver has. EntrySession.follow returns where the entry stands among the entries of its failure domain.

--- a/packages/wire/schema/plumfold.capnp
+++ b/packages/wire/schema/plumfold.capnp
@@ -259,12 +259,13 @@
 interface ControlPeer {
   deliver @0 (message :RaftMessage) -> ();
   # What targets announced to this control VM itself, how many entries follow it, and what any control VM told it about
-  # targets that ended: crashes and successes belong together, see core::crash_evidence.
+  # targets that ended: crashes and successes belong together, see core::crash_evidence. The receiver returns the
+  # addresses of the holders whose parts it could not apply, so that the sender sends their whole content next.
   share @1 (address :Text, failureDomain :Text, entries :UInt32, targets :List(AnnouncedTarget),
       parts :List(PartNews), clock :UInt64, loads :List(TargetLoad), namings :List(EventAge),
       returns :List(EventAge), crashes :List(CrashReport), successes :List(RecordedSuccess),
       followers :List(EntryAddress), hasFollowers :Bool, demands :List(TargetDemand),
-      rollouts :List(RolloutReport)) -> ();
+      rollouts :List(RolloutReport)) -> (unknownParts :List(Text));
 }
 interface Operator {
   form @0 () -> (reply :Reply);
@@ -290,7 +291,8 @@
   # those that the entry has learned from responses, and those that changed after the known number. limitIssuers are
   # the control VMs that serve startLimited, by failure domain of the target, and acquirePlace; they are left out if no
   # target limits its requests and the entry does not use places. An entry that accepts outlines gets an outline
-  # instead of the deployment, and then calls readPieces.
+  # instead of the deployment, and then calls readPieces. domainEntryIndex is the position of this entry among the
+  # domainEntries entries of its failure domain, in order of their names; 0 entries if they are not known.
   follow @2 (knownDeployment :UInt64, feed :UInt64, knownChange :UInt64, waitMs :UInt32, confirmed :Bool,
       parts :List(PartCursor), knownVerdicts :UInt64, knownSuspects :UInt64, relayAddress :Text, knownHelpers :UInt64,
       demands :List(TargetDemand), knownDemands :UInt64, acceptsOutline :Bool, rollouts :List(RolloutReport),
@@ -301,7 +303,7 @@
           suspects :List(CrashSuspect), suspectsDigest :UInt64, namings :List(EventAge),
           returns :List(EventAge), helpers :List(EntryAddress), helpersDigest :UInt64,
           demands :List(TargetDemand), latestDemand :UInt64, limitIssuers :List(ControlAddress),
-          outline :DeploymentOutline);
+          outline :DeploymentOutline, domainEntryIndex :UInt32, domainEntries :UInt32);
   # Asks the holder of the lease shared-limits/ and the entry's failure domain for one start on a cold target.
   startCold @3 (service :Text, target :Text) -> (granted :Bool, retryAfterMs :UInt32);
   # Asks the same control VM for one retry beyond the share of the entry's own requests.
