Prefer targets without a limit of requests for the canary

Cause: a small share goes to a part of the next targets, one of four here, chosen by a hash of target and rollout. If that target limits its requests (Server-Limit: 2), the canary gets two requests per second, the rest goes to former targets. Until the verdict is due these are too few answers, so that a good version is rolled back.

Change: targets that limit their requests rank like cold ones in this choice, behind all others.

Evidence: a core test.

--- a/packages/core/src/rollout/plumfold_rollout_selection.cpp
+++ b/packages/core/src/rollout/plumfold_rollout_selection.cpp
@@ -30,10 +30,15 @@
 {
     if (!m_cohorts.isActive())
         return;
+    bool isRunning = m_cohorts.isRunning();
     std::vector<cohort_member> members;
     members.reserve(m_targets.size());
-    for (auto& [name, each] : m_targets)
-        members.push_back({ &each.last, now < each.coldUntil, &each.rollout, &each.versionSlot });
+    for (auto& [name, each] : m_targets) {
+        // A target that limits its requests is chosen for a small share like a cold one, only if there is no
+        // other: at two requests per second it alone gives too few answers for a verdict by the deadline.
+        bool isSlow = now < each.coldUntil || (isRunning && isRateLimited(each));
+        members.push_back({ &each.last, isSlow, &each.rollout, &each.versionSlot });
+    }
     auto changes = m_cohorts.assign(members);
     m_versionHolds.insert(m_versionHolds.end(), changes.begin(), changes.end());
 }
--- a/tests/core/plumfold_rollout_cohorts_tests.cpp
+++ b/tests/core/plumfold_rollout_cohorts_tests.cpp
@@ -398,6 +398,23 @@
     CHECK(cohortOf(selector.rolloutStanding("n0-0")) == rollout_cohort::next);
 }
 
+// Guards against a good version without a verdict: a target that permits two requests per second alone gives
+// too few answers in a canary.
+TEST_CASE(
+    "The part of the next targets for a small share has no limited one while others are warm", "[rollout]")
+{
+    auto selector = selectorOf(bothVersions(4, 4), rolloutOf(60));
+    auto first = selector.choose(requestOf(0), start);
+    REQUIRE(first.chosen);
+    selector.applyDemands({ { first.chosen->target, 2'000, 1, 2.0 } }, start);
+    selector.onRolloutsConfirmed(start, start);
+    CHECK(selector.rolloutStanding(first.chosen->target).role == rollout_role::spare);
+    auto second = selector.choose(requestOf(0), start);
+    REQUIRE(second.chosen);
+    CHECK(second.chosen->rollout.cohort == rollout_cohort::next);
+    CHECK_FALSE(second.chosen->isRateLimited);
+}
+
 // Guards against requests to a version that an earlier rollout has rolled back.
 TEST_CASE("A version that an earlier rollout has ended gets no requests", "[rollout]")
 {
