Let entries know the barred version before its rollout in its test

Cause: the test ordered and ended the rollout within some 40 ms of the first announcement of its version. In the log of a failed run, both entries followed another control VM and got the announcement after the end of the rollout. Then the version has joined after its rollout, version_barred is logged at that time, as it should be, and not again when further targets join. The product is not changed.

Change: the test waits until both entries have logged version_held before it orders the rollout. All checks stay, the set-up is checked in addition.

--- a/tests/forwarding/plumfold_rollout_entry_tests.cpp
+++ b/tests/forwarding/plumfold_rollout_entry_tests.cpp
@@ -232,6 +232,10 @@
 {
     decided_rollout_system system(false);
     auto& ended = system.start("b1", "v2");
+    // An entry that gets the announcement only after the end of the rollout rightly logs the version as
+    // barred.
+    for (int entry = 1; entry <= decided_rollout_system::entries; ++entry)
+        REQUIRE(forwarding_system::eventually([&] { return system.logged(entry, "version_held") == 1; }, 5));
     system.begin();
     system.decide(0, core::rollout_state::rolled_back);
     system.announce("b1", "draining");
