--- a/tests/forwarding/support/plumfold_rollout_system.hpp
+++ b/tests/forwarding/support/plumfold_rollout_system.hpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -184,13 +185,22 @@
             each->setLinkCuts(m_cuts);
     }
 
+    /// Sets the state of the links of an entry to all targets.
+    void setLink(int entry, link_state state)
+    {
+        m_cuts->set(process("n" + std::to_string(entry)).id(), state);
+    }
     /// Sets the state of the links of all entries to all targets.
     void setLinks(link_state state)
     {
         for (int number = 1; number <= entries; ++number)
-            m_cuts->set(process("n" + std::to_string(number)).id(), state);
+            setLink(number, state);
     }
 
+    /// Lets one of the targets that startRollout() starts be cold for another time than coldTime.
+    /// @param index 0 to targets - 1.
+    void setNextColdTime(std::size_t index, std::chrono::milliseconds time) { m_nextColdTimes[index] = time; }
+
     ~rollout_system() { stopCallers(); }
 
 private:
@@ -198,8 +208,10 @@
         std::chrono::milliseconds coldFor, const scripted_version& behaviour)
     {
         for (int number = 1; number <= targets; ++number) {
-            auto& target = startTarget(
-                version + "-" + std::to_string(number), "shop", coldFor, version, [&](scripted_target& each) {
+            auto other = m_nextColdTimes.find(cohort.size());
+            bool isOther = &cohort == &m_next && other != m_nextColdTimes.end();
+            auto& target = startTarget(version + "-" + std::to_string(number), "shop",
+                isOther ? other->second : coldFor, version, [&](scripted_target& each) {
                     each.setVersionBehaviour(behaviour);
                     each.setPace(streamPace);
                     if (m_cuts)
@@ -222,6 +234,7 @@
     std::vector<scripted_target*> m_next;
     std::vector<std::unique_ptr<steady_callers>> m_callers;
     std::shared_ptr<link_cuts> m_cuts; // if links can be cut
+    std::map<std::size_t, std::chrono::milliseconds> m_nextColdTimes; // by index
     time_point m_orderedAt {};
     time_point m_deadline {};
     time_point m_endedAt {};
