Test a rollout whose canary goes to a limited target alone

Change: a further test limits the target that the canary's first request has reached. The former test stays.

--- a/tests/forwarding/plumfold_rollout_disturbance_tests.cpp
+++ b/tests/forwarding/plumfold_rollout_disturbance_tests.cpp
@@ -52,6 +52,26 @@
     CHECK(servedShareOf(orderedAt(), endedAt()) > 0.99);
 }
 
+// Guards against the same if the canary has gone to this target alone.
+TEST_CASE_METHOD(rollout_system,
+    "A good version is completed although the target of its canary limits its requests",
+    "[forwarding][rollout]")
+{
+    startCallers();
+    REQUIRE(startRollout(duration));
+    auto canaryTarget = [&]() -> scripted_target* {
+        for (std::size_t index = 0; index < targets; ++index) {
+            if (!nextTarget(index).requests().empty())
+                return &nextTarget(index);
+        }
+        return nullptr;
+    };
+    REQUIRE(eventually([&] { return canaryTarget() != nullptr; }, 6));
+    canaryTarget()->setResponseHeaders("Server-Limit: 2\r\n");
+    checkCompletion(*this);
+    CHECK(servedShareOf(orderedAt(), endedAt()) > 0.99);
+}
+
 // Guards against a good version that is taken for a slow one because a burst of requests makes both versions
 // slower.
 TEST_CASE_METHOD(rollout_system, "A good version is completed during a burst of three times the load",
