Decide at the receiver which contents of KV parts apply

Cause: an increment of a generation that a receiver does not have was ignored without a report, while the sender took it as applied. After another control VM had polled a holder with a generation of its own, the increments of the first one were ignored, and the content expired at the receiver.

Change: part_directory::apply returns whether the whole content is needed.

Evidence: with the former directory and cursors, a program with three directories (poller with generation 7, poller with 9, receiver) ends with no known holder 30 s after the second poller stopped.

--- a/packages/core/include/plumfold/core/plumfold_part_directory.hpp
+++ b/packages/core/include/plumfold/core/plumfold_part_directory.hpp
@@ -57,6 +57,13 @@
     auto operator<=>(const part_cursor&) const = default;
 };
 
+/// What became of an update that a directory received.
+enum class part_outcome {
+    applied, ///< The directory has the content of the update.
+    kept, ///< The directory keeps the content that it has, or the update tells nothing certain.
+    unknown, ///< The directory lacks the content that the update continues: it needs the whole content.
+};
+
 /// Tracks which stores and model engines hold which complete KV parts. Every control VM and every entry keeps
 /// one.
 class part_directory {
@@ -70,29 +77,40 @@
         std::uint64_t usedTokens = 0; ///< Sum over all parts held.
         instant confirmedAt {}; ///< When this content was last confirmed.
         instant since {}; ///< When this generation was first reported.
+        std::string source; ///< Who reported it: see part_directory::apply(); empty if polled here.
     };
 
     /// Starts a generation of a holder without any parts and drops the parts of the previous one.
     void reset(const std::string& holder, std::uint64_t generation, instant now);
     /// Appends a change to a holder's current generation; ignored for an unknown holder.
     void apply(const std::string& holder, const part_change& change);
-    /// Confirms that a holder's content is still valid.
+    /// Confirms that a holder's content is still valid, as polled here.
     void confirm(const std::string& holder, instant now);
     /// Removes holders whose last confirmation is older than a maximum age.
     void expire(instant now, milliseconds maxAge);
 
-    /// Applies an update from another directory; generation 0 removes the holder. An update that does not
-    /// continue the known content is ignored: the next one starts at this directory's cursor.
-    void apply(const part_update& update, instant now);
+    /// Applies an update from another directory; generation 0 removes the holder. While two control VMs poll
+    /// one holder, a content that was confirmed within replacementDelay is only replaced or removed by the
+    /// source that reported it.
+    /// @param source the sender, if there are several; a reader of one directory leaves it empty.
+    /// @return what became of the update. After part_outcome::unknown, the sender has to send the whole
+    /// content.
+    part_outcome apply(const part_update& update, instant now, const std::string& source = {});
 
-    /// @return the changes after a reader's cursor, or all parts when those changes are no longer kept.
+    /// @return the changes after a reader's cursor, or all parts when those changes are no longer kept. No
+    /// parts of a content that is unconfirmed and that the reader lacks.
     part_update updateAfter(const part_cursor& cursor, instant now) const;
+    /// @return whether a reader at a cursor needs all parts of a holder that has any changes.
+    bool needsWhole(const part_cursor& cursor) const;
     /// @return the position of this directory for each holder.
     std::vector<part_cursor> cursors() const;
 
     /// A holder's content is unconfirmed, and lookups skip it, when its last confirmation is older than this.
     /// It is kept and becomes valid again once the same generation is confirmed.
     static constexpr milliseconds maxConfirmationAge { 1'500 };
+    /// A content that was confirmed within this time is not replaced by that of another source. A poller
+    /// confirms every 500 ms, so a content that is older has no poller any more.
+    static constexpr milliseconds replacementDelay { 1'000 };
 
     /// @return the content of a holder, or null when the holder is unknown or its content unconfirmed.
     const holder_content* find(const std::string& holder, instant now) const;
@@ -112,8 +130,12 @@
 private:
     using holder_map = std::map<std::string, holder_content>;
 
+    static std::uint32_t oldestKept(const holder_content& content);
+    static bool follows(const holder_content& content, const part_cursor& cursor);
     holder_content& startGeneration(const std::string& holder, std::uint64_t generation, instant now);
     void apply(const std::string& holder, holder_content& content, const part_change& change);
+    part_outcome applyRemoval(holder_map::iterator place, bool isProtected);
+    void applyWhole(const part_update& update, instant now);
     void removeFromIndex(const std::string& holder, const holder_content& content);
     void erase(holder_map::iterator place);
 
--- a/packages/core/src/plumfold_part_directory.cpp
+++ b/packages/core/src/plumfold_part_directory.cpp
@@ -52,8 +52,11 @@
     auto& content = place->second;
     if (!isNew)
         removeFromIndex(holder, content);
-    auto since = content.generation == generation ? content.since : now;
-    content = { generation, 0, {}, {}, 0, content.confirmedAt, since };
+    bool isSame = !isNew && content.generation == generation;
+    // The confirmation of one generation says nothing about another one.
+    auto confirmedAt = isSame ? content.confirmedAt : instant {};
+    auto since = isSame ? content.since : now;
+    content = { generation, 0, {}, {}, 0, confirmedAt, since, {} };
     return content;
 }
 
@@ -112,8 +115,10 @@
 void part_directory::confirm(const std::string& holder, instant now)
 {
     auto found = m_holders.find(holder);
-    if (found != m_holders.end())
-        found->second.confirmedAt = now;
+    if (found == m_holders.end())
+        return;
+    found->second.confirmedAt = now;
+    found->second.source.clear();
 }
 
 void part_directory::expire(instant now, milliseconds maxAge)
@@ -126,30 +131,65 @@
     }
 }
 
-void part_directory::apply(const part_update& update, instant now)
+part_outcome part_directory::apply(const part_update& update, instant now, const std::string& source)
 {
     auto found = m_holders.find(update.holder);
-    if (update.generation == 0) {
-        if (found != m_holders.end())
-            erase(found);
-        return;
-    }
-    bool isNew = found == m_holders.end() || found->second.generation != update.generation;
-    bool isWhole = update.first == 0 && (isNew || update.count > found->second.count);
-    if (isWhole) {
-        auto& content = startGeneration(update.holder, update.generation, now);
-        for (const auto& each : update.changes)
-            apply(update.holder, content, each);
-        content.count = update.count;
-    } else if (isNew || update.first > found->second.count) {
-        return;
+    bool isKnown = found != m_holders.end();
+    bool isProtected
+        = isKnown && found->second.source != source && now - found->second.confirmedAt <= replacementDelay;
+    if (update.generation == 0)
+        return applyRemoval(found, isProtected);
+    bool isCurrent = isKnown && found->second.generation == update.generation;
+    if (!isCurrent && (isProtected || (isKnown && !update.confirmed)))
+        return part_outcome::kept;
+    if (update.first == 0 && (!isCurrent || update.count > found->second.count)) {
+        applyWhole(update, now);
+    } else if (!isCurrent || update.first > found->second.count) {
+        return update.confirmed ? part_outcome::unknown : part_outcome::kept;
     } else if (update.first != 0) {
         std::size_t known = found->second.count - update.first;
         for (std::size_t index = known; index < update.changes.size(); ++index)
             apply(update.holder, update.changes[index]);
     }
+    auto& content = m_holders.at(update.holder);
+    content.source = source;
     if (update.confirmed)
-        confirm(update.holder, now);
+        content.confirmedAt = now;
+    return part_outcome::applied;
+}
+
+part_outcome part_directory::applyRemoval(holder_map::iterator place, bool isProtected)
+{
+    if (isProtected)
+        return part_outcome::kept;
+    if (place != m_holders.end())
+        erase(place);
+    return part_outcome::applied;
+}
+
+void part_directory::applyWhole(const part_update& update, instant now)
+{
+    auto& content = startGeneration(update.holder, update.generation, now);
+    for (const auto& each : update.changes)
+        apply(update.holder, content, each);
+    content.count = update.count;
+}
+
+/// @return the number of changes before the first one that is still kept.
+std::uint32_t part_directory::oldestKept(const holder_content& content)
+{
+    return content.count - static_cast<std::uint32_t>(content.latest.size());
+}
+
+bool part_directory::follows(const holder_content& content, const part_cursor& cursor)
+{
+    return cursor.generation == content.generation && cursor.count > 0 && cursor.count >= oldestKept(content);
+}
+
+bool part_directory::needsWhole(const part_cursor& cursor) const
+{
+    auto found = m_holders.find(cursor.holder);
+    return found != m_holders.end() && found->second.count > 0 && !follows(found->second, cursor);
 }
 
 part_update part_directory::updateAfter(const part_cursor& cursor, instant now) const
@@ -163,13 +203,17 @@
     update.generation = content.generation;
     update.confirmed = now - content.confirmedAt <= maxConfirmationAge;
     update.count = content.count;
-    auto oldest = content.count - static_cast<std::uint32_t>(content.latest.size());
-    bool follows = cursor.generation == content.generation && cursor.count > 0 && cursor.count >= oldest;
-    if (follows) {
+    if (follows(content, cursor)) {
+        auto oldest = oldestKept(content);
         update.first = std::min(cursor.count, content.count);
         update.changes.assign(content.latest.begin() + (update.first - oldest), content.latest.end());
         return update;
     }
+    if (!update.confirmed) {
+        // The reader would have to ignore the parts.
+        update.first = content.count;
+        return update;
+    }
     for (const auto& [part, tokens] : content.tokens)
         update.changes.push_back({ part, tokens });
     return update;
