Send KV parts whole to receivers that report that they lack them

Cause: control VMs and entries kept cursors of what was sent or received and not of what the receiver applied or what had expired there, so that parts of a failure domain stayed unknown after a suspension of the control VM that polls.

Change: ControlPeer.share returns the holders whose content the receiver lacks; peer_links uses core::part_sharing, logs parts_resent and counts plumfold_parts_resent_total. An entry whose directory could not apply an update requests the whole content by leaving out its cursor. A poller ignores a response that took longer than a confirmation is valid, since it may have waited while the process was suspended.

The changed sources of control and forwarding compile. The other control tests and those of forwarding have not been run, and no process test has been run.

--- a/packages/control/src/plumfold_control_service.cpp
+++ b/packages/control/src/plumfold_control_service.cpp
@@ -55,7 +55,12 @@
             from, std::move(state), readList<core::target_announcement>(params.getTargets()));
         if (params.getHasFollowers())
             m_context.feed.applyPeerFollowers(from, readList<core::entry_address>(params.getFollowers()));
-        m_context.feed.applyPeerParts(readList<core::part_update>(params.getParts()), params.getClock());
+        auto unknown = m_context.feed.applyPeerParts(
+            from, readList<core::part_update>(params.getParts()), params.getClock());
+        // Also sets an empty list: it tells the sender that this control VM reports what it lacks.
+        auto outUnknown = call.getResults().initUnknownParts(unknown.size());
+        for (unsigned index = 0; index < unknown.size(); ++index)
+            outUnknown.set(index, unknown[index]);
         m_context.feed.updateLoads(readList<core::target_load>(params.getLoads()), false);
         auto namings = wire::readEventAges(params.getNamings());
         m_context.rollouts.addAges(namings);
--- a/packages/control/src/plumfold_deployment_feed.cpp
+++ b/packages/control/src/plumfold_deployment_feed.cpp
@@ -261,11 +261,16 @@
     return m_targetClock + static_cast<std::uint64_t>(age.count());
 }
 
-void deployment_feed::applyPeerParts(const std::vector<core::part_update>& parts, std::uint64_t clock)
+std::vector<std::string> deployment_feed::applyPeerParts(
+    const std::string& from, const std::vector<core::part_update>& parts, std::uint64_t clock)
 {
-    for (const auto& update : parts)
-        m_parts.apply(update, runtime::now());
+    std::vector<std::string> unknown;
+    for (const auto& update : parts) {
+        if (m_parts.apply(update, runtime::now(), from) == core::part_outcome::unknown)
+            unknown.push_back(update.holder);
+    }
     updateTargetClock(clock);
+    return unknown;
 }
 
 void deployment_feed::applyPeerEvents(
--- a/packages/control/src/plumfold_deployment_feed.hpp
+++ b/packages/control/src/plumfold_deployment_feed.hpp
@@ -62,8 +62,11 @@
     void applyPeerUpdate(const std::string& from, control_peer_state state,
         const std::vector<core::target_announcement>& targets);
     /// Applies updates about the parts of stores and engines from another control VM.
+    /// @param from the address of that control VM, ip:port.
     /// @param clock the targets' clock in milliseconds; 0: unknown.
-    void applyPeerParts(const std::vector<core::part_update>& parts, std::uint64_t clock);
+    /// @return the holders whose whole content is needed, since an update could not be applied.
+    std::vector<std::string> applyPeerParts(
+        const std::string& from, const std::vector<core::part_update>& parts, std::uint64_t clock);
     /// Applies when weight versions were named and failure domains returned to service, as far as another
     /// control VM knows.
     void applyPeerEvents(
--- a/packages/control/src/plumfold_part_pollers.cpp
+++ b/packages/control/src/plumfold_part_pollers.cpp
@@ -41,9 +41,14 @@
     void run()
     {
         while (!m_stopping) {
+            auto calledAt = runtime::now();
             auto events = m_client.read(m_next, longPollWait);
             if (m_stopping)
                 return;
+            // The response may have waited while this process was suspended, and the holder may have lost
+            // its parts since.
+            if (runtime::now() - calledAt > core::part_directory::maxConfirmationAge)
+                continue;
             if (!events.ok()) {
                 onPollFailed(std::string(events.status().message()));
                 continue;
--- a/packages/control/src/plumfold_peer_links.cpp
+++ b/packages/control/src/plumfold_peer_links.cpp
@@ -3,6 +3,7 @@
 #include "plumfold_wire_lists.hpp"
 
 #include "plumfold/runtime/plumfold_clock.hpp"
+#include "plumfold/runtime/plumfold_log.hpp"
 #include "plumfold/wire/plumfold_convert.hpp"
 
 namespace plumfold::control {
@@ -20,6 +21,18 @@
 constexpr std::chrono::milliseconds callTimeout { 2000 };
 constexpr std::chrono::milliseconds reconnectDelay { 100 };
 
+/// @return the holders whose parts a peer lacks, or nothing if it is of a version that does not report them.
+std::optional<std::vector<std::string>> unknownPartsOf(
+    const capnp::Response<wire::ControlPeer::ShareResults>& response)
+{
+    if (!response.hasUnknownParts())
+        return std::nullopt;
+    std::vector<std::string> unknown;
+    for (auto each : response.getUnknownParts())
+        unknown.emplace_back(each.cStr());
+    return unknown;
+}
+
 } // namespace
 
 peer_links::peer_links(wire::rpc_thread& rpc, const runtime::settings& settings)
@@ -113,15 +126,9 @@
     auto targets = request.initTargets(announcements.size());
     for (unsigned index = 0; index < announcements.size(); ++index)
         wire::write(targets[index], announcements[index]);
-    std::vector<core::part_update> parts;
-    for (const auto& holder : holders) {
-        auto& cursor = to.sharedParts[holder];
-        cursor.holder = holder;
-        parts.push_back(feed.parts().updateAfter(cursor, now));
-    }
-    auto outParts = request.initParts(parts.size());
-    for (unsigned index = 0; index < parts.size(); ++index)
-        wire::write(outParts[index], parts[index]);
+    auto [parts, resent] = to.parts.updates(feed.parts(), holders, now);
+    logResent(to, resent);
+    writeList(request.initParts(parts.size()), parts);
     auto outLoads = request.initLoads(loads.size());
     for (unsigned index = 0; index < loads.size(); ++index)
         wire::write(outLoads[index], loads[index]);
@@ -152,14 +159,15 @@
     to.shareInFlight = true;
     auto change = feed.directory().latestChange();
     std::uint64_t generation = to.generation;
-    auto sent = wire::withTimeout(m_rpc, request.send().ignoreResult(), callTimeout);
+    auto answered = request.send().then([](auto&& response) { return unknownPartsOf(response); });
+    auto sent = wire::withTimeout(m_rpc, kj::mv(answered), callTimeout);
     m_tasks.add(sent.then(
         [&to, change, all, now, parts = std::move(parts), known = evidence.change,
-            demand = feed.demands().latestChange(), latestReport] {
+            demand = feed.demands().latestChange(),
+            latestReport](const std::optional<std::vector<std::string>>& unknown) {
             to.shareInFlight = false;
             to.sharedNewsAt = now;
-            for (const auto& update : parts)
-                to.sharedParts[update.holder] = { update.holder, update.generation, update.count };
+            to.parts.onDelivered(parts, unknown);
             to.sharedChange = change;
             to.sharedEvidence = known;
             to.sharedDemand = demand;
@@ -173,6 +181,14 @@
         }));
 }
 
+void peer_links::logResent(const link& to, const std::vector<std::string>& holders)
+{
+    for (const auto& holder : holders)
+        runtime::log_event("parts_resent").with("peer", to.address).with("holder", holder);
+    if (!holders.empty())
+        m_metrics.count("plumfold_parts_resent_total", holders.size());
+}
+
 void peer_links::sendTo(link& to, const core::raft_message& message)
 {
     KJ_IF_MAYBE (peer, to.peer) {
@@ -216,7 +232,7 @@
     if (generation != to.generation)
         return;
     ++to.generation;
-    to.sharedParts.clear();
+    to.parts.onDisconnected();
     to.sharedChange = 0;
     to.sharedEvidence = 0;
     to.sharedDemand = 0;
--- a/packages/control/src/plumfold_peer_links.hpp
+++ b/packages/control/src/plumfold_peer_links.hpp
@@ -4,7 +4,9 @@
 #include "plumfold_deployment_feed.hpp"
 #include "plumfold_rollout_controller.hpp"
 
+#include "plumfold/core/plumfold_part_sharing.hpp"
 #include "plumfold/core/plumfold_raft_types.hpp"
+#include "plumfold/runtime/plumfold_metrics.hpp"
 #include "plumfold/runtime/plumfold_settings.hpp"
 #include "plumfold/wire/plumfold_rpc_connection.hpp"
 
@@ -33,6 +35,9 @@
     /// knows of crashes, since the others may have restarted. To be called regularly.
     void share(const deployment_feed& feed, const crash_judge& crashes, const rollout_controller& rollouts);
 
+    /// @return the counter of KV parts' contents that were sent again.
+    const runtime::metrics& metrics() const { return m_metrics; }
+
 private:
     struct link {
         std::string address;
@@ -50,11 +55,12 @@
         std::uint64_t sharedReport = 0; // change of the reports on rollouts that the peer has received
         core::instant sharedAllAt {};
         core::instant sharedNewsAt {}; // parts, loads and ages of events
-        std::map<std::string, core::part_cursor> sharedParts; // by holder: changes that the peer has received
+        core::part_sharing parts;
     };
 
     void shareWith(link& to, const deployment_feed& feed, const crash_judge& crashes,
         const rollout_controller& rollouts);
+    void logResent(const link& to, const std::vector<std::string>& holders);
     void sendTo(link& to, const core::raft_message& message);
     void connect(link& to);
     void disconnect(link& to, std::uint64_t generation);
@@ -65,6 +71,7 @@
     std::string m_secret;
     std::map<std::string, link> m_links;
     bool m_hasMembers = false;
+    runtime::metrics m_metrics;
     wire::task_group m_tasks;
 };
 
--- a/packages/forwarding/src/plumfold_deployment_follower.cpp
+++ b/packages/forwarding/src/plumfold_deployment_follower.cpp
@@ -154,6 +154,29 @@
     });
 }
 
+void deployment_follower::requestWhole(std::vector<std::string> holders)
+{
+    m_rpc.post([this, holders = std::move(holders)] {
+        for (const auto& holder : holders) {
+            m_parts.erase(holder);
+            m_unknownParts.insert(holder);
+        }
+    });
+}
+
+void deployment_follower::recordParts(const core::part_update& received)
+{
+    auto known = m_parts.find(received.holder);
+    bool isSame = known != m_parts.end() && known->second.generation == received.generation;
+    if (received.generation == 0 || received.first == 0)
+        m_unknownParts.erase(received.holder);
+    // A response to an earlier poll may continue a content that the listener turned out to lack.
+    if (received.generation == 0 || m_unknownParts.contains(received.holder))
+        m_parts.erase(received.holder);
+    else if (received.first == 0 || isSame)
+        m_parts[received.holder] = { received.holder, received.generation, received.count };
+}
+
 void deployment_follower::writeDemands(wire::EntrySession::FollowParams::Builder request)
 {
     m_sentDemands = std::move(m_unreportedDemands);
@@ -218,10 +241,7 @@
     }
     for (auto each : response.getParts()) {
         update.parts.push_back(wire::read(each));
-        const auto& received = update.parts.back();
-        m_parts[received.holder] = { received.holder, received.generation, received.count };
-        if (received.generation == 0)
-            m_parts.erase(received.holder);
+        recordParts(update.parts.back());
     }
     for (auto each : response.getDemands())
         update.demands.push_back(wire::read(each));
--- a/packages/forwarding/src/plumfold_deployment_follower.hpp
+++ b/packages/forwarding/src/plumfold_deployment_follower.hpp
@@ -72,12 +72,17 @@
     /// reports that were not sent yet.
     void reportRollouts(std::vector<core::rollout_report> reports);
 
+    /// Requests the whole content of holders of KV parts, since updates about them could not be applied.
+    /// @param holders their addresses, ip:port.
+    void requestWhole(std::vector<std::string> holders);
+
 private:
     kj::Promise<void> followLoop();
     kj::Promise<void> connect();
     kj::Promise<void> followOnce();
     void applyFollowResponse(capnp::Response<wire::EntrySession::FollowResults> response);
     void applyControlAddresses(capnp::List<wire::ControlAddress>::Reader control);
+    void recordParts(const core::part_update& received);
     void writeDemands(wire::EntrySession::FollowParams::Builder request);
     void writeRollouts(wire::EntrySession::FollowParams::Builder request);
     kj::Promise<void> continueTransfer(bool isFresh);
@@ -111,6 +116,7 @@
     core::instant m_calledAt {}; // the current call, with suspensions
     bool m_prefersLocal = false; // switch to a control VM in the local failure domain
     std::map<std::string, core::part_cursor> m_parts; // position in the changes of each holder
+    std::set<std::string> m_unknownParts; // holders whose whole content is requested
     unsigned m_failures = 0;
     kj::Own<wire::task_group> m_tasks;
 };
--- a/packages/forwarding/src/plumfold_forwarding_role.cpp
+++ b/packages/forwarding/src/plumfold_forwarding_role.cpp
@@ -189,8 +189,7 @@
         m_sharedLimits.setIssuer(update.sharedLimitIssuer);
         setControl(update.control);
         applyVerdicts(update, now);
-        for (const auto& holder : update.parts)
-            m_state.parts.apply(holder, now);
+        applyParts(update.parts, now);
         m_state.targetClockMs = update.targetClockMs;
         m_state.targetClockReadAt = now;
         for (const auto& each : m_state.targetSelector.applyWeightNamings(update.weightNamings, now))
@@ -208,6 +207,17 @@
         m_metrics.set("plumfold_known_targets", static_cast<double>(m_state.targetSelector.size()));
     }
 
+    void applyParts(const std::vector<core::part_update>& updates, core::instant now)
+    {
+        std::vector<std::string> unknown;
+        for (const auto& update : updates) {
+            if (m_state.parts.apply(update, now) == core::part_outcome::unknown)
+                unknown.push_back(update.holder);
+        }
+        if (!unknown.empty())
+            m_follower.requestWhole(std::move(unknown));
+    }
+
     void applyVerdicts(const control_update& update, core::instant now)
     {
         for (const auto& verdict : m_state.crashScreen.applyVerdicts(update.verdicts, now))
--- a/tests/control/support/plumfold_lone_control.hpp
+++ b/tests/control/support/plumfold_lone_control.hpp
@@ -50,6 +50,8 @@
         start();
     }
 
+    control::control_node& node() { return *m_node; }
+
     /// Orders a failure domain out of service or back, again until this control VM leads.
     control::propose_response order(bool inService, std::optional<std::uint64_t> lastKnownOrder)
     {
