Limit the memory of all RPC messages that a process receives

Cause: Cap'n Proto takes memory for a message of up to 64 MB on each connection as soon as its size is announced, so eight connections could take 480 MB.

Change: a connection reads the segment table first. The decisions are core::message_budget; wire::limited_message_stream applies them to listeners and to connections that a process opens. A listener goes on after a failed accept.

--- a/packages/wire/include/plumfold/wire/plumfold_rpc_connection.hpp
+++ b/packages/wire/include/plumfold/wire/plumfold_rpc_connection.hpp
@@ -17,7 +17,10 @@
     kj::TimePoint latestAt = kj::origin<kj::TimePoint>(); ///< When the latest of them arrived.
 };
 
-/// A Cap'n Proto RPC connection to another process. Use and destroy it on the event loop of its rpc_thread.
+/// A Cap'n Proto RPC connection to another process. All messages together that a process receives and handles
+/// take limited memory (core::message_budget_options); the connection is closed when it announces a message
+/// that is too large, or for which there is no room in time. Use and destroy it on the event loop of its
+/// rpc_thread.
 class rpc_connection {
 public:
     /// @param address ip:port
@@ -31,16 +34,19 @@
     /// @return the interface that the other process serves.
     template <class Interface> typename Interface::Client bootstrap()
     {
-        return m_client.bootstrap().castAs<Interface>();
+        return bootstrapCapability().castAs<Interface>();
     }
 
     /// @return what the connection has received; valid beyond the life of the connection.
     std::shared_ptr<const received_bytes> received() const { return m_received; }
 
 private:
+    capnp::Capability::Client bootstrapCapability();
+
     std::shared_ptr<received_bytes> m_received;
-    kj::Own<kj::AsyncIoStream> m_stream;
-    capnp::TwoPartyClient m_client;
+    kj::Own<capnp::MessageStream> m_stream;
+    capnp::TwoPartyVatNetwork m_network;
+    capnp::RpcSystem<capnp::rpc::twoparty::VatId> m_system;
 };
 
 /// Rejects a promise that is not fulfilled within the timeout; Cap'n Proto calls have no timeout of their
@@ -85,7 +91,8 @@
     kj::TaskSet m_tasks;
 };
 
-/// Serves an interface on an address until destroyed. Use and destroy it on the event loop of an rpc_thread.
+/// Serves an interface on an address until destroyed, within the limits that rpc_connection has. Use and
+/// destroy it on the event loop of an rpc_thread.
 class rpc_listener {
 public:
     /// @param address ip:port to listen on.
@@ -95,9 +102,16 @@
     rpc_listener(rpc_thread& thread, const std::string& address, capnp::Capability::Client bootstrap);
 
 private:
+    struct accepted_connection;
+
+    kj::Promise<void> acceptLoop();
+    void serve(kj::Own<kj::AsyncIoStream> stream);
+
+    rpc_thread& m_thread;
     kj::Own<kj::ConnectionReceiver> m_receiver;
-    capnp::TwoPartyServer m_server;
-    kj::Promise<void> m_listening;
+    capnp::Capability::Client m_bootstrap;
+    task_group m_connections;
+    kj::Promise<void> m_accepting;
 };
 
 } // namespace plumfold::wire
--- a/packages/wire/include/plumfold/wire/plumfold_rpc_thread.hpp
+++ b/packages/wire/include/plumfold/wire/plumfold_rpc_thread.hpp
@@ -12,6 +12,8 @@
 
 namespace plumfold::wire {
 
+class incoming_messages;
+
 /// A thread that runs one KJ event loop. Capabilities of that loop may only be used and destroyed on it.
 class rpc_thread {
 public:
@@ -40,6 +42,10 @@
     kj::Network& network() { return m_io->provider->getNetwork(); }
     kj::Timer& timer() { return m_io->provider->getTimer(); }
 
+    /// @return the limit of the memory that all RPC messages received by this thread take together. A process
+    /// has one such thread.
+    incoming_messages& incoming() { return *m_incoming; }
+
 private:
     class ignored_task_errors;
     struct posted_functions;
@@ -50,6 +56,7 @@
     std::unique_ptr<posted_functions> m_posted;
     kj::AsyncIoContext* m_io = nullptr;
     kj::TaskSet* m_tasks = nullptr;
+    std::shared_ptr<incoming_messages> m_incoming;
     kj::Own<const kj::Executor> m_executor;
     kj::Own<kj::CrossThreadPromiseFulfiller<void>> m_stop;
     std::thread m_thread;
--- a/packages/wire/src/plumfold_rpc_connection.cpp
+++ b/packages/wire/src/plumfold_rpc_connection.cpp
@@ -1,68 +1,30 @@
 #include "plumfold/wire/plumfold_rpc_connection.hpp"
 
+#include "plumfold_limited_message_stream.hpp"
+
 #include <kj/debug.h>
 
-#include <algorithm>
 #include <arpa/inet.h>
 #include <netinet/in.h>
 
 namespace plumfold::wire {
 
-namespace {
-
-/// Records what a stream receives.
-class recording_stream final : public kj::AsyncIoStream {
-public:
-    recording_stream(
-        rpc_thread& thread, std::shared_ptr<received_bytes> received, kj::Own<kj::AsyncIoStream> inner)
-        : m_thread(thread)
-        , m_received(std::move(received))
-        , m_inner(kj::mv(inner))
-    {
-    }
-
-    kj::Promise<std::size_t> tryRead(void* buffer, std::size_t minBytes, std::size_t maxBytes) override
-    {
-        // Each part of a long message is recorded when it arrives.
-        return m_inner->tryRead(buffer, std::min<std::size_t>(minBytes, 1), maxBytes)
-            .then([this, buffer, minBytes, maxBytes](std::size_t bytes) -> kj::Promise<std::size_t> {
-                m_received->count += bytes;
-                m_received->latestAt = m_thread.timer().now();
-                if (bytes == 0 || bytes >= minBytes)
-                    return bytes;
-                auto* rest = static_cast<char*>(buffer) + bytes;
-                return tryRead(rest, minBytes - bytes, maxBytes - bytes).then([bytes](std::size_t more) {
-                    return bytes + more;
-                });
-            });
-    }
-    kj::Promise<void> write(const void* buffer, std::size_t size) override
-    {
-        return m_inner->write(buffer, size);
-    }
-    kj::Promise<void> write(kj::ArrayPtr<const kj::ArrayPtr<const kj::byte>> pieces) override
-    {
-        return m_inner->write(pieces);
-    }
-    kj::Promise<void> whenWriteDisconnected() override { return m_inner->whenWriteDisconnected(); }
-    void shutdownWrite() override { m_inner->shutdownWrite(); }
-    void abortRead() override { m_inner->abortRead(); }
-
-private:
-    rpc_thread& m_thread;
-    std::shared_ptr<received_bytes> m_received;
-    kj::Own<kj::AsyncIoStream> m_inner;
-};
-
-} // namespace
-
 rpc_connection::rpc_connection(rpc_thread& thread, kj::Own<kj::AsyncIoStream> stream)
     : m_received(std::make_shared<received_bytes>())
-    , m_stream(kj::heap<recording_stream>(thread, m_received, kj::mv(stream)))
-    , m_client(*m_stream)
+    , m_stream(kj::heap<limited_message_stream>(thread, m_received, kj::mv(stream)))
+    , m_network(*m_stream, capnp::rpc::twoparty::Side::CLIENT)
+    , m_system(capnp::makeRpcClient(m_network))
 {
 }
 
+capnp::Capability::Client rpc_connection::bootstrapCapability()
+{
+    capnp::MallocMessageBuilder message;
+    auto server = message.initRoot<capnp::rpc::twoparty::VatId>();
+    server.setSide(capnp::rpc::twoparty::Side::SERVER);
+    return m_system.bootstrap(server);
+}
+
 namespace {
 
 kj::Promise<void> rejectOnSilenceSince(rpc_thread& thread, std::shared_ptr<const received_bytes> received,
@@ -103,6 +65,8 @@
 
 namespace {
 
+constexpr auto acceptRetryDelay = 100 * kj::MILLISECONDS;
+
 kj::Own<kj::ConnectionReceiver> listenOn(rpc_thread& thread, const std::string& address)
 {
     auto colon = address.rfind(':');
@@ -116,12 +80,48 @@
 
 } // namespace
 
+/// A connection that another process has opened.
+struct rpc_listener::accepted_connection {
+    accepted_connection(
+        rpc_thread& thread, kj::Own<kj::AsyncIoStream> socket, capnp::Capability::Client bootstrap)
+        : stream(thread, std::make_shared<received_bytes>(), kj::mv(socket))
+        , network(stream, capnp::rpc::twoparty::Side::SERVER)
+        , system(capnp::makeRpcServer(network, kj::mv(bootstrap)))
+    {
+    }
+
+    limited_message_stream stream;
+    capnp::TwoPartyVatNetwork network;
+    capnp::RpcSystem<capnp::rpc::twoparty::VatId> system;
+};
+
 rpc_listener::rpc_listener(
     rpc_thread& thread, const std::string& address, capnp::Capability::Client bootstrap)
-    : m_receiver(listenOn(thread, address))
-    , m_server(kj::mv(bootstrap))
-    , m_listening(m_server.listen(*m_receiver).eagerlyEvaluate([](kj::Exception&&) {}))
+    : m_thread(thread)
+    , m_receiver(listenOn(thread, address))
+    , m_bootstrap(kj::mv(bootstrap))
+    , m_accepting(acceptLoop().eagerlyEvaluate([](kj::Exception&&) {}))
+{
+}
+
+kj::Promise<void> rpc_listener::acceptLoop()
+{
+    return m_receiver->accept().then(
+        [this](kj::Own<kj::AsyncIoStream> stream) {
+            serve(kj::mv(stream));
+            return acceptLoop();
+        },
+        [this](kj::Exception&&) {
+            // For example, no file descriptor is free for now.
+            return m_thread.timer().afterDelay(acceptRetryDelay).then([this] { return acceptLoop(); });
+        });
+}
+
+void rpc_listener::serve(kj::Own<kj::AsyncIoStream> stream)
 {
+    auto connection = kj::heap<accepted_connection>(m_thread, kj::mv(stream), m_bootstrap);
+    auto ended = connection->network.onDisconnect();
+    m_connections.add(ended.attach(kj::mv(connection)));
 }
 
 } // namespace plumfold::wire
--- a/packages/wire/src/plumfold_rpc_thread.cpp
+++ b/packages/wire/src/plumfold_rpc_thread.cpp
@@ -1,5 +1,7 @@
 #include "plumfold/wire/plumfold_rpc_thread.hpp"
 
+#include "plumfold_incoming_messages.hpp"
+
 #include <kj/debug.h>
 
 #include <deque>
@@ -37,9 +39,10 @@
 void rpc_thread::loop(std::promise<void>& ready)
 {
     kj::AsyncIoContext io = kj::setupAsyncIo();
+    m_io = &io;
+    m_incoming = std::make_shared<incoming_messages>(timer());
     ignored_task_errors errorHandler;
     kj::TaskSet tasks(errorHandler);
-    m_io = &io;
     m_tasks = &tasks;
     m_executor = kj::getCurrentThreadExecutor().addRef();
     auto stop = kj::newPromiseAndCrossThreadFulfiller<void>();
@@ -50,6 +53,7 @@
     std::lock_guard lock(m_posted->mutex);
     m_posted->closed = true;
     m_posted->functions.clear();
+    m_incoming.reset(); // its timer is destroyed with the loop
 }
 
 void rpc_thread::drainPosted()
--- a/tests/forwarding/plumfold_endless_senders_tests.cpp
+++ b/tests/forwarding/plumfold_endless_senders_tests.cpp
@@ -159,6 +159,8 @@
         { "segment table", word(0xffffff, 1), word(1, 1) },
         { "segment beyond the limit", word(0, 0x7fffffff), word(0, 0) },
         { "long segment", word(0, (60 << 20) / 8), word(0, 0) },
+        { "largest sound segment", word(0, (32 << 20) / 8), word(0, 0) },
+        { "two segments", word(1, (16 << 20) / 8) + word((16 << 20) / 8, 0), word(0, 0) },
         { "empty messages", "", word(0, 0) },
         { "no messages", "", "x" },
     };
@@ -167,6 +169,37 @@
         checkBounds(controlAddress(1), message, senders, "c1", controlBytes, read);
 }
 
+// Guards against senders that use up the memory for messages and keep sound large ones waiting.
+TEST_CASE_METHOD(endless_senders_system,
+    "Large configurations are acknowledged while other RPC messages stop within their bytes",
+    "[forwarding][endless_senders]")
+{
+    constexpr int senders = 8;
+    constexpr std::uint32_t words = (31 << 20) / 8;
+    constexpr auto maxPutTime = 15'000ms;
+    constexpr std::size_t documentBytes = 4 << 20;
+    std::vector<std::unique_ptr<Poco::Net::StreamSocket>> sockets;
+    for (int control : { 1, 2, 3 }) {
+        for (int number = 0; number < senders; ++number) {
+            auto socket = std::make_unique<Poco::Net::StreamSocket>(
+                Poco::Net::SocketAddress(controlAddress(control)));
+            const std::uint32_t head[] = { 0, words, 0, 0 };
+            socket->sendBytes(head, sizeof(head));
+            sockets.push_back(std::move(socket));
+        }
+    }
+    for (int version = 4; version <= 6; ++version) {
+        auto body = deployment(version);
+        body["comment"] = std::string(documentBytes, 'x');
+        auto begin = clock_type::now();
+        CHECK(putDeployment(1 + version % 3, body));
+        CHECK(clock_type::now() - begin <= maxPutTime);
+        CHECK(request(1, "/shop/whole").status == 200);
+    }
+    for (int control : { 1, 2, 3 })
+        CHECK(peakBytesOf(process("c" + std::to_string(control)).id()) < controlBytes);
+}
+
 // Guards against an entry that relays requests and sends one without end to its helper.
 TEST_CASE_METHOD(endless_senders_system,
     "Entries that send relayed requests without end cost their helper bounded memory",
