Choose engines for prompts by home (/forwarding/homeEngines)

Cause: load reports are some hundred ms old and each entry sees a small part of the requests, so idle engines in a report attract all entries at once and prompts wait for each other's prefill.

Change: core/homes divides the engines of a failure domain among its entries, tracks own prompts until their first event and weighs known wait against work of other entries that is not seen. Control VMs send each entry its position in follow. request_ended has home_share; plumfold_home_choices_total counts. Off by default; without it or without a position choices are unchanged.

Control and forwarding tests were not built yet.

--- a/packages/control/src/plumfold_control_service.cpp
+++ b/packages/control/src/plumfold_control_service.cpp
@@ -283,6 +283,7 @@
         writeParts(call);
         writeVerdicts(call);
         writeHelpers(call);
+        writePosition(call);
         auto domains = feed.controlDomains();
         auto control = out.initControl(domains.size());
         unsigned index = 0;
@@ -292,6 +293,13 @@
         }
     }
 
+    void writePosition(FollowContext& call)
+    {
+        auto position = m_context.feed.positionOf(m_name, m_failureDomain);
+        call.getResults().setDomainEntryIndex(position.index);
+        call.getResults().setDomainEntries(position.entries);
+    }
+
     void writeHelpers(FollowContext& call)
     {
         auto helpers = m_context.feed.helpersOf(m_name, m_failureDomain);
--- a/packages/control/src/plumfold_deployment_feed.cpp
+++ b/packages/control/src/plumfold_deployment_feed.cpp
@@ -362,8 +362,8 @@
     return out;
 }
 
-std::vector<core::entry_address> deployment_feed::helpersOf(
-    const std::string& entry, const std::string& failureDomain) const
+/// @return the entries that follow any control VM and accept relayed requests, in order of their names.
+std::vector<core::entry_address> deployment_feed::allFollowers() const
 {
     auto known = followers();
     for (const auto& [address, state] : m_peers) {
@@ -375,7 +375,13 @@
     known.erase(std::unique(known.begin(), known.end(),
                     [](const auto& left, const auto& right) { return left.name == right.name; }),
         known.end());
-    return core::selectHelpers(entry, failureDomain, std::move(known));
+    return known;
+}
+
+std::vector<core::entry_address> deployment_feed::helpersOf(
+    const std::string& entry, const std::string& failureDomain) const
+{
+    return core::selectHelpers(entry, failureDomain, allFollowers());
 }
 
 void deployment_feed::setCrashVerdicts(
--- a/packages/control/src/plumfold_deployment_feed.hpp
+++ b/packages/control/src/plumfold_deployment_feed.hpp
@@ -139,6 +139,11 @@
     /// @return the entries to which an entry may relay requests.
     std::vector<core::entry_address> helpersOf(
         const std::string& entry, const std::string& failureDomain) const;
+    /// @return the position of an entry among those of its failure domain that follow any control VM.
+    core::entry_position positionOf(const std::string& entry, const std::string& failureDomain) const
+    {
+        return core::positionOf(entry, failureDomain, allFollowers());
+    }
     /// @return the number of entries that follow this control VM.
     std::uint32_t followerCount() const { return static_cast<std::uint32_t>(m_followers.size()); }
     /// @return the address of the control VM that a failure domain is assigned to: its first one by address,
@@ -171,6 +176,7 @@
         kj::Own<kj::PromiseFulfiller<void>> fulfiller;
     };
 
+    std::vector<core::entry_address> allFollowers() const;
     kj::Promise<void> waitUntil(std::function<bool()> done);
     bool isAssignedTo(const std::string& failureDomain) const;
     void wake();
--- a/packages/core/include/plumfold/core/plumfold_target_selector.hpp
+++ b/packages/core/include/plumfold/core/plumfold_target_selector.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "plumfold/core/homes/plumfold_home_shares.hpp"
+#include "plumfold/core/homes/plumfold_prompt_backlog.hpp"
 #include "plumfold/core/placement/plumfold_engine_speed_model.hpp"
 #include "plumfold/core/places/plumfold_place_types.hpp"
 #include "plumfold/core/plumfold_brittle_limiter.hpp"
@@ -87,6 +89,8 @@
     std::uint32_t slots = 0; ///< Requests that the target runs at the same time.
     /// A former target at the full share of a rollout, because no next one was usable.
     bool isFullShareFallback = false;
+    std::optional<double> homeShare; ///< Of the engine; nothing unless engines were chosen by home.
+    std::uint64_t prompt = 0; ///< Identifies the prompt among those without a first event; 0: none.
     bool operator==(const placement&) const = default;
 };
 
@@ -191,6 +195,14 @@
         m_brittleLimiter.setEntryCount(count, now);
     }
 
+    /// Lets engines be chosen by home as long as this entry's position is known.
+    void enableHomes() { m_hasHomes = true; }
+    /// Sets this entry's position; ignored unless homes are enabled. Call it after setEntryCount().
+    void setPosition(const entry_position& position);
+    /// Records that a prompt had its first event.
+    /// @param prompt see placement::prompt; ignored if it is 0.
+    void onFirstEvent(const std::string& target, std::uint64_t prompt, instant now);
+
     /// Sets the latest rollout of software versions by service.
     void setRollouts(const std::map<std::string, rollout_record>& rollouts, instant now);
     /// Applies that the rollouts were confirmed, see rollout_cohorts::onPlanConfirmed().
@@ -216,7 +228,9 @@
 
     /// Records the end of an attempt that choose() started.
     /// @param tokens memory that was expected for the attempt, see expectedTokens().
-    void onAttemptEnded(const std::string& target, attempt_result result, std::uint64_t tokens, instant now);
+    /// @param prompt see placement::prompt.
+    void onAttemptEnded(const std::string& target, attempt_result result, std::uint64_t tokens, instant now,
+        std::uint64_t prompt = 0);
 
     /// Records what a target's response tells about its room for requests.
     /// @param maxRejections rejections per second that the target bears; nothing: it is not brittle.
@@ -352,6 +366,13 @@
         rollout_standing rollout {};
         engine_slowness slowness {}; ///< As the speed model has it.
         version_slot versionSlot {};
+        double homeShare = 0;
+        prompt_backlog backlog {}; ///< Own prompts, while homes are enabled.
+    };
+    /// Time that a prompt takes on a target apart from waiting, in ms.
+    struct prompt_time {
+        double fetchMs = 0;
+        double prefillMs = 0;
     };
     /// Targets that may get a request, and what keeps others from it.
     struct candidate_list {
@@ -385,6 +406,13 @@
         std::vector<tracked_target*>& candidates, const placement_request& request, instant now) const;
     tracked_target* selectForSession(
         std::vector<tracked_target*>& candidates, const placement_request& request, instant now) const;
+    bool usesHomes() const { return m_hasHomes && m_position.isKnown(); }
+    void assignHomes();
+    tracked_target* selectByHome(
+        std::vector<tracked_target*>& candidates, const placement_request& request, instant now) const;
+    prompt_time promptTime(
+        const tracked_target& target, const placement_request& request, bool isPreferred) const;
+    void recordPrompt(tracked_target& target, const prompt_time& time, placement& out, instant now);
     double staleWeightsPenalty(const tracked_target& target, const placement_request& request) const;
     double waitMs(const tracked_target& target, const placement_request& request, instant now) const;
     static bool isHolder(const tracked_target& target, const placement_request& request);
@@ -415,6 +443,10 @@
     rollout_cohorts m_cohorts;
     std::vector<version_hold> m_versionHolds; // not taken yet
     std::map<std::string, engine_latency_model> m_learnedLatency; // by service
+    bool m_hasHomes = false;
+    entry_position m_position {};
+    bool m_isOnlyDomain = false; // all entries are in this entry's failure domain
+    std::uint64_t m_lastPrompt = 0;
     std::optional<engine_speed_model> m_speed; // if predictions follow what first events show
 };
 
--- a/packages/core/src/plumfold_session_selection.cpp
+++ b/packages/core/src/plumfold_session_selection.cpp
@@ -54,6 +54,8 @@
 target_selector::tracked_target* target_selector::selectForSession(
     std::vector<tracked_target*>& candidates, const placement_request& request, instant now) const
 {
+    if (usesHomes())
+        return selectByHome(candidates, request, now);
     auto* preferred = preferredTarget(candidates, request.session);
     std::vector<double> waits;
     waits.reserve(candidates.size());
--- a/packages/core/src/plumfold_target_prediction.cpp
+++ b/packages/core/src/plumfold_target_prediction.cpp
@@ -29,11 +29,17 @@
             ++unreportedAttempts;
             used += static_cast<double>(tokens);
         }
+        // The own prompts among them count with their remaining prefill time instead.
+        if (usesHomes())
+            waiting
+                = std::max(0.0, waiting - static_cast<double>(target.backlog.unfinishedAt(target.loadAt)));
     }
+    double ownMs
+        = usesHomes() ? target.backlog.remainingMs(now) : unreportedAttempts * latency.unreportedRequestMs;
     double share = capacity > 0 ? (used + static_cast<double>(expectedTokens(request))) / capacity : 0;
     double memoryOverflowMs = std::max(0.0, share - latency.preemptionMemoryShare) * latency.memoryOverflowMs;
-    return waiting * latency.waitingRequestMs + unreportedAttempts * latency.unreportedRequestMs
-        + running * latency.runningRequestMs + memoryOverflowMs + slowMs;
+    return waiting * latency.waitingRequestMs + ownMs + running * latency.runningRequestMs + memoryOverflowMs
+        + slowMs;
 }
 
 /// @return the time that a target needs to read or fetch the prompt, in ms.
--- a/packages/core/src/plumfold_target_selector.cpp
+++ b/packages/core/src/plumfold_target_selector.cpp
@@ -65,6 +65,8 @@
     m_demands.removeStale(
         [this](const std::string& target) { return m_targets.contains(target); }, now, maxDemandAge);
     assignCohorts(now);
+    if (isComplete || !targets.empty())
+        assignHomes();
 }
 
 void target_selector::setOutOfService(std::set<std::string> failureDomains)
@@ -314,12 +316,17 @@
     if (chosen) {
         double wait = 0;
         double prefill = 0;
+        prompt_time time;
         if (request.session != 0) {
             wait = waitMs(*chosen, request, now);
-            prefill = prefillMs(*chosen, request, chosen == preferredTarget(candidates, request.session));
-            m_sessionWork[request.service].add(prefill, now);
+            time = promptTime(*chosen, request, chosen == preferredTarget(candidates, request.session));
+            prefill = time.fetchMs + time.prefillMs;
+            // A fetch occupies a link, not the engine.
+            m_sessionWork[request.service].add(usesHomes() ? time.prefillMs : prefill, now);
         }
         answer.chosen = recordStart(*chosen, request, now);
+        if (request.session != 0)
+            recordPrompt(*chosen, time, *answer.chosen, now);
         answer.chosen->waitMs = wait;
         answer.chosen->slots = chosen->last.slots;
         if (chosen->load && now - chosen->loadAt < m_options.maxLoadAge) {
@@ -445,12 +452,14 @@
 }
 
 void target_selector::onAttemptEnded(
-    const std::string& target, attempt_result result, std::uint64_t tokens, instant now)
+    const std::string& target, attempt_result result, std::uint64_t tokens, instant now, std::uint64_t prompt)
 {
     auto found = m_targets.find(target);
     if (found == m_targets.end())
         return;
     auto& each = found->second;
+    if (prompt != 0)
+        each.backlog.finish(prompt, now);
     each.inFlight -= each.inFlight > 0;
     each.inFlightTokens -= std::min(each.inFlightTokens, tokens);
     if (result == attempt_result::not_started && !each.unreportedAttempts.empty())
--- a/packages/forwarding/src/plumfold_deployment_follower.cpp
+++ b/packages/forwarding/src/plumfold_deployment_follower.cpp
@@ -189,6 +189,7 @@
     control_update update;
     update.isSnapshot = response.getEverything();
     update.entries = response.getEntries();
+    update.position = { response.getDomainEntryIndex(), response.getDomainEntries() };
     update.sharedLimitIssuer = response.getSharedLimits().cStr();
     for (auto each : response.getTargets())
         update.targets.push_back(wire::read(each));
--- a/packages/forwarding/src/plumfold_deployment_follower.hpp
+++ b/packages/forwarding/src/plumfold_deployment_follower.hpp
@@ -43,6 +43,7 @@
     /// Control VMs that grant starts on targets that limit their requests, by failure domain of the target,
     /// and places on targets; empty if they are not needed.
     std::map<std::string, std::string> limitIssuers;
+    core::entry_position position; ///< Of this entry; not known under a control VM of a former version.
 };
 
 /// Long-polls a control VM for changes of the deployment, the targets and the KV parts. Prefers a control VM
--- a/packages/forwarding/src/plumfold_forwarding_role.cpp
+++ b/packages/forwarding/src/plumfold_forwarding_role.cpp
@@ -102,6 +102,8 @@
     {
         if (m_settings.forwarding->adaptivePlacement)
             m_state.targetSelector.enableSpeedModel();
+        if (m_settings.forwarding->homeEngines)
+            m_state.targetSelector.enableHomes();
         asio::co_spawn(m_io, accept(m_acceptor, false), asio::detached);
         if (!m_settings.forwarding->relayAddress.empty()) {
             m_relayAcceptor.emplace(m_io, endpointOf(m_settings.forwarding->relayAddress));
@@ -184,6 +186,7 @@
         m_state.rollouts.logVersions();
         m_state.targetSelector.applyLoads(update.loads, now);
         m_state.targetSelector.setEntryCount(update.entries, now);
+        applyPosition(update.position);
         if (m_settings.forwarding->adaptivePlacement)
             applyPlacementCounts(update.entries, now);
         m_sharedLimits.setIssuer(update.sharedLimitIssuer);
@@ -208,6 +211,17 @@
         m_metrics.set("plumfold_known_targets", static_cast<double>(m_state.targetSelector.size()));
     }
 
+    void applyPosition(const core::entry_position& position)
+    {
+        if (!m_settings.forwarding->homeEngines)
+            return;
+        m_state.targetSelector.setPosition(position);
+        if (std::exchange(m_position, position) != position)
+            runtime::log_event("position_known")
+                .with("index", position.index)
+                .with("domain_entries", position.entries);
+    }
+
     void applyVerdicts(const control_update& update, core::instant now)
     {
         for (const auto& verdict : m_state.crashScreen.applyVerdicts(update.verdicts, now))
@@ -352,6 +366,7 @@
     shared_limit_client m_sharedLimits;
     wire::rpc_thread& m_rpc;
     std::set<std::string> m_unusableLinks; // logged already
+    core::entry_position m_position; // as last received
     std::set<std::string> m_outOfService; // failure domains, as last applied
     std::map<std::string, std::string> m_control; // failure domains of control VMs in service, as last set
     std::unique_ptr<control_sessions> m_controlSessions; // used and destroyed on the RPC thread
--- a/packages/forwarding/src/plumfold_request_forwarder.cpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.cpp
@@ -324,7 +324,7 @@
         }
         if (m_attemptCount == 0 && rejectOverload(*selection.chosen)) {
             m_state.targetSelector.onAttemptEnded(selection.chosen->target, core::attempt_result::abandoned,
-                core::target_selector::expectedTokens(request), runtime::now());
+                core::target_selector::expectedTokens(request), runtime::now(), selection.chosen->prompt);
             co_return;
         }
         place_holder place;
@@ -337,10 +337,12 @@
         }
         if (!co_await requestStart(*selection.chosen)) {
             m_state.targetSelector.onAttemptEnded(selection.chosen->target, core::attempt_result::not_started,
-                core::target_selector::expectedTokens(request), runtime::now());
+                core::target_selector::expectedTokens(request), runtime::now(), selection.chosen->prompt);
             continue;
         }
         m_lastTarget = selection.chosen->target;
+        m_prompt = selection.chosen->prompt;
+        recordHome(*selection.chosen);
         m_lastWeights = selection.chosen->weights;
         m_lastVersion = selection.chosen->softwareVersion;
         m_lastStart = selection.chosen->startedAt;
@@ -361,7 +363,7 @@
         bool isLinkFault = isUnanswered && m_state.link.isLost();
         m_state.targetSelector.onAttemptEnded(selection.chosen->target,
             isLinkFault || m_recallReason ? core::attempt_result::abandoned : attemptResult,
-            core::target_selector::expectedTokens(request), runtime::now());
+            core::target_selector::expectedTokens(request), runtime::now(), selection.chosen->prompt);
         onRolloutAttemptEnded(attemptResult, isLinkFault);
         if (attemptResult == core::attempt_result::not_started)
             continue;
--- a/packages/forwarding/src/plumfold_request_forwarder.hpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.hpp
@@ -145,6 +145,7 @@
     task<bool> relayChunk(std::string chunk);
     task<bool> writeStreamHead();
     void recordPrediction();
+    void recordHome(const core::placement& placement);
     void recordSpeed();
     core::attempt_result classifyFailure(const error_code& error);
     task<bool> writeResponse();
@@ -253,6 +254,8 @@
     double m_predictedMs = 0; // predicted time to the first event of the current attempt
     core::placement m_startLoad; // as chosen for the current attempt
     double m_readTokens = 0; // tokens that the target is expected to read; 0: not predicted
+    std::uint64_t m_prompt = 0; // of the current attempt, see core::placement::prompt
+    std::optional<double> m_homeShare; // of the engine of the latest attempt; nothing without homes
     double m_firstEventMs = -1; // actual time to the first event of the current attempt; -1: none yet
     core::instant m_firstByteAt {};
     const char* m_answerFraming = "none"; // of the target's latest response, for the log
--- a/packages/forwarding/src/plumfold_request_log.cpp
+++ b/packages/forwarding/src/plumfold_request_log.cpp
@@ -5,6 +5,9 @@
 #include "plumfold/runtime/plumfold_clock.hpp"
 #include "plumfold/runtime/plumfold_log.hpp"
 
+#include <array>
+#include <charconv>
+
 namespace plumfold::forwarding {
 
 namespace {
@@ -17,6 +20,13 @@
     return out;
 }
 
+std::string shareText(double share)
+{
+    std::array<char, 8> text {};
+    auto end = std::to_chars(text.data(), text.data() + text.size(), share, std::chars_format::fixed, 2).ptr;
+    return { text.data(), end };
+}
+
 } // namespace
 
 void request_forwarder::log(bool delivered)
@@ -28,8 +38,8 @@
     bool broken = m_streamStarted && !m_streamDone && !m_callerDisconnected;
     if (broken)
         m_outcome = "broken_off";
-    runtime::log_event("request_ended")
-        .with("request", m_head.id)
+    runtime::log_event event("request_ended");
+    event.with("request", m_head.id)
         .with("route", m_route ? m_route->name : std::string("none"))
         .with("customer", m_customer ? m_customer->name : std::string("none"))
         .with("fingerprint", m_traits.fingerprint)
@@ -70,6 +80,8 @@
         .with("first_ms", m_firstByteAt == core::instant {} ? -1 : since(m_firstByteAt))
         .with("total_ms", since(now))
         .with("delivered", delivered ? "true" : "false");
+    if (m_homeShare)
+        event.with("home_share", shareText(*m_homeShare));
     m_state.metrics.count("plumfold_forwarded_total{outcome=\"" + m_outcome + "\"}");
     m_state.metrics.observe("plumfold_forwarded_ms", static_cast<double>(since(now)));
 }
--- a/packages/forwarding/src/plumfold_request_parts.cpp
+++ b/packages/forwarding/src/plumfold_request_parts.cpp
@@ -103,10 +103,21 @@
             .with("slots", m_startLoad.slots);
 }
 
+/// Counts whether an engine was chosen that is a home of this entry.
+void request_forwarder::recordHome(const core::placement& placement)
+{
+    m_homeShare = placement.homeShare;
+    if (!m_homeShare)
+        return;
+    std::string result = *m_homeShare > 0 ? "home" : "foreign";
+    m_state.metrics.count("plumfold_home_choices_total{result=\"" + result + "\"}");
+}
+
 /// Compares the time to the first event with its prediction.
 void request_forwarder::recordPrediction()
 {
     m_firstEventMs = std::chrono::duration<double, std::milli>(m_firstByteAt - m_sentAt).count();
+    m_state.targetSelector.onFirstEvent(m_lastTarget, m_prompt, m_firstByteAt);
     if (m_predictedMs <= 0)
         return;
     double excessMs = m_firstEventMs - m_predictedMs;
--- a/packages/forwarding/src/plumfold_request_place.cpp
+++ b/packages/forwarding/src/plumfold_request_place.cpp
@@ -63,7 +63,7 @@
     const core::placement_request& request, core::placement_result& selection, place_holder& place)
 {
     m_state.targetSelector.onAttemptEnded(selection.chosen->target, core::attempt_result::not_started,
-        core::target_selector::expectedTokens(request), runtime::now());
+        core::target_selector::expectedTokens(request), runtime::now(), selection.chosen->prompt);
     selection.chosen.reset();
     auto asked = placeRequest(request);
     if (asked.candidates.empty()) {
--- a/packages/runtime/include/plumfold/runtime/plumfold_settings.hpp
+++ b/packages/runtime/include/plumfold/runtime/plumfold_settings.hpp
@@ -70,6 +70,7 @@
     /// Fetches of KV parts and predictions follow the links and engines as they are measured.
     bool adaptivePlacement = false;
     bool targetPlaces = false; ///< Plain services that are nearly full get requests by granted places only.
+    bool homeEngines = false; ///< Each entry prefers its share of the engines of its failure domain.
     std::string relayAddress; ///< Accepts requests that other entries relay; empty for none.
     double retryRatio = 0.2; ///< Retries to a service, as a share of its requests.
     std::uint64_t retryWindowMs = 10'000;
--- a/packages/runtime/src/plumfold_settings_fields.cpp
+++ b/packages/runtime/src/plumfold_settings_fields.cpp
@@ -110,6 +110,7 @@
         { "rollouts", &forwarding_settings::rollouts, "true or false" },
         { "adaptivePlacement", &forwarding_settings::adaptivePlacement, "true or false" },
         { "targetPlaces", &forwarding_settings::targetPlaces, "true or false" },
+        { "homeEngines", &forwarding_settings::homeEngines, "true or false" },
         { "relayAddress", &forwarding_settings::relayAddress, "ip:port; empty for none", false, true },
         { "retryRatio", &forwarding_settings::retryRatio, "retries per request, 0 to 1; may have a fraction",
             false, false, 0, 1 },
--- a/tests/forwarding/support/plumfold_forwarding_system.cpp
+++ b/tests/forwarding/support/plumfold_forwarding_system.cpp
@@ -235,6 +235,8 @@
         forwarding["rollouts"] = true;
     if (m_usesPlaces)
         forwarding["targetPlaces"] = true;
+    if (m_usesHomes)
+        forwarding["homeEngines"] = true;
     start(name, { { "process", process }, { "forwarding", forwarding } });
 }
 
--- a/tests/forwarding/support/plumfold_forwarding_system.hpp
+++ b/tests/forwarding/support/plumfold_forwarding_system.hpp
@@ -77,6 +77,8 @@
     void enableRollouts() { m_hasRollouts = true; }
     /// Lets entries that are started later use places on targets.
     void enableTargetPlaces() { m_usesPlaces = true; }
+    /// Lets entries that are started later choose engines by home.
+    void enableHomeEngines() { m_usesHomes = true; }
     /// Sets the slots that targets announce.
     void setTargetSlots(int count) { m_targetSlots = count; }
     /// Lets control VMs that are started later listen for RPC at another host than their address names.
@@ -154,6 +156,7 @@
     std::string m_network;
     bool m_hasRollouts = false;
     bool m_usesPlaces = false;
+    bool m_usesHomes = false;
     int m_targetSlots = 8;
     int m_firstControlListener = 0; // 0: control VMs listen at their own address
     std::map<std::string, nlohmann::json> m_settings;
