--- a/packages/core/src/plumfold_session_selection.cpp
+++ b/packages/core/src/plumfold_session_selection.cpp
@@ -1,4 +1,4 @@
-// The part of target_selector that selects a model engine for a request of a conversation.
+// The part of target_selector that selects one of the candidates for a request.
 
 #include "plumfold/core/plumfold_target_selector.hpp"
 
@@ -82,4 +82,35 @@
     return best;
 }
 
+target_selector::tracked_target* target_selector::selectTarget(
+    std::vector<tracked_target*>& candidates, const placement_request& request, instant now) const
+{
+    if (candidates.empty())
+        return nullptr;
+    if (request.session != 0)
+        return selectForSession(candidates, request, now);
+    return *std::min_element(candidates.begin(), candidates.end(),
+        [&](const auto* left, const auto* right) { return plainCost(*left) < plainCost(*right); });
+}
+
+/// @return what a request without a session costs on a target; the lowest is chosen.
+std::tuple<double, std::uint64_t, std::string> target_selector::plainCost(const tracked_target& target) const
+{
+    bool isRemote = target.last.failureDomain != m_options.failureDomain;
+    // A remote target is selected once the local ones have a whole batch more in flight.
+    double load = static_cast<double>(target.inFlight) * m_entries / std::max(target.last.slots, 1u);
+    // Equal ones are ranked differently by each entry, which spreads requests over idle targets.
+    return { load + (isRemote ? 1.0 : 0.0), hashBytes(m_options.entryName, hashBytes(target.last.name)),
+        target.last.name };
+}
+
+/// A penalty instead of an exclusion: otherwise the first targets that have loaded a new version would get
+/// all requests.
+/// @return what is added to the predicted time, in ms.
+double target_selector::staleWeightsPenalty(
+    const tracked_target& target, const placement_request& request) const
+{
+    return hasCurrentWeights(target, request.model) ? 0 : m_options.staleWeightsPenaltyMs;
+}
+
 } // namespace plumfold::core
