Case: a withdrawal that a partition held up undoes a later evacuation

Cause: the condition of an order (the last order that its receiver knew) is written to the wire, but not read, so a leader carries out an order that another control VM passed on however late it arrives.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,8 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p build/review-2
-for source in review/{6,7,8,9,10}/*.cpp; do
-    [ -e "$source" ] || continue
-    case=$(basename "$(dirname "$source")")
-    g++ -std=c++20 -O1 -Wall -Wextra -pthread "$source" review/harness-2/*.cpp -o "build/review-2/case-$case"
+for case in 6 7 8 9 10; do
+    g++ -std=c++20 -O1 -Wall -Wextra -pthread -o "build/review-2/case-$case" "review/harness-2/case_$case.cpp" \
+        review/harness-2/harness.cpp review/harness-2/streams.cpp
 done
--- a/review/6/replaced_then_wiped.cpp
+++ b/review/harness-2/case_6.cpp
@@ -1,7 +1,7 @@
 // Two of four control VMs are replaced one after the other, the one that leads last, each once its successor
 // has had `catch-up-s`. Then one of the others loses its disk. The operator reads the configuration back.
 
-#include "../harness-2/harness.hpp"
+#include "harness.hpp"
 
 #include <algorithm>
 #include <csignal>
--- a/review/9/heartbeat_without_models.cpp
+++ b/review/harness-2/case_8.cpp
@@ -2,7 +2,7 @@
 // `models`. Two tenants, of which one is isolated, send requests whose prompts share their first part. The
 // servers keep account of who made the KV cache that each request uses.
 
-#include "../harness-2/harness.hpp"
+#include "harness.hpp"
 
 #include <sstream>
 
--- a/review/7/streams_after_power_loss.cpp
+++ b/review/harness-2/case_9.cpp
@@ -1,7 +1,7 @@
 // Servers of two software versions serve streams that may be resumed. All machines of the system lose power
 // at the same moment and are back after a second. The clients take their streams up again.
 
-#include "../harness-2/streams.hpp"
+#include "streams.hpp"
 
 #include <csignal>
 
--- a/review/harness-2/harness.cpp
+++ b/review/harness-2/harness.cpp
@@ -296,6 +296,18 @@
     m_id = -1;
 }
 
+std::size_t process::memoryBytes() const
+{
+    constexpr std::size_t bytesPerKilobyte = 1024;
+    std::ifstream status("/proc/" + std::to_string(m_id) + "/status");
+    std::string line;
+    while (std::getline(status, line)) {
+        if (line.starts_with("RssAnon:"))
+            return std::stoul(line.substr(line.find_first_of("0123456789"))) * bytesPerKilobyte;
+    }
+    return 0;
+}
+
 http_response call(const std::string& address, const std::string& method, const std::string& path,
     const std::string& body, const header_list& headers, milliseconds timeout)
 {
@@ -495,6 +507,123 @@
     ::close(client);
 }
 
+core_links::~core_links()
+{
+    m_stopping = true;
+    for (auto& each : m_threads)
+        each.join();
+    for (const auto& each : m_listeners)
+        ::close(each->socket);
+}
+
+void core_links::add(int control, const std::string& address, const std::string& listenAddress)
+{
+    m_listeners.push_back(std::make_unique<listener>(listener { listenAt(address), control, listenAddress }));
+    m_threads.emplace_back([this, &at = *m_listeners.back()] { accept(at); });
+}
+
+void core_links::setProcess(int control, pid_t id)
+{
+    std::lock_guard lock(m_mutex);
+    m_processes[control] = id;
+}
+
+bool core_links::isCut(int from, int to) const
+{
+    int cut = m_cut;
+    return cut != 0 && from != 0 && from != to && (from == cut || to == cut);
+}
+
+/// @return the control VM whose process has opened a connection; 0: none.
+int core_links::ownerOf(int client) const
+{
+    sockaddr_in peer {};
+    sockaddr_in own {};
+    socklen_t length = sizeof(peer);
+    ::getpeername(client, reinterpret_cast<sockaddr*>(&peer), &length);
+    length = sizeof(own);
+    ::getsockname(client, reinterpret_cast<sockaddr*>(&own), &length);
+    char wanted[64];
+    std::snprintf(wanted, sizeof(wanted), "%08X:%04X %08X:%04X", peer.sin_addr.s_addr, ntohs(peer.sin_port),
+        own.sin_addr.s_addr, ntohs(own.sin_port));
+    std::ifstream table("/proc/net/tcp");
+    std::string line;
+    std::string inode;
+    while (inode.empty() && std::getline(table, line)) {
+        if (line.find(wanted) == std::string::npos)
+            continue;
+        std::istringstream fields(line);
+        std::string field;
+        for (int number = 0; number < 10 && fields >> field; ++number)
+            inode = field;
+    }
+    std::map<int, pid_t> processes;
+    {
+        std::lock_guard lock(m_mutex);
+        processes = m_processes;
+    }
+    for (const auto& [control, id] : processes) {
+        std::error_code error;
+        std::filesystem::directory_iterator files("/proc/" + std::to_string(id) + "/fd", error);
+        for (; !error && files != std::filesystem::directory_iterator(); files.increment(error)) {
+            std::error_code closedMeanwhile;
+            if (std::filesystem::read_symlink(files->path(), closedMeanwhile) == "socket:[" + inode + "]")
+                return control;
+        }
+    }
+    return 0;
+}
+
+void core_links::accept(const listener& at)
+{
+    std::vector<std::thread> connections;
+    while (!m_stopping) {
+        if (!waitFor(at.socket, POLLIN, steady::now() + milliseconds(pollMs)))
+            continue;
+        int client = ::accept4(at.socket, nullptr, nullptr, SOCK_CLOEXEC);
+        if (client < 0)
+            continue;
+        connections.emplace_back(
+            [this, client, &at] { relay(client, ownerOf(client), at.control, at.listenAddress); });
+    }
+    for (auto& each : connections)
+        each.join();
+}
+
+void core_links::relay(int client, int from, int to, const std::string& listenAddress)
+{
+    constexpr milliseconds sendTime { 1'000 };
+    bool isLost = isCut(from, to);
+    while (isLost && !m_stopping && isCut(from, to))
+        sleepFor(milliseconds(10));
+    int control = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    auto where = parsed(listenAddress);
+    bool isOpen = !isLost && ::connect(control, reinterpret_cast<sockaddr*>(&where), sizeof(where)) == 0;
+    int on = 1;
+    for (int socket : { client, control })
+        ::setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    while (isOpen && !m_stopping) {
+        if (isCut(from, to)) {
+            sleepFor(milliseconds(10));
+            continue;
+        }
+        pollfd both[] = { { client, POLLIN, 0 }, { control, POLLIN, 0 } };
+        if (::poll(both, 2, pollMs) <= 0)
+            continue;
+        for (int side = 0; side < 2 && isOpen && !isCut(from, to); ++side) {
+            if (both[side].revents == 0)
+                continue;
+            char bytes[readBytes];
+            auto count = ::recv(both[side].fd, bytes, sizeof(bytes), 0);
+            isOpen = count > 0
+                && sendAll(both[1 - side].fd, std::string(bytes, static_cast<std::size_t>(count)),
+                    steady::now() + sendTime);
+        }
+    }
+    ::close(client);
+    ::close(control);
+}
+
 class stream_reader : public reader {
 public:
     using reader::reader;
@@ -605,8 +734,17 @@
         + ", \"firstStart\": " + (firstStart ? "true" : "false")
         + ", \"retryExtra\": 52, \"retryWindowMs\": \"10 s\", \"coldOvershoot\": 1.5, \"coldSlack\": 5, "
           "\"electionTimeoutMs\": 500, \"orderLeaseMs\": 3000 } }\n";
-    start(name, settings,
-        { "--set", "/control/rolloutExposureShare=", "--set", "/control/rolloutExposureSlack=" });
+    std::vector<std::string> more { "--set", "/control/rolloutExposureShare=", "--set",
+        "/control/rolloutExposureSlack=" };
+    if (m_links) {
+        // The others reach it through a link that can be cut.
+        auto listenAddress = ip(60 + control) + ':' + port;
+        m_links->add(control, ip(10 + control) + ':' + port, listenAddress);
+        more.insert(more.end(), { "--set", "/control/listenAddress=" + listenAddress });
+    }
+    start(name, settings, more);
+    if (m_links)
+        m_links->setProcess(control, m_processes.at(name).id());
 }
 
 void deployment::startEntry(int entry, const std::string& zone)
--- a/review/harness-2/harness.hpp
+++ b/review/harness-2/harness.hpp
@@ -60,6 +60,8 @@
     /// @return whether it ended within the time.
     bool waitForEnd(milliseconds time);
     void kill();
+    /// @return the memory that is the process' own, in bytes; 0 if it has ended.
+    std::size_t memoryBytes() const;
 
 private:
     pid_t m_id = -1;
@@ -115,6 +117,42 @@
 /// @return a whole response with a length.
 std::string response(const std::string& status, const header_list& headers, const std::string& body);
 
+/// The links between control VMs. One of them can be partitioned from all others: what is under way on its
+/// connections is held up until the partition ends, as TCP does, and connections that are opened meanwhile
+/// never come about. All processes share the loopback interface, so a connection belongs to the process that
+/// has its socket.
+class core_links {
+public:
+    core_links() = default;
+    ~core_links();
+    core_links(const core_links&) = delete;
+    core_links& operator=(const core_links&) = delete;
+    /// Listens where the others reach a control VM.
+    void add(int control, const std::string& address, const std::string& listenAddress);
+    void setProcess(int control, pid_t id);
+    void cut(int control) { m_cut = control; }
+    void heal() { m_cut = 0; }
+
+private:
+    struct listener {
+        int socket = -1;
+        int control = 0;
+        std::string listenAddress;
+    };
+
+    void accept(const listener& at);
+    void relay(int client, int from, int to, const std::string& listenAddress);
+    int ownerOf(int client) const;
+    bool isCut(int from, int to) const;
+
+    mutable std::mutex m_mutex;
+    std::map<int, pid_t> m_processes;
+    std::atomic<int> m_cut { 0 };
+    std::atomic<bool> m_stopping { false };
+    std::vector<std::unique_ptr<listener>> m_listeners;
+    std::vector<std::thread> m_threads;
+};
+
 /// Machines of the platform: control VMs and entries with the commands and the settings of the deploy folder.
 /// Each has a loopback address of its own.
 class deployment {
@@ -129,6 +167,8 @@
     std::string callerAddress(int entry) const { return ip(100 + entry) + ":8202"; }
     std::string readinessAddress(int entry) const { return ip(100 + entry) + ":8200"; }
     std::string serverAddress(int server) const { return ip(150 + server) + ":8080"; }
+    /// Lets control VMs that are started later reach each other through links that can be cut.
+    void setLinks(core_links* links) { m_links = links; }
     void setSeeds(std::vector<int> controls) { m_seeds = std::move(controls); }
     /// @param disk number of its disk; another one is empty.
     void startControl(int control, const std::string& zone, bool firstStart, int disk = 1);
@@ -150,6 +190,7 @@
     record& m_record;
     std::string m_network;
     std::vector<int> m_seeds { 1, 2, 3 };
+    core_links* m_links = nullptr;
     std::map<std::string, process> m_processes;
 };
 
