Read the condition of an order that another control VM passes on

Cause: write(Command::Builder) sets `conditional` and `lastKnownOrder`, read(Command::Reader) took the failure domain and the direction only, so the leader saw no condition unless it had received the call itself.

Ruled out: a comparison with the wrong order (the command has no condition after reading); a repeat by the receiver (the call is given up after 0.85 s).

Change: the reader takes the condition. Orders of former builds and logs have none, as before.

Evidence: on the former code "A message that is read and written again keeps all fields" fails for one of 46 structures, with these two fields, and "An order that was held up between two control VMs ..." fails at the check that the failure domain stays out of service.

Same cause elsewhere: the test sets every field of every structure by reflection; no other one loses a field.

--- a/packages/wire/src/plumfold_convert_commands.cpp
+++ b/packages/wire/src/plumfold_convert_commands.cpp
@@ -177,10 +177,14 @@
     case Command::ADOPT_DOCUMENT:
         value.payload = core::adopt_document_command { read(in.getAdoptDocument()) };
         return value;
-    case Command::SET_IN_SERVICE:
-        value.payload = core::set_in_service_command { text(in.getSetInService().getFailureDomain()),
-            in.getSetInService().getInService() };
+    case Command::SET_IN_SERVICE: {
+        auto from = in.getSetInService();
+        core::set_in_service_command order { text(from.getFailureDomain()), from.getInService(), {} };
+        if (from.getConditional())
+            order.lastKnownOrder = from.getLastKnownOrder();
+        value.payload = std::move(order);
         return value;
+    }
     case Command::NAME_WEIGHTS:
         value.payload = core::set_current_weights_command { text(in.getNameWeights().getModel()),
             in.getNameWeights().getVersion() };
--- /dev/null
+++ b/tests/forwarding/plumfold_forwarded_order_tests.cpp
@@ -0,0 +1,133 @@
+#include "support/plumfold_forwarding_system.hpp"
+#include "support/plumfold_narrow_links.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <chrono>
+#include <cstdlib>
+#include <thread>
+
+using namespace plumfold::tests;
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int controlVms = 3;
+constexpr milliseconds observation { 3'000 };
+
+/// Control VMs whose links to each other can be held up, an entry and two targets.
+class linked_control_system : public forwarding_system {
+public:
+    linked_control_system()
+    {
+        static constexpr int firstListener = 200;
+        static constexpr int rpcPort = 7000;
+        setControlListeners(firstListener);
+        for (int number = 1; number <= controlVms; ++number) {
+            m_links.carry(controlAddress(number), address(firstListener + number, rpcPort));
+            startControl(number);
+        }
+        putDeployment(1, deployment(3));
+        startEntry(1);
+        startTarget("t1");
+        startTarget("t2");
+        startAnnouncing();
+        waitForTarget(1);
+    }
+
+    bool isServed() { return request(1, "/shop/whole").status == 200; }
+
+    bool order(int control, const char* method)
+    {
+        return call(control, method, "/evacuations/east").first == 200;
+    }
+
+    /// @return the control VM that has become leader last.
+    int leader() const
+    {
+        int found = 0;
+        long highestTerm = 0;
+        for (int number = 1; number <= controlVms; ++number) {
+            static const std::string become = "event=role_changed role=leader term=";
+            auto log = logOf("c" + std::to_string(number));
+            auto at = log.rfind(become);
+            long term = at == std::string::npos ? 0 : std::atol(&log[at + become.size()]);
+            if (term > highestTerm) {
+                highestTerm = term;
+                found = number;
+            }
+        }
+        return found;
+    }
+
+    /// Isolates a control VM from the others; entries, targets and operators still reach it.
+    void isolate(int control)
+    {
+        std::set<int> others;
+        for (int number = 1; number <= controlVms; ++number) {
+            if (number != control)
+                others.insert(process("c" + std::to_string(number)).id());
+        }
+        m_links.isolate(process("c" + std::to_string(control)).id(), controlAddress(control), others);
+    }
+
+    void reconnect() { m_links.release(); }
+
+    /// @return whether no request is served for a time.
+    bool staysOut()
+    {
+        for (auto until = std::chrono::steady_clock::now() + observation;
+             std::chrono::steady_clock::now() < until;) {
+            if (isServed())
+                return false;
+            std::this_thread::sleep_for(milliseconds(50));
+        }
+        return true;
+    }
+
+private:
+    narrow_links m_links;
+};
+
+} // namespace
+
+// Guards against an acknowledged evacuation that an older withdrawal undoes, which a cut held up on the way
+// to the leader.
+TEST_CASE_METHOD(linked_control_system,
+    "An order that was held up between two control VMs is not carried out after a later one",
+    "[forwarding][waiting_order]")
+{
+    int leading = leader();
+    REQUIRE(leading > 0);
+    int follower = leading % controlVms + 1;
+    int third = follower % controlVms + 1;
+    CAPTURE(leading, follower, third);
+    REQUIRE(eventually([&] { return order(follower, "POST"); }));
+    REQUIRE(eventually([&] { return !isServed(); }));
+    isolate(follower);
+    CHECK_FALSE(order(follower, "DELETE"));
+    REQUIRE(eventually([&] { return order(third, "DELETE"); }));
+    REQUIRE(eventually([&] { return isServed(); }));
+    REQUIRE(eventually([&] { return order(leading, "POST"); }));
+    REQUIRE(eventually([&] { return !isServed(); }));
+    reconnect();
+    CHECK(staysOut());
+    // The control VM passes orders on again.
+    CHECK(eventually([&] { return order(follower, "DELETE"); }));
+    CHECK(eventually([&] { return isServed(); }));
+}
+
+// Guards against a condition that keeps orders which come through another control VM from being carried out.
+TEST_CASE_METHOD(linked_control_system, "Orders in turn are carried out whichever control VM receives them",
+    "[forwarding][waiting_order]")
+{
+    for (int number = 1; number <= 2 * controlVms; ++number) {
+        int control = (number - 1) % controlVms + 1;
+        CAPTURE(number, control);
+        CHECK(order(control, "POST"));
+        CHECK(eventually([&] { return !isServed(); }));
+        CHECK(order(control % controlVms + 1, "DELETE"));
+        CHECK(eventually([&] { return isServed(); }));
+    }
+}
--- a/tests/forwarding/support/plumfold_narrow_links.cpp
+++ b/tests/forwarding/support/plumfold_narrow_links.cpp
@@ -11,6 +11,7 @@
 constexpr std::size_t chunkBytes = 1460; // a segment of TCP
 /// Small buffers, so that a connection that is closed leaves little behind that was already sent.
 constexpr int socketBufferBytes = 16 << 10;
+constexpr std::chrono::milliseconds holdInterval { 5 }; // at which held connections are looked at
 
 asio::ip::tcp::endpoint endpointOf(const std::string& address)
 {
@@ -71,6 +72,39 @@
     });
 }
 
+void narrow_links::isolate(int process, const std::string& address, const std::set<int>& others)
+{
+    m_owners.set(process, link_state::whole);
+    for (int other : others)
+        m_owners.set(other, link_state::whole);
+    asio::post(m_io, [this, isolated = isolation { process, endpointOf(address), others }] {
+        m_isolation = isolated;
+        // Processes are known once they have started, so connections may be older than the question.
+        for (const auto& each : m_connections) {
+            if (auto open = each.lock(); open && open->process == 0)
+                open->process = ownerOf(*open);
+        }
+    });
+}
+
+void narrow_links::release()
+{
+    asio::post(m_io, [this] { m_isolation.reset(); });
+}
+
+int narrow_links::ownerOf(const connection& each) const
+{
+    return m_owners.ownerOf(pocoAddress(each.peer), pocoAddress(each.listener));
+}
+
+bool narrow_links::isHeld(const connection& each) const
+{
+    if (!m_isolation)
+        return false;
+    return each.process == m_isolation->process
+        || (m_isolation->others.contains(each.process) && each.listener == m_isolation->address);
+}
+
 std::size_t narrow_links::bytesTo(int process) const
 {
     std::lock_guard lock(m_mutex);
@@ -97,8 +131,9 @@
 asio::awaitable<void> narrow_links::serve(connection_pointer each, tcp::endpoint to)
 {
     try {
-        each->process = m_owners.ownerOf(
-            pocoAddress(each->near.remote_endpoint()), pocoAddress(each->near.local_endpoint()));
+        each->peer = each->near.remote_endpoint();
+        each->listener = each->near.local_endpoint();
+        each->process = ownerOf(*each);
         {
             std::lock_guard lock(m_mutex);
             ++m_links[each->process].connections;
@@ -129,6 +164,10 @@
             auto bytes = co_await from.async_read_some(asio::buffer(buffer), asio::use_awaitable);
             timer.expires_at(reserve(each->process, direction, bytes));
             co_await timer.async_wait(asio::use_awaitable);
+            while (isHeld(*each)) {
+                timer.expires_after(holdInterval);
+                co_await timer.async_wait(asio::use_awaitable);
+            }
             co_await asio::async_write(to, asio::buffer(buffer.data(), bytes), asio::use_awaitable);
         }
     } catch (const boost::system::system_error&) {
--- a/tests/forwarding/support/plumfold_narrow_links.hpp
+++ b/tests/forwarding/support/plumfold_narrow_links.hpp
@@ -13,6 +13,8 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
+#include <set>
 #include <string>
 #include <thread>
 
@@ -31,6 +33,13 @@
     void setRate(int process, double bytesPerSecond);
     /// Resets all connections of a process.
     void reset(int process);
+    /// Holds up what a process and others send each other, as a partition does, until release(). What is held
+    /// up arrives then.
+    /// @param process id of the isolated process.
+    /// @param address where the others connect to it: ip:port.
+    /// @param others ids of the processes that it is isolated from.
+    void isolate(int process, const std::string& address, const std::set<int>& others);
+    void release();
 
     /// @return the bytes that a process has received.
     std::size_t bytesTo(int process) const;
@@ -60,8 +69,16 @@
         void close();
         tcp::socket near; ///< To the process that has connected.
         tcp::socket far;
+        tcp::endpoint peer; ///< Of the process that has connected.
+        tcp::endpoint listener; ///< The address that it has connected to.
         int process = 0;
     };
+    /// The process that is isolated; used on the thread only.
+    struct isolation {
+        int process = 0;
+        tcp::endpoint address;
+        std::set<int> others;
+    };
     using connection_pointer = std::shared_ptr<connection>;
 
     boost::asio::awaitable<void> accept(std::shared_ptr<tcp::acceptor> acceptor, tcp::endpoint to);
@@ -69,6 +86,8 @@
     boost::asio::awaitable<void> pump(
         connection_pointer each, tcp::socket& from, tcp::socket& to, lane link::*direction);
     std::chrono::steady_clock::time_point reserve(int process, lane link::*direction, std::size_t bytes);
+    int ownerOf(const connection& each) const;
+    bool isHeld(const connection& each) const;
 
     mutable std::mutex m_mutex;
     std::map<int, link> m_links; // by process; 0: all others
@@ -76,6 +95,7 @@
     boost::asio::io_context m_io { 1 };
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
     std::list<std::weak_ptr<connection>> m_connections; // used on the thread only
+    std::optional<isolation> m_isolation; // used on the thread only
     std::thread m_thread;
 };
 
