Answer pre-votes of a lower term

Seen: in the simulation two of three voters run and none leads for good, the one with the longer log at a lower term, the other one at a higher term without the latest entries. Not seen with real processes.

Cause: a pre-vote of a lower term was dropped without an answer, and pre-votes do not raise the term of their sender, so the node that could be elected never learned the higher term. A transfer of the leadership whose receiver loses the election raises the term.

Change: such a pre-vote is rejected with the receiver's term, which the sender adopts.

Evidence: "A node whose term is behind is elected if it has the longest log" fails on the former code and passes now.

--- a/packages/core/src/plumfold_raft_messages.cpp
+++ b/packages/core/src/plumfold_raft_messages.cpp
@@ -40,6 +40,9 @@
     if (message.term < m_hard.term) {
         if (fromLeader)
             sendAppendResponse(message, false, lastIndex());
+        // Pre-votes do not raise the sender's term, so it learns a higher one from the response only.
+        if (message.kind == message_kind::pre_vote)
+            onPreVote(message, now);
         return;
     }
     (this->*handlers[static_cast<std::size_t>(message.kind)])(message, now);
@@ -58,7 +61,8 @@
     raft_message response;
     response.kind = message_kind::pre_vote_response;
     response.to = message.from;
-    response.accepted = isMember() && isCandidateLogUpToDate(message) && !hasActiveLeader(now);
+    response.accepted = isMember() && message.term >= m_hard.term && isCandidateLogUpToDate(message)
+        && !hasActiveLeader(now);
     response.term = response.accepted ? message.term : m_hard.term;
     send(std::move(response));
 }
--- a/tests/core/plumfold_raft_node_tests.cpp
+++ b/tests/core/plumfold_raft_node_tests.cpp
@@ -7,6 +7,34 @@
 using tests::fault_rates;
 using tests::raft_cluster;
 
+// Guards against a group without a leader for good: the node with the longer log has the lower term, and
+// nobody names it the higher one.
+TEST_CASE("A node whose term is behind is elected if it has the longest log", "[raft]")
+{
+    raft_cluster cluster(3, 31, {});
+    std::string longest = *cluster.leader();
+    auto names = cluster.present();
+    std::string ahead = names[0] == longest ? names[1] : names[0];
+    cluster.isolate(ahead);
+    REQUIRE(cluster.proposeToLeader("committed"));
+    cluster.run(100);
+    for (const auto& name : names) {
+        if (name != longest && name != ahead)
+            cluster.crash(name);
+    }
+    // Transfers of the leadership whose votes are lost raise the term without a leader.
+    for (int count = 0; count < 3; ++count) {
+        core::raft_message transfer;
+        transfer.kind = core::message_kind::timeout_now;
+        transfer.term = cluster.node(ahead).term();
+        cluster.node(ahead).step(transfer, core::instant(std::chrono::hours(1)));
+    }
+    cluster.run(1'000);
+    cluster.reconnectAll();
+    cluster.run(3'000);
+    CHECK(cluster.leader() == longest);
+}
+
 TEST_CASE("A bootstrapped group adds the other nodes as voters", "[raft]")
 {
     raft_cluster cluster(3, 1, {});
