Let control VMs leave the group at a planned stop, and exchange lost voters sooner

Cause: a voter that was stopped for good stayed one until it had been silent for 4 s, and each new leader begins that time anew for all members. The group had six voters, two of them gone (voters=6 in the log of the three pre-candidates that are left).

Change: a control VM that is told to stop hands the lead over and asks the leader to remove it in exchange for an active voter of its failure domain that joined later (leave, leave_response); without one it stays a member. A voter with a successor is removed after four election timeouts of silence. The stop waits three election timeouts at most.

--- a/packages/control/include/plumfold/control/plumfold_control_node.hpp
+++ b/packages/control/include/plumfold/control/plumfold_control_node.hpp
@@ -95,11 +95,15 @@
 struct bootstrap_event {
     std::unique_ptr<completion<propose_response>> callback;
 };
-/// Transfers leadership to another voter before a planned stop.
-struct transfer_leadership_event { };
+/// Removes this node from the group in exchange for its successor, if it has one, before a planned stop; see
+/// core::raft_node::requestRemoval(). Completes with what became of it, at the deadline in any case.
+struct leave_event {
+    core::instant deadline {};
+    std::unique_ptr<completion<core::removal_state>> callback;
+};
 
-using control_event = std::variant<transfer_leadership_event, peer_message_event, propose_event, watch_event,
-    status_event, bootstrap_event>;
+using control_event = std::variant<leave_event, peer_message_event, propose_event, watch_event, status_event,
+    bootstrap_event>;
 
 /// Options of one control VM.
 struct control_node_options {
@@ -107,6 +111,7 @@
     std::string address; ///< ip:port at which the node accepts RPC connections.
     std::string failureDomain;
     bool isInitialMember = false; ///< See core::raft_options.
+    core::milliseconds exchangeTimeout { 2'000 }; ///< See core::raft_options.
     core::milliseconds memberTimeout { 4'000 }; ///< See core::raft_options.
     core::milliseconds electionTimeout { 400 }; ///< See core::raft_options.
     std::uint64_t snapshotEveryEntries = 10'000; ///< Applied entries after which the log is compacted.
@@ -145,7 +150,7 @@
     };
 
     void run();
-    void handle(transfer_leadership_event& event);
+    void handle(leave_event& event);
     void handle(peer_message_event& event);
     void handle(propose_event& event);
     void handle(watch_event& event);
@@ -158,6 +163,7 @@
     bool joinsPendingProposal(propose_event& event);
     bool mayFollowLaterOrder(const core::set_in_service_command& order) const;
     void completeWatches();
+    void completeLeave();
     watch_response makeWatchResponse(std::uint64_t knownRevision) const;
     bool isCompactionDue() const;
     bool canMakeRoom() const;
@@ -188,6 +194,7 @@
     /// Proposals that wait until the log is compacted. That must not happen while entries are not persisted.
     std::vector<propose_event> m_awaitingRoom;
     std::vector<watch_event> m_watches;
+    std::optional<leave_event> m_leave; // until it completes
     runtime::bounded_ring<control_event> m_ring;
     std::atomic<bool> m_stopping { false };
     std::thread m_thread;
--- a/packages/control/include/plumfold/control/plumfold_control_role.hpp
+++ b/packages/control/include/plumfold/control/plumfold_control_role.hpp
@@ -24,8 +24,11 @@
 
     ~control_role();
 
-    /// Transfers leadership to another control VM before a planned stop. Does not wait for the transfer.
-    void transferLeadership();
+    /// Begins to leave the group before a planned stop: another control VM takes over the lead, and a
+    /// successor takes the place of this one. A control VM without a successor stays a member.
+    void beginLeaving();
+    /// Waits until the group has decided on it, or for three election timeouts.
+    void waitUntilLeft();
 
 private:
     class impl;
--- a/packages/control/src/plumfold_control_node.cpp
+++ b/packages/control/src/plumfold_control_node.cpp
@@ -28,6 +28,7 @@
     raft.address = options.address;
     raft.failureDomain = options.failureDomain;
     raft.isInitialMember = options.isInitialMember;
+    raft.exchangeTimeout = options.exchangeTimeout;
     raft.memberTimeout = options.memberTimeout;
     raft.electionTimeout = options.electionTimeout;
     raft.heartbeatInterval = options.electionTimeout / 5;
@@ -84,6 +85,7 @@
         if (!processOutput())
             return;
         completeWatches();
+        completeLeave();
         publishView();
         logRoleChange();
         maybeCompact();
@@ -217,9 +219,22 @@
     }
 }
 
-void control_node::handle(transfer_leadership_event&)
+void control_node::handle(leave_event& event)
 {
-    m_raft.transferLeadership(runtime::now());
+    m_raft.requestRemoval(runtime::now());
+    m_leave = std::move(event);
+}
+
+void control_node::completeLeave()
+{
+    if (!m_leave)
+        return;
+    auto state = m_raft.removalState();
+    if (state == core::removal_state::requested && runtime::now() < m_leave->deadline)
+        return;
+    runtime::log_event("left_group").with("result", core::removalStateName(state));
+    m_leave->callback->done(state);
+    m_leave.reset();
 }
 
 void control_node::handle(peer_message_event& event)
--- a/packages/control/src/plumfold_control_role.cpp
+++ b/packages/control/src/plumfold_control_role.cpp
@@ -11,19 +11,38 @@
 #include "plumfold_shared_limit_issuer.hpp"
 #include "plumfold_weight_rollout_thread.hpp"
 
+#include "plumfold/runtime/plumfold_clock.hpp"
 #include "plumfold/runtime/plumfold_secrets.hpp"
 #include "plumfold/wire/plumfold_rpc_connection.hpp"
 
 #include <algorithm>
+#include <future>
 
 namespace plumfold::control {
 
 namespace {
 
 constexpr int minElectionTimeoutsOfLoss = 4;
+/// A planned stop waits this long for the group: as long as an election takes.
+constexpr int electionTimeoutsOfLeave = 3;
+constexpr core::milliseconds leaveMargin { 100 }; // for the control thread to answer
 constexpr auto feedInterval = 40 * kj::MILLISECONDS;
 constexpr auto rolloutDecisionTimeout = 900 * kj::MILLISECONDS;
 
+/// Passes the outcome of a planned stop to the thread that stops the process.
+class leave_completion final : public completion<core::removal_state> {
+public:
+    explicit leave_completion(std::promise<core::removal_state> outcome)
+        : m_outcome(std::move(outcome))
+    {
+    }
+
+    void done(core::removal_state state) override { m_outcome.set_value(state); }
+
+private:
+    std::promise<core::removal_state> m_outcome;
+};
+
 } // namespace
 
 class control_role::impl {
@@ -47,8 +66,9 @@
         options.isInitialMember = m_settings.control->firstStart;
         options.electionTimeout = core::milliseconds(m_settings.control->electionTimeoutMs);
         // A member that only waits for a new leader is not lost.
-        options.memberTimeout = std::max(core::milliseconds(m_settings.control->memberTimeoutMs),
-            minElectionTimeoutsOfLoss * options.electionTimeout);
+        options.exchangeTimeout = minElectionTimeoutsOfLoss * options.electionTimeout;
+        options.memberTimeout
+            = std::max(core::milliseconds(m_settings.control->memberTimeoutMs), options.exchangeTimeout);
         options.snapshotEveryEntries = m_settings.control->snapshotEveryEntries;
         options.seed = runtime::randomNumber();
         auto send = [this](std::vector<core::raft_message> messages) {
@@ -119,7 +139,20 @@
         });
     }
 
-    void transferLeadership() { m_node->post(transfer_leadership_event {}); }
+    void beginLeaving()
+    {
+        std::promise<core::removal_state> outcome;
+        m_left = outcome.get_future();
+        auto time = electionTimeoutsOfLeave * core::milliseconds(m_settings.control->electionTimeoutMs);
+        m_leaveDeadline = runtime::now() + time;
+        m_node->post(leave_event { m_leaveDeadline, std::make_unique<leave_completion>(std::move(outcome)) });
+    }
+
+    void waitUntilLeft()
+    {
+        if (m_left.valid())
+            m_left.wait_until(m_leaveDeadline + leaveMargin);
+    }
 
 private:
     kj::Promise<void> feedLoop()
@@ -155,6 +188,8 @@
     std::unique_ptr<weight_rollout_thread> m_weights;
     std::unique_ptr<part_pollers> m_parts;
     std::unique_ptr<load_poller> m_loads;
+    std::future<core::removal_state> m_left; // of a planned stop
+    core::instant m_leaveDeadline {};
 };
 
 absl::StatusOr<std::unique_ptr<control_role>> control_role::start(const runtime::settings& settings,
@@ -182,9 +217,14 @@
 
 control_role::~control_role() = default;
 
-void control_role::transferLeadership()
+void control_role::beginLeaving()
+{
+    m_impl->beginLeaving();
+}
+
+void control_role::waitUntilLeft()
 {
-    m_impl->transferLeadership();
+    m_impl->waitUntilLeft();
 }
 
 } // namespace plumfold::control
--- a/packages/core/include/plumfold/core/plumfold_raft_node.hpp
+++ b/packages/core/include/plumfold/core/plumfold_raft_node.hpp
@@ -18,7 +18,10 @@
     /// The node starts together with the group. One that joins a running group may take the place of a lost
     /// voter of its failure domain.
     bool isInitialMember = false;
-    /// Silence after which a member counts as lost.
+    /// Silence after which a voter is removed in exchange for its successor, which has a shorter time than
+    /// other members: the group has a voter more than before, so it loses nothing if the voter returns.
+    milliseconds exchangeTimeout { 2'000 };
+    /// Silence after which a member that is no voter counts as lost.
     milliseconds memberTimeout { 4'000 };
     milliseconds electionTimeout { 300 }; ///< Minimum; each timeout is drawn at random up to twice this.
     milliseconds heartbeatInterval { 60 };
@@ -68,6 +71,11 @@
     /// @return false if this node is not the leader or is the only voter.
     bool transferLeadership(instant now);
 
+    /// Asks the group to remove this node in exchange for its successor, for a planned stop. A leader
+    /// transfers its leadership first. The node does not join again in this life.
+    void requestRemoval(instant now);
+    removal_state removalState() const { return m_removal; }
+
     /// @return the output accumulated since the last call.
     raft_output takeOutput();
 
@@ -140,6 +148,8 @@
     milliseconds silenceOf(const node_name& node, instant now) const;
     const raft_member* findSuccessor(const raft_member& lost, instant now) const;
     std::optional<raft_membership> withoutLostMember(instant now) const;
+    raft_membership exchange(const raft_member& lost, const raft_member* successor) const;
+    void continueRemoval(instant now);
     bool mayChangeMembership() const;
     bool changeMembership(raft_membership next, instant now);
     bool isQuorum(const std::set<node_name>& nodes) const;
@@ -156,6 +166,8 @@
     void onSnapshot(const raft_message& message, instant now);
     void onTimeoutNow(const raft_message& message, instant now);
     void onJoin(const raft_message& message, instant now);
+    void onLeave(const raft_message& message, instant now);
+    void onLeaveResponse(const raft_message& message, instant now);
 
     using handler = void (raft_node::*)(const raft_message&, instant);
     static const handler handlers[];
@@ -177,6 +189,8 @@
     std::optional<instant> m_caughtUpAt; // last append that brought the log to the leader's commit index
     instant m_nextHeartbeat {};
     instant m_nextJoin {};
+    removal_state m_removal = removal_state::not_requested;
+    instant m_nextRemovalRequest {};
     std::set<node_name> m_votes;
     std::map<node_name, progress> m_progress;
     raft_output m_output;
--- a/packages/core/include/plumfold/core/plumfold_raft_types.hpp
+++ b/packages/core/include/plumfold/core/plumfold_raft_types.hpp
@@ -81,6 +81,10 @@
     /// Asks to be added as a learner, from a node that is no member under its current incarnation or may have
     /// been removed, or reports the sender's failure domain.
     join,
+    /// Asks the leader to remove the sender, which is about to stop, in exchange for its successor.
+    leave,
+    /// Accepted: the sender of `leave` is no member any more; otherwise it has no successor and stays one.
+    leave_response,
 };
 
 /// One message between two nodes. Fields that a kind does not use keep their defaults.
@@ -103,10 +107,21 @@
     bool isInitial = false; ///< join: the sender starts together with the group, in nobody's place.
 };
 
+/// What became of a node's request to be removed from its group.
+enum class removal_state : std::uint8_t {
+    not_requested,
+    requested, ///< The leader has not answered yet.
+    removed, ///< The change is committed.
+    not_replaced, ///< The node has no successor, so it stays a member.
+};
+
 /// Role of a node in its current term.
 enum class raft_role { follower, pre_candidate, candidate, leader };
 
 /// @return the stable name of a role, for example "leader".
 const char* raftRoleName(raft_role role);
 
+/// @return the stable name of a state, for example "removed".
+const char* removalStateName(removal_state state);
+
 } // namespace plumfold::core
--- a/packages/core/src/plumfold_raft_membership.cpp
+++ b/packages/core/src/plumfold_raft_membership.cpp
@@ -136,7 +136,8 @@
     const raft_member* successor = nullptr;
     for (const auto& member : m_members.members) {
         auto silence = silenceOf(member.node, now);
-        if (silence < m_options.memberTimeout || (lost && silence <= silenceOf(lost->node, now)))
+        auto timeout = member.voter ? m_options.exchangeTimeout : m_options.memberTimeout;
+        if (silence < timeout || (lost && silence <= silenceOf(lost->node, now)))
             continue;
         const auto* next = member.voter ? findSuccessor(member, now) : nullptr;
         if (member.voter && !next)
@@ -146,16 +147,49 @@
     }
     if (!lost)
         return std::nullopt;
+    return exchange(*lost, successor);
+}
+
+/// @param successor the member that takes the place of the removed one; null: none.
+/// @return the members without one of them.
+raft_membership raft_node::exchange(const raft_member& lost, const raft_member* successor) const
+{
     raft_membership next = m_members;
-    bool isExchange = successor && !lost->isAddition;
+    bool takesPlace = successor && !lost.isAddition;
     for (auto& member : next.members) {
-        if (isExchange && member.node == successor->node)
+        if (takesPlace && member.node == successor->node)
             member.isAddition = false;
     }
-    std::erase_if(next.members, [&](const auto& member) { return member.node == lost->node; });
+    std::erase_if(next.members, [&](const auto& member) { return member.node == lost.node; });
     return next;
 }
 
+void raft_node::requestRemoval(instant now)
+{
+    if (m_removal == removal_state::not_requested)
+        m_removal = isMember() ? removal_state::requested : removal_state::removed;
+    continueRemoval(now);
+}
+
+/// Repeats the request to be removed until the leader answers it. Another node has to lead for that.
+void raft_node::continueRemoval(instant now)
+{
+    if (m_removal != removal_state::requested || now < m_nextRemovalRequest)
+        return;
+    m_nextRemovalRequest = now + m_options.heartbeatInterval;
+    if (m_role == raft_role::leader) {
+        if (!transferLeadership(now))
+            m_removal = removal_state::not_replaced;
+        return;
+    }
+    if (m_leader.empty())
+        return;
+    raft_message leave;
+    leave.kind = message_kind::leave;
+    leave.to = m_leader;
+    send(std::move(leave));
+}
+
 /// Records this node's failure domain and removes lost members, one change at a time.
 void raft_node::maintainMembership(instant now)
 {
@@ -179,7 +213,8 @@
 void raft_node::sendJoin(instant now)
 {
     bool mayBeRemoved = now - m_lastLeaderContact > electionTimeoutsBeforeJoin * m_options.electionTimeout;
-    if ((isMember() && isRegistered() && !mayBeRemoved) || now < m_nextJoin)
+    if (m_removal != removal_state::not_requested || (isMember() && isRegistered() && !mayBeRemoved)
+        || now < m_nextJoin)
         return;
     m_nextJoin = now + joinInterval;
     raft_message join;
--- a/packages/core/src/plumfold_raft_messages.cpp
+++ b/packages/core/src/plumfold_raft_messages.cpp
@@ -17,12 +17,15 @@
     &raft_node::onSnapshot,
     &raft_node::onTimeoutNow,
     &raft_node::onJoin,
+    &raft_node::onLeave,
+    &raft_node::onLeaveResponse,
 };
 
 void raft_node::step(const raft_message& message, instant now)
 {
-    if (message.kind == message_kind::join) {
-        onJoin(message, now);
+    // The sender may not be a member, so its term says nothing.
+    if (message.kind >= message_kind::join) {
+        (this->*handlers[static_cast<std::size_t>(message.kind)])(message, now);
         return;
     }
     bool fromLeader = message.kind == message_kind::append || message.kind == message_kind::snapshot;
@@ -237,4 +240,31 @@
         m_progress[message.from] = progress { 0, lastIndex() + 1, now, now, false };
 }
 
+void raft_node::onLeave(const raft_message& message, instant now)
+{
+    if (m_role != raft_role::leader)
+        return;
+    raft_message response;
+    response.kind = message_kind::leave_response;
+    response.to = message.from;
+    const auto* member = m_members.find(message.from);
+    if (!member || member->incarnation != message.fromIncarnation) {
+        response.accepted = true;
+        if (!membershipChangePending())
+            send(std::move(response));
+        return;
+    }
+    const auto* successor = member->voter ? findSuccessor(*member, now) : nullptr;
+    if (successor)
+        changeMembership(exchange(*member, successor), now); // The sender asks again until it is committed.
+    else
+        send(std::move(response));
+}
+
+void raft_node::onLeaveResponse(const raft_message& message, instant)
+{
+    if (m_removal == removal_state::requested)
+        m_removal = message.accepted ? removal_state::removed : removal_state::not_replaced;
+}
+
 } // namespace plumfold::core
--- a/packages/core/src/plumfold_raft_node.cpp
+++ b/packages/core/src/plumfold_raft_node.cpp
@@ -118,9 +118,11 @@
             broadcastAppend(now);
         if (m_role == raft_role::leader)
             maintainMembership(now);
+        continueRemoval(now);
         return;
     }
     sendJoin(now);
+    continueRemoval(now);
     if (isVoter() && now >= m_electionDeadline)
         campaign(true, now);
 }
--- a/packages/core/src/plumfold_raft_types.cpp
+++ b/packages/core/src/plumfold_raft_types.cpp
@@ -22,4 +22,10 @@
     return names[static_cast<std::size_t>(role)];
 }
 
+const char* removalStateName(removal_state state)
+{
+    constexpr std::array names { "not_requested", "requested", "removed", "not_replaced" };
+    return names[static_cast<std::size_t>(state)];
+}
+
 } // namespace plumfold::core
--- a/packages/plumfoldd/src/plumfoldd_main.cpp
+++ b/packages/plumfoldd/src/plumfoldd_main.cpp
@@ -79,7 +79,7 @@
         reload(file, forwarding.get());
     log_event("stopping");
     if (control)
-        control->transferLeadership();
+        control->beginLeaving();
     if (entry)
         entry->drain();
     if (forwarding)
@@ -87,6 +87,8 @@
     forwarding.reset();
     entry.reset();
     store.reset();
+    if (control)
+        control->waitUntilLeft();
     control.reset();
     log_event("stopped");
     plumfold::runtime::closeLog();
--- a/packages/runtime/include/plumfold/runtime/plumfold_settings.hpp
+++ b/packages/runtime/include/plumfold/runtime/plumfold_settings.hpp
@@ -105,8 +105,8 @@
     std::uint64_t sharedLimitLeaseMs = 6'000;
     std::vector<operator_setting> operators;
     std::uint64_t electionTimeoutMs = 400;
-    /// Silence after which a control VM that joined later takes the place of a lost one of its failure
-    /// domain.
+    /// Silence after which a control VM that has joined and is no voter yet counts as lost. Voters are
+    /// removed in exchange for a successor of their failure domain after four election timeouts.
     std::uint64_t memberTimeoutMs = 4'000;
     /// Rollouts of software versions are served. A version that is not judged yet gets at most this share of
     /// its service's requests, and some more; 0: rollouts are not served.
--- a/packages/wire/src/plumfold_convert_raft.cpp
+++ b/packages/wire/src/plumfold_convert_raft.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr unsigned entryKindCount = 3;
-constexpr unsigned messageKindCount = 9;
+constexpr unsigned messageKindCount = 11;
 
 } // namespace
 
--- a/tests/core/support/plumfold_raft_cluster.cpp
+++ b/tests/core/support/plumfold_raft_cluster.cpp
@@ -12,7 +12,10 @@
 constexpr milliseconds tick { 10 };
 constexpr int maxSettlingTicks = 2000;
 constexpr int failureDomains = 2;
-constexpr milliseconds memberTimeout { 500 };
+constexpr milliseconds electionTimeout { 150 };
+constexpr milliseconds exchangeTimeout { 4 * electionTimeout };
+constexpr milliseconds memberTimeout { 2 * exchangeTimeout };
+constexpr milliseconds stopTime { 3 * electionTimeout }; // after which a node stops in any case
 
 } // namespace
 
@@ -58,8 +61,9 @@
     options.address = name;
     options.failureDomain = each.failureDomain;
     options.isInitialMember = each.isInitial;
+    options.exchangeTimeout = exchangeTimeout;
     options.memberTimeout = memberTimeout;
-    options.electionTimeout = milliseconds(150);
+    options.electionTimeout = electionTimeout;
     options.heartbeatInterval = milliseconds(30);
     options.maxEntriesPerAppend = 4;
     options.seed = m_random();
@@ -99,6 +103,16 @@
     m_nodes.at(name).isRetired = true;
 }
 
+void raft_cluster::stop(const std::string& name)
+{
+    node(name).requestRemoval(m_now);
+    processOutput(name);
+    auto until = m_now + stopTime;
+    while (node(name).removalState() == core::removal_state::requested && m_now < until)
+        run(static_cast<int>(tick.count()));
+    crash(name);
+}
+
 std::vector<std::string> raft_cluster::present() const
 {
     std::vector<std::string> names;
@@ -312,6 +326,8 @@
         retire(name);
     addSuccessor(name);
     run(static_cast<int>(m_random() % 300));
+    if (isUp(name) && chance(50))
+        stop(name);
     retire(name);
 }
 
--- a/tests/core/support/plumfold_raft_cluster.hpp
+++ b/tests/core/support/plumfold_raft_cluster.hpp
@@ -55,6 +55,8 @@
     std::string addSuccessor(const std::string& name);
     /// Ends a node for good.
     void retire(const std::string& name);
+    /// Stops a node as a process does that is told to end. It may be restarted.
+    void stop(const std::string& name);
     /// @return the names of the nodes that have not been retired.
     std::vector<std::string> present() const;
     /// @return the names of the leader's voters in order; empty without a leader.
--- a/tests/forwarding/plumfold_forwarded_order_tests.cpp
+++ b/tests/forwarding/plumfold_forwarded_order_tests.cpp
@@ -4,7 +4,6 @@
 #include <catch2/catch.hpp>
 
 #include <chrono>
-#include <cstdlib>
 #include <thread>
 
 using namespace plumfold::tests;
@@ -43,24 +42,6 @@
         return call(control, method, "/evacuations/east").first == 200;
     }
 
-    /// @return the control VM that has become leader last.
-    int leader() const
-    {
-        int found = 0;
-        long highestTerm = 0;
-        for (int number = 1; number <= controlVms; ++number) {
-            static const std::string become = "event=role_changed role=leader term=";
-            auto log = logOf("c" + std::to_string(number));
-            auto at = log.rfind(become);
-            long term = at == std::string::npos ? 0 : std::atol(&log[at + become.size()]);
-            if (term > highestTerm) {
-                highestTerm = term;
-                found = number;
-            }
-        }
-        return found;
-    }
-
     /// Isolates a control VM from the others; entries, targets and operators still reach it.
     void isolate(int control)
     {
@@ -98,7 +79,7 @@
     "An order that was held up between two control VMs is not carried out after a later one",
     "[forwarding][waiting_order]")
 {
-    int leading = leader();
+    int leading = leader({ 1, 2, 3 });
     REQUIRE(leading > 0);
     int follower = leading % controlVms + 1;
     int third = follower % controlVms + 1;
--- a/tests/forwarding/support/plumfold_forwarding_system.cpp
+++ b/tests/forwarding/support/plumfold_forwarding_system.cpp
@@ -408,6 +408,23 @@
     return text.str();
 }
 
+int forwarding_system::leader(const std::vector<int>& controls) const
+{
+    static const std::string becomesLeader = "event=role_changed role=leader term=";
+    int found = 0;
+    long highestTerm = 0;
+    for (int number : controls) {
+        auto log = logOf("c" + std::to_string(number));
+        auto at = log.rfind(becomesLeader);
+        long term = at == std::string::npos ? 0 : std::atol(&log[at + becomesLeader.size()]);
+        if (term > highestTerm) {
+            highestTerm = term;
+            found = number;
+        }
+    }
+    return found;
+}
+
 std::size_t forwarding_system::fileBytes(const std::string& name, const std::string& file) const
 {
     std::error_code error;
--- a/tests/forwarding/support/plumfold_forwarding_system.hpp
+++ b/tests/forwarding/support/plumfold_forwarding_system.hpp
@@ -125,6 +125,8 @@
     test_process& process(const std::string& name) { return m_processes.at(name); }
     void rewriteSeeds(const std::string& name, const std::vector<int>& controls);
     std::string logOf(const std::string& name) const;
+    /// @return the one of these control VMs that has become leader last, by their logs; 0: none.
+    int leader(const std::vector<int>& controls) const;
     /// @return the size of a file in the data folder of a process, in bytes; 0 if there is none.
     std::size_t fileBytes(const std::string& name, const std::string& file) const;
     /// @return the folder that holds the data folders and the logs, each named after its process.
