Write where streams began to disk while two software versions serve

Cause: where a stream began was known to its entry and two control VMs, in memory. The log names two versions afterwards, so none can be told to be the one of the stream.

Change: the control VMs that get a record write it to their data folder while the stream's service has targets of several versions, in batches of 100 ms with one sync, on a thread of its own, two segments of 8 MB at most. They read the records back at a start. A full, slow or broken disk costs records, not streams. The frames of records leave durable_log for a file of their own, unchanged.

Ruled out: the replicated log (a command for each stream), a sync before the first event, a log at entries (no disk), anything that callers send back (event ids and their own request id).

--- a/packages/control/src/plumfold_control_role.cpp
+++ b/packages/control/src/plumfold_control_role.cpp
@@ -95,13 +95,16 @@
             m_crashes = std::make_unique<crash_judge>(*m_feed, *m_leader);
             m_departures = std::make_unique<departure_recorder>(*m_feed, *m_leader);
             m_versions = std::make_unique<software_versions>(*m_feed, *m_leader);
+            bool servesPlatform = !m_settings.control->platformAddress.empty();
+            m_streams = std::make_unique<stream_origins>(
+                *m_versions, servesPlatform ? m_settings.process.dataFolder : std::string());
             m_rollouts
                 = std::make_unique<rollout_controller>(m_settings, *m_feed, [this](core::command command) {
                       return m_leader->submit(std::move(command), rolloutDecisionTimeout);
                   });
             m_context = std::make_unique<service_context>(
                 service_context { m_settings, *m_node, m_rpc, *m_feed, *m_leader, *m_sharedLimits, *m_places,
-                    *m_crashes, *m_versions, *m_rollouts, {}, core::stream_origin_table(maxStreams) });
+                    *m_crashes, *m_versions, *m_rollouts, *m_streams, {} });
             m_listener = std::make_unique<wire::rpc_listener>(
                 m_rpc, runtime::listenAddress(*m_settings.control), makeControlService(*m_context));
             m_tasks->add(feedLoop());
@@ -128,6 +131,7 @@
         m_rpc.run([&] {
             m_tasks.reset();
             m_rollouts.reset();
+            m_streams.reset();
             m_versions.reset();
             m_departures.reset();
             m_crashes.reset();
@@ -180,6 +184,7 @@
     std::unique_ptr<crash_judge> m_crashes;
     std::unique_ptr<departure_recorder> m_departures;
     std::unique_ptr<software_versions> m_versions;
+    std::unique_ptr<stream_origins> m_streams;
     std::unique_ptr<rollout_controller> m_rollouts;
     std::unique_ptr<wire::task_group> m_tasks;
     std::unique_ptr<service_context> m_context;
--- a/packages/control/src/plumfold_control_service.cpp
+++ b/packages/control/src/plumfold_control_service.cpp
@@ -221,15 +221,14 @@
 
     kj::Promise<void> recordStreams(RecordStreamsContext call) override
     {
-        for (auto each : call.getParams().getStreams())
-            m_context.streams.record(wire::read(each), runtime::now());
+        m_context.streams.record(readList<core::stream_record>(call.getParams().getStreams()));
         return kj::READY_NOW;
     }
 
     kj::Promise<void> findStream(FindStreamContext call) override
     {
         auto stream = call.getParams().getStream();
-        auto origin = m_context.streams.find(stream, runtime::now());
+        auto origin = m_context.streams.find(stream);
         auto out = call.getResults();
         out.setFound(origin.has_value());
         if (origin)
--- a/packages/control/src/plumfold_control_service.hpp
+++ b/packages/control/src/plumfold_control_service.hpp
@@ -7,9 +7,9 @@
 #include "plumfold_rollout_controller.hpp"
 #include "plumfold_shared_limit_issuer.hpp"
 #include "plumfold_software_versions.hpp"
+#include "plumfold_stream_origins.hpp"
 
 #include "plumfold/control/plumfold_control_node.hpp"
-#include "plumfold/core/plumfold_stream_origin.hpp"
 #include "plumfold/core/plumfold_time.hpp"
 #include "plumfold/runtime/plumfold_settings.hpp"
 #include "plumfold/wire/plumfold_rpc_thread.hpp"
@@ -28,9 +28,6 @@
     core::instant lastSeenAt {};
 };
 
-/// Limit of the streams whose origins a control VM keeps.
-inline constexpr std::size_t maxStreams = 200'000;
-
 /// State shared by all RPC calls of one control VM. Accessed only on the RPC thread.
 struct service_context {
     const runtime::settings& settings;
@@ -43,8 +40,8 @@
     crash_judge& crashes;
     software_versions& versions;
     rollout_controller& rollouts;
+    stream_origins& streams;
     std::map<std::string, entry_status> entries; ///< By name.
-    core::stream_origin_table streams { maxStreams };
 };
 
 /// @return the RPC interface that a control VM serves to peers, entries and operators.
--- a/packages/control/src/plumfold_durable_log.cpp
+++ b/packages/control/src/plumfold_durable_log.cpp
@@ -1,6 +1,7 @@
 #include "plumfold/control/plumfold_durable_log.hpp"
 
-#include "plumfold/core/plumfold_hash.hpp"
+#include "plumfold_record_frame.hpp"
+
 #include "plumfold/runtime/plumfold_secrets.hpp"
 #include "plumfold/wire/plumfold_convert.hpp"
 
@@ -27,58 +28,8 @@
 /// Appended to the name of a file while its new contents are written.
 constexpr const char* partialSuffix = ".new";
 constexpr std::uint64_t initialIncarnation = 1; // a replaced data folder gets a random one
-constexpr std::size_t headerBytes = 12; // length (4 bytes) and checksum (8 bytes)
 constexpr std::uint64_t reservedBytes = 64 << 10; // for hard states and truncations on a full disk
 
-/// @return a log record: length, checksum and payload.
-std::string frame(const std::string& payload)
-{
-    auto length = static_cast<std::uint32_t>(payload.size());
-    std::uint64_t checksum = core::hashBytes(payload, length);
-    std::string out(headerBytes, '\0');
-    std::memcpy(out.data(), &length, sizeof(length));
-    std::memcpy(out.data() + sizeof(length), &checksum, sizeof(checksum));
-    return out + payload;
-}
-
-enum class frame_state { valid, torn, corrupt, end };
-
-struct frame_result {
-    frame_state state = frame_state::end;
-    std::string_view payload;
-};
-
-/// Reads the record at an offset. A record is a torn write, left by a crash, if it extends beyond the end of
-/// the file, if its checksum is wrong and it is the last one, or if only zeros follow from its start on. Any
-/// other record with a wrong checksum is corrupt.
-frame_result readFrame(std::string_view bytes, std::size_t offset)
-{
-    if (offset == bytes.size())
-        return { frame_state::end, {} };
-    if (bytes.size() - offset < headerBytes)
-        return { frame_state::torn, {} };
-    std::uint32_t length = 0;
-    std::uint64_t checksum = 0;
-    std::memcpy(&length, bytes.data() + offset, sizeof(length));
-    std::memcpy(&checksum, bytes.data() + offset + sizeof(length), sizeof(checksum));
-    std::size_t left = bytes.size() - offset - headerBytes;
-    if (length > left)
-        return { frame_state::torn, {} };
-    std::string_view payload = bytes.substr(offset + headerBytes, length);
-    if (length > 0 && core::hashBytes(payload, length) == checksum)
-        return { frame_state::valid, payload };
-    bool zeroTail = bytes.find_first_not_of('\0', offset) == std::string_view::npos;
-    return { length == left || zeroTail ? frame_state::torn : frame_state::corrupt, {} };
-}
-
-std::string readFile(const std::string& path)
-{
-    std::ifstream in(path, std::ios::binary);
-    std::stringstream bytes;
-    bytes << in.rdbuf();
-    return bytes.str();
-}
-
 void applyRecord(core::raft_disk_state& state, wire::wal_record record)
 {
     auto& entries = state.entries;
@@ -114,7 +65,7 @@
             return result;
         }
         applyRecord(state, wire::decode<wire::WalRecord>(record.payload));
-        result.validBytes += headerBytes + record.payload.size();
+        result.validBytes += frameHeaderBytes + record.payload.size();
     }
 }
 
--- a/packages/core/include/plumfold/core/plumfold_stream_origin.hpp
+++ b/packages/core/include/plumfold/core/plumfold_stream_origin.hpp
@@ -10,6 +10,7 @@
 #include <string>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 namespace plumfold::core {
 
@@ -53,6 +54,9 @@
     /// @return the origin of a stream, or nothing if it is unknown.
     std::optional<stream_origin> find(std::uint64_t stream, instant now) const;
 
+    /// @return the origins of a service's streams that have not expired, each with the time that is left.
+    std::vector<stream_record> recordsOf(const std::string& service, instant now) const;
+
     std::size_t size() const { return m_streams.size(); }
 
 private:
--- a/packages/core/src/plumfold_stream_origin.cpp
+++ b/packages/core/src/plumfold_stream_origin.cpp
@@ -42,6 +42,17 @@
     return found->second.origin;
 }
 
+std::vector<stream_record> stream_origin_table::recordsOf(const std::string& service, instant now) const
+{
+    std::vector<stream_record> records;
+    for (const auto& [stream, known] : m_streams) {
+        if (known.origin.service == service && !known.isAmbiguous && known.keptUntil > now)
+            records.push_back(
+                { stream, known.origin, std::chrono::ceil<milliseconds>(known.keptUntil - now) });
+    }
+    return records;
+}
+
 void origin_search::addAnswer(const std::string& from, const origin_answer& answer)
 {
     if (!m_known)
--- a/tests/core/plumfold_stream_origin_tests.cpp
+++ b/tests/core/plumfold_stream_origin_tests.cpp
@@ -118,3 +118,17 @@
     ambiguousService.addAnswer("c1", { std::nullopt, { "v1" }, { "c1" } });
     CHECK_FALSE(ambiguousService.result());
 }
+
+// Guards against streams that are lost when a second software version joins while they run.
+TEST_CASE("The records of a service hold its known streams that have not expired", "[stream_origin]")
+{
+    stream_origin_table table(10);
+    table.record({ 1, { "shop", "v1" }, milliseconds(1'000) }, start);
+    table.record({ 2, { "shop", "v2" }, milliseconds(5'000) }, start);
+    table.record({ 3, { "desk", "v1" }, milliseconds(5'000) }, start);
+    table.record({ 4, { "shop", "v1" }, milliseconds(5'000) }, start);
+    table.record({ 4, { "shop", "v2" }, milliseconds(5'000) }, start); // ambiguous
+    auto records = table.recordsOf("shop", start + milliseconds(2'000));
+    CHECK(records == std::vector<stream_record> { { 2, { "shop", "v2" }, milliseconds(3'000) } });
+    CHECK(table.recordsOf("other", start).empty());
+}
--- a/tests/forwarding/plumfold_stream_version_tests.cpp
+++ b/tests/forwarding/plumfold_stream_version_tests.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <atomic>
 #include <chrono>
+#include <csignal>
 #include <functional>
 #include <mutex>
 #include <random>
@@ -378,6 +379,45 @@
     CHECK(counts().gaps == 0);
 }
 
+// Guards against streams that nobody knows after a loss of power: where they began was kept in memory only.
+TEST_CASE_METHOD(two_version_system,
+    "Streams go on after a kill of all processes while targets of two software versions serve",
+    "[forwarding][versions]")
+{
+    std::vector<caller_stream> streams(24);
+    std::vector<std::thread> callers;
+    for (std::size_t index = 0; index < streams.size(); ++index)
+        callers.emplace_back([&, index] { attempt(1 + static_cast<int>(index) % entries, streams[index]); });
+    std::this_thread::sleep_for(350ms);
+    for (int number = 1; number <= 3; ++number)
+        process("c" + std::to_string(number)).signal(SIGKILL);
+    for (int number = 1; number <= entries; ++number)
+        process("n" + std::to_string(number)).signal(SIGKILL);
+    for (auto& each : callers)
+        each.join();
+    for (int number = 1; number <= 3; ++number) {
+        process("c" + std::to_string(number)).kill();
+        startControl(number, false);
+    }
+    for (int number = 1; number <= entries; ++number) {
+        process("n" + std::to_string(number)).kill();
+        startEntry(number);
+    }
+    for (int number = 1; number <= entries; ++number)
+        waitForTarget(number);
+    callers.clear();
+    for (std::size_t index = 0; index < streams.size(); ++index)
+        callers.emplace_back([&, index] {
+            if (!streams[index].isComplete && streams[index].lastEvent > 0)
+                attempt(1 + static_cast<int>(index + 1) % entries, streams[index]);
+            caller_stream fresh;
+            attempt(1 + static_cast<int>(index) % entries, fresh);
+        });
+    for (auto& each : callers)
+        each.join();
+    checkCounts(counts());
+}
+
 TEST_CASE("No stream joins two software versions at an entry that was suspended while the new one joined",
     "[forwarding][versions]")
 {
--- a/tools/bench.sh
+++ b/tools/bench.sh
@@ -5,6 +5,7 @@
 bin=build/release
 $bin/benchmarks/plumfold_bench_decisions
 $bin/benchmarks/plumfold_bench_control | grep -v event=
+$bin/benchmarks/plumfold_bench_streams | grep -v event=
 $bin/benchmarks/plumfold_bench_placement
 $bin/benchmarks/plumfold_bench_policy
 $bin/benchmarks/plumfold_bench_forwarding
