Reject responses whose head is none in the protocol

Cause: Beast's parser takes any status of three digits, any transfer coding and any interim response, and no reader asked whether that is a response. Each reader had rules of its own, or none.

Change: runtime::classifyResponse says what a response is, for the entry's forwarding and relays and for response_reader, which takes the place of readResponse with the caller's parser (calls of control VMs, services of the own interface). It also skips interim responses, which were taken for the final one there. A malformed response counts as a lost connection.

--- a/packages/entry/src/plumfold_http_target_adapter.cpp
+++ b/packages/entry/src/plumfold_http_target_adapter.cpp
@@ -2,6 +2,7 @@
 
 #include "plumfold/runtime/plumfold_clock.hpp"
 #include "plumfold/runtime/plumfold_http.hpp"
+#include "plumfold/runtime/plumfold_response_reader.hpp"
 
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
@@ -246,16 +247,14 @@
         result.outcome = attempt_outcome::lost;
         if (!send(*used, request, call.body))
             return result;
-        runtime::response_parser parser;
-        parser.body_limit(call.maxResponseBytes);
-        parser.skip(call.method == "HEAD");
-        auto error
-            = runtime::readResponse(used->socket(), parser, call.timeout, runtime::now() + call.timeout);
-        if (error && error != http::error::unexpected_body) {
-            result.failure = error.message();
+        bool hasBody = call.method != "HEAD";
+        auto received = runtime::readResponse(
+            used->socket(), { call.maxResponseBytes, hasBody }, call.timeout, runtime::now() + call.timeout);
+        if (!received.ok()) {
+            result.failure = std::string(received.status().message());
             return result;
         }
-        auto& response = parser.get();
+        auto& response = received->message;
         bool refused = response["X-Ran"] == "false";
         result.outcome = refused ? attempt_outcome::refused : attempt_outcome::succeeded;
         result.status = static_cast<std::uint16_t>(response.result_int());
--- a/packages/forwarding/src/plumfold_request_attempt.cpp
+++ b/packages/forwarding/src/plumfold_request_attempt.cpp
@@ -4,6 +4,7 @@
 
 #include "plumfold/runtime/plumfold_clock.hpp"
 #include "plumfold/runtime/plumfold_log.hpp"
+#include "plumfold/runtime/plumfold_response_rules.hpp"
 
 #include <algorithm>
 
@@ -176,8 +177,13 @@
         if (error)
             co_return classifyFailure(error);
         onBytes();
-        bool isInterim = parser.get().result_int() / 100 == 1;
-        if (isInterim)
+        auto kind = runtime::classifyResponse(parser.get());
+        if (kind == runtime::response_kind::malformed) {
+            auto failure = classifyFailure(http::error::bad_status);
+            m_reason = failure == core::attempt_result::lost ? "malformed_response" : m_reason;
+            co_return failure;
+        }
+        if (kind == runtime::response_kind::interim)
             continue;
         m_answerFraming = framingOf(parser);
         auto head = platform::decodeTargetResponse(parser.get().result_int(), parser.get().base());
--- a/packages/runtime/include/plumfold/runtime/plumfold_http.hpp
+++ b/packages/runtime/include/plumfold/runtime/plumfold_http.hpp
@@ -1,8 +1,5 @@
 #pragma once
 
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
-
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
 #include <Poco/Net/HTTPServer.h>
 #include <Poco/Net/StreamSocket.h>
@@ -46,19 +43,6 @@
 /// @return the body, or nullptr when it is longer than maxBytes.
 std::unique_ptr<std::string> readBody(std::istream& in, std::size_t maxBytes);
 
-using response_parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
-
-/// Reads a response to its end. Unlike Poco's streams, this tells the end of a body from a closed connection,
-/// and ends in time however slowly or long the peer sends.
-/// @param parser its limits bound the head and the body.
-/// @param maxPause time limit for each read.
-/// @param deadline time limit for the whole response.
-/// @return an error if the response is truncated, malformed or beyond the limits; unexpected_body if it is
-/// complete but followed by other bytes.
-/// @throws Poco::Exception when the connection is reset or a time limit passes.
-boost::system::error_code readResponse(Poco::Net::StreamSocket& socket, response_parser& parser,
-    core::milliseconds maxPause, core::instant deadline);
-
 /// Sets the timeout of each read and write on a socket. Needed because a Poco session that is constructed
 /// from a connected socket does not apply its own timeouts to it.
 void setIoTimeout(Poco::Net::StreamSocket& socket, core::milliseconds timeout);
--- a/packages/runtime/src/plumfold_http.cpp
+++ b/packages/runtime/src/plumfold_http.cpp
@@ -1,9 +1,5 @@
 #include "plumfold/runtime/plumfold_http.hpp"
 
-#include "plumfold/runtime/plumfold_clock.hpp"
-
-#include <boost/beast/core/flat_buffer.hpp>
-
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/ServerSocket.h>
@@ -22,10 +18,6 @@
 constexpr int listenBacklog = 256;
 constexpr int microsecondsPerMillisecond = 1000;
 
-constexpr std::size_t responseReadBytes = 16 << 10;
-/// Limit of the received bytes that are not parsed yet.
-constexpr std::size_t maxUnparsedBytes = 64 << 10;
-
 } // namespace
 
 Poco::Net::SocketAddress socketAddress(const std::string& address)
@@ -96,38 +88,4 @@
     return body;
 }
 
-boost::system::error_code readResponse(Poco::Net::StreamSocket& socket, response_parser& parser,
-    core::milliseconds maxPause, core::instant deadline)
-{
-    namespace http = boost::beast::http;
-    boost::system::error_code error;
-    boost::beast::flat_buffer buffer;
-    parser.eager(true);
-    while (!parser.is_done() && !error) {
-        auto timeLeft = std::chrono::ceil<core::milliseconds>(deadline - now());
-        if (timeLeft.count() <= 0)
-            throw Poco::TimeoutException("the response did not end in time");
-        auto wait = std::min(timeLeft, maxPause);
-        socket.setReceiveTimeout(Poco::Timespan(wait.count() * microsecondsPerMillisecond));
-        auto space = buffer.prepare(responseReadBytes);
-        int received = socket.receiveBytes(space.data(), static_cast<int>(space.size()));
-        if (received <= 0) {
-            if (parser.got_some())
-                parser.put_eof(error);
-            else
-                error = http::error::end_of_stream;
-            break;
-        }
-        buffer.commit(static_cast<std::size_t>(received));
-        buffer.consume(parser.put(buffer.data(), error));
-        if (error == http::error::need_more)
-            error = {};
-        if (!error && buffer.size() > maxUnparsedBytes)
-            error = http::error::buffer_overflow;
-    }
-    if (!error && buffer.size() > 0)
-        error = http::error::unexpected_body;
-    return error;
-}
-
 } // namespace plumfold::runtime
--- a/tests/forwarding/support/plumfold_scripted_target.cpp
+++ b/tests/forwarding/support/plumfold_scripted_target.cpp
@@ -205,6 +205,7 @@
 {
     static const std::map<std::string, behaviour> behaviours {
         { "whole", &scripted_target::respondComplete },
+        { "raw", &scripted_target::respondRaw },
         { "large", &scripted_target::respondLarge },
         { "cut", &scripted_target::respondTruncated },
         { "head-stops", &scripted_target::stopInHead },
@@ -377,6 +378,20 @@
     return true;
 }
 
+void scripted_target::respondRaw(exchange& current)
+{
+    std::string bytes;
+    {
+        std::lock_guard lock(m_mutex);
+        bytes = m_rawResponse;
+        current.keepAlive = !m_closesRaw;
+    }
+    const std::string placeholder = "{id}";
+    for (auto at = bytes.find(placeholder); at != std::string::npos; at = bytes.find(placeholder))
+        bytes.replace(at, placeholder.size(), current.id());
+    current.send(bytes);
+}
+
 void scripted_target::respondComplete(exchange& current)
 {
     current.sendResponse(
--- a/tests/forwarding/support/plumfold_scripted_target.hpp
+++ b/tests/forwarding/support/plumfold_scripted_target.hpp
@@ -93,6 +93,15 @@
         m_resetsInHead = reset;
     }
 
+    /// Sets what the behaviour "raw" sends as its response, in which "{id}" stands for the request's id, and
+    /// whether it closes the connection then.
+    void setRawResponse(std::string bytes, bool closes)
+    {
+        std::lock_guard lock(m_mutex);
+        m_rawResponse = std::move(bytes);
+        m_closesRaw = closes;
+    }
+
     /// Lets the target ask a process for rest from the process' next request on: until the rest ends, it
     /// rejects all its requests. Call setLinkCuts() before, with the process known there.
     void askForRest(int process, std::chrono::milliseconds time);
@@ -178,6 +187,7 @@
     void respondToOrder(exchange& current);
     void completeLoad();
 
+    void respondRaw(exchange& current);
     void respondComplete(exchange& current);
     void respondLarge(exchange& current);
     void respondTruncated(exchange& current);
@@ -234,6 +244,8 @@
     mutable std::mutex m_mutex;
     std::vector<recorded_request> m_requests;
     std::vector<std::string> m_executed; // ids, in the order of execution
+    std::string m_rawResponse;
+    bool m_closesRaw = false;
     std::string m_responseHeaders;
     std::map<int, std::chrono::milliseconds> m_restsToAsk; // by process
     std::vector<scripted_rest> m_rests;
