Read a response that came before its request was written as a whole

Callers saw: 502 for a long upload that the target had refused as not run, or answered as a whole, before it reset the connection (8 of 8 uploads of 6 MiB).

Cause: the entry gave an attempt up when the write failed, without looking at what had arrived.

Change: what has arrived is read. A response that delimits itself and is whole counts; a body that the end of the connection delimits does not, since after a write error a close and a reset look the same. The connection is not used again.

--- a/packages/forwarding/src/plumfold_request_attempt.cpp
+++ b/packages/forwarding/src/plumfold_request_attempt.cpp
@@ -118,9 +118,8 @@
     ++m_attemptCount;
     bool mayHaveExecutedBefore = m_mayHaveExecuted;
     m_mayHaveExecuted = true;
-    if (!co_await send(*m_connection, placement))
-        co_return classifyFailure(asio::error::broken_pipe);
-    auto end = co_await receive(*m_connection);
+    auto sendError = co_await send(*m_connection, placement);
+    auto end = co_await receive(*m_connection, sendError);
     if (end == core::attempt_result::abandoned || end == core::attempt_result::lost)
         m_state.targetSelector.onAttemptCancelled(placement.target, runtime::now());
     if (end == core::attempt_result::refused)
@@ -128,7 +127,7 @@
     co_return end;
 }
 
-task<bool> request_forwarder::send(target_connection& connection, const core::placement& placement)
+task<error_code> request_forwarder::send(target_connection& connection, const core::placement& placement)
 {
     http::request<http::span_body<char>> out;
     out.method_string(m_request.method_string());
@@ -141,7 +140,14 @@
     error_code error;
     connection.stream.expires_at(m_deadline);
     co_await http::async_write(connection.stream, out, into(error));
-    co_return !error;
+    co_return error;
+}
+
+/// @return whether a target that did not read a whole request may have responded to it.
+bool request_forwarder::mayHaveResponded(const error_code& sendError) const
+{
+    return sendError != beast::error::timeout && !m_callerDisconnected && !m_recallReason
+        && !m_targetUnresponsive;
 }
 
 core::attempt_result request_forwarder::classifyFailure(const error_code& error)
@@ -166,8 +172,14 @@
     return core::attempt_result::lost;
 }
 
-task<core::attempt_result> request_forwarder::receive(target_connection& connection)
+/// Reads the response to a request, also if the request could not be written as a whole: what has arrived
+/// before the connection was lost may be a whole response.
+/// @param sendError why the request was not written as a whole, if so.
+task<core::attempt_result> request_forwarder::receive(
+    target_connection& connection, const error_code& sendError)
 {
+    if (sendError && !mayHaveResponded(sendError))
+        co_return classifyFailure(sendError);
     for (unsigned skipped = 0; skipped <= maxSkippedResponses; ++skipped) {
         target_response_parser parser;
         parser.body_limit(maxResponseBytes);
@@ -175,7 +187,7 @@
         connection.stream.expires_at(m_deadline);
         co_await http::async_read_header(connection.stream, connection.buffer, parser, into(error));
         if (error)
-            co_return classifyFailure(error);
+            co_return classifyFailure(sendError ? sendError : error);
         onBytes();
         auto kind = runtime::classifyResponse(parser.get());
         if (kind == runtime::response_kind::malformed) {
@@ -185,6 +197,9 @@
         }
         if (kind == runtime::response_kind::interim)
             continue;
+        // After a write error, the end of the connection looks the same whether it was closed or reset.
+        if (sendError && parser.need_eof())
+            co_return classifyFailure(sendError);
         m_answerFraming = framingOf(parser);
         auto head = platform::decodeTargetResponse(parser.get().result_int(), parser.get().base());
         if (head.idleTimeout)
@@ -227,7 +242,8 @@
             : isStream            ? co_await relayStream(parser)
                                   : co_await receiveBuffered(parser, head);
         bool isComplete = parser.is_done() && !parser.need_eof();
-        bool isReusable = isComplete && end != core::attempt_result::lost && parser.keep_alive();
+        bool isReusable
+            = isComplete && !sendError && end != core::attempt_result::lost && parser.keep_alive();
         if (isReusable && connection.buffer.size() == 0 && !m_callerDisconnected)
             m_state.connections.release(std::move(m_connection));
         co_return end;
--- a/packages/forwarding/src/plumfold_request_forwarder.hpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.hpp
@@ -130,8 +130,9 @@
     void finishUnanswered();
     task<core::attempt_result> attempt(const core::placement& placement);
     task<std::unique_ptr<target_connection>> connectTo(const core::placement& placement);
-    task<bool> send(target_connection& connection, const core::placement& placement);
-    task<core::attempt_result> receive(target_connection& connection);
+    task<error_code> send(target_connection& connection, const core::placement& placement);
+    bool mayHaveResponded(const error_code& sendError) const;
+    task<core::attempt_result> receive(target_connection& connection, const error_code& sendError);
     task<core::attempt_result> receiveBuffered(
         target_response_parser& parser, const platform::target_response_head& head);
     task<core::attempt_result> receiveRelayFailure(
--- a/packages/forwarding/src/plumfold_request_relay.cpp
+++ b/packages/forwarding/src/plumfold_request_relay.cpp
@@ -193,7 +193,7 @@
     error_code error;
     m_connection->stream.expires_at(m_deadline);
     co_await http::async_write(m_connection->stream, out, into(error));
-    auto result = error ? classifyFailure(error) : co_await receive(*m_connection);
+    auto result = co_await receive(*m_connection, error);
     if (result == core::attempt_result::refused)
         m_mayHaveExecuted = mayHaveExecutedBefore;
     else
--- a/tests/forwarding/plumfold_malformed_response_tests.cpp
+++ b/tests/forwarding/plumfold_malformed_response_tests.cpp
@@ -15,7 +15,7 @@
     void respond(const std::string& bytes)
     {
         for (const char* name : { "t1", "t2" })
-            target(name).setRawResponse(bytes, true);
+            target(name).setRawResponse(bytes, raw_ending::close);
     }
 
     /// Sends a request until a target has received it; targets whose answers break off are left alone for a
--- a/tests/forwarding/support/plumfold_scripted_target.cpp
+++ b/tests/forwarding/support/plumfold_scripted_target.cpp
@@ -18,6 +18,7 @@
 constexpr std::chrono::milliseconds timeUntilListenerCloses { 15 };
 constexpr std::chrono::milliseconds silencePollInterval { 2 };
 constexpr int listenerQueue = 64;
+constexpr const char* earlyBehaviour = "raw-early"; // responds before it has read the request's body
 constexpr const char* streamPath = "/words/"; // of the streaming route that may be taken up
 
 /// Counts a request as running as long as it exists.
@@ -206,6 +207,7 @@
     static const std::map<std::string, behaviour> behaviours {
         { "whole", &scripted_target::respondComplete },
         { "raw", &scripted_target::respondRaw },
+        { earlyBehaviour, &scripted_target::respondRaw },
         { "large", &scripted_target::respondLarge },
         { "cut", &scripted_target::respondTruncated },
         { "head-stops", &scripted_target::stopInHead },
@@ -368,6 +370,8 @@
         current.request.headers[Poco::toLower(line.substr(0, colon))] = Poco::trim(line.substr(colon + 1));
     }
     std::size_t length = std::strtoul(current.request.headers["content-length"].c_str(), nullptr, 10);
+    if (behaviourFor(current.request.path) == earlyBehaviour)
+        return true;
     while (current.buffer.size() < length) {
         if (!fill())
             return false;
@@ -381,15 +385,24 @@
 void scripted_target::respondRaw(exchange& current)
 {
     std::string bytes;
+    auto ending = raw_ending::keep;
     {
         std::lock_guard lock(m_mutex);
         bytes = m_rawResponse;
-        current.keepAlive = !m_closesRaw;
+        ending = m_rawEnding;
     }
+    current.keepAlive = ending == raw_ending::keep;
     const std::string placeholder = "{id}";
     for (auto at = bytes.find(placeholder); at != std::string::npos; at = bytes.find(placeholder))
         bytes.replace(at, placeholder.size(), current.id());
     current.send(bytes);
+    if (ending == raw_ending::reset)
+        current.reset();
+    if (ending != raw_ending::close_and_read)
+        return;
+    current.socket.shutdownSend();
+    char rest[4096];
+    while (current.socket.receiveBytes(rest, sizeof(rest)) > 0) { }
 }
 
 void scripted_target::respondComplete(exchange& current)
--- a/tests/forwarding/support/plumfold_scripted_target.hpp
+++ b/tests/forwarding/support/plumfold_scripted_target.hpp
@@ -45,6 +45,14 @@
     never_respond, ///< Responds neither to orders nor to requests for reports.
 };
 
+/// What a target does with a connection behind a raw response.
+enum class raw_ending {
+    keep,
+    close, ///< With a reset if not all that the caller has sent was read.
+    reset,
+    close_and_read, ///< Ends its own direction and reads on until the caller closes.
+};
+
 /// The model of a target, and the weight version that it has loaded.
 struct scripted_weights {
     std::string model;
@@ -93,13 +101,13 @@
         m_resetsInHead = reset;
     }
 
-    /// Sets what the behaviour "raw" sends as its response, in which "{id}" stands for the request's id, and
-    /// whether it closes the connection then.
-    void setRawResponse(std::string bytes, bool closes)
+    /// Sets what the behaviours "raw" and "raw-early" send as their response, in which "{id}" stands for the
+    /// request's id. The second one does not read the request's body before.
+    void setRawResponse(std::string bytes, raw_ending ending)
     {
         std::lock_guard lock(m_mutex);
         m_rawResponse = std::move(bytes);
-        m_closesRaw = closes;
+        m_rawEnding = ending;
     }
 
     /// Lets the target ask a process for rest from the process' next request on: until the rest ends, it
@@ -245,7 +253,7 @@
     std::vector<recorded_request> m_requests;
     std::vector<std::string> m_executed; // ids, in the order of execution
     std::string m_rawResponse;
-    bool m_closesRaw = false;
+    raw_ending m_rawEnding = raw_ending::keep;
     std::string m_responseHeaders;
     std::map<int, std::chrono::milliseconds> m_restsToAsk; // by process
     std::vector<scripted_rest> m_rests;
