Read all responses by the same rules, also for the own interface

Cause: Poco's streams take what looks like a head, and end a broken-off chunked body like a whole one. The own interface's adapter checks what it reads, but an event line could have any length.

Change: the adapter, the client library and plumfold rollout use response_reader and line_reader. A target that closes the connection behind its health response is not used: the next request would go to a connection whose process was not checked.

--- a/packages/client/src/plumfold_http_caller.cpp
+++ b/packages/client/src/plumfold_http_caller.cpp
@@ -2,13 +2,12 @@
 
 #include "plumfold/runtime/plumfold_clock.hpp"
 #include "plumfold/runtime/plumfold_http.hpp"
+#include "plumfold/runtime/plumfold_response_reader.hpp"
 
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
 #include <nlohmann/json.hpp>
 
-#include <istream>
 #include <ostream>
 
 namespace plumfold::client {
@@ -64,25 +63,29 @@
     return true;
 }
 
-void readStream(std::istream& in, const call_request& request, core::instant started, call_response& result)
+void readStream(runtime::response_reader& response, const call_request& request, core::instant started,
+    call_response& result)
 {
-    std::string line;
-    while (std::getline(in, line)) {
-        if (!line.starts_with(eventPrefix))
+    runtime::line_reader lines(response, maxBodyBytes);
+    for (auto line = lines.next(); line.ok(); line = lines.next()) {
+        if (!line->starts_with(eventPrefix))
             continue;
-        if (!readEvent(std::string_view(line).substr(eventPrefix.size()), started, result))
+        if (!readEvent(std::string_view(*line).substr(eventPrefix.size()), started, result))
             return;
         if (request.disconnectAfterTokens > 0 && result.tokens >= request.disconnectAfterTokens)
             return;
     }
 }
 
-void readFullBody(std::istream& in, const Poco::Net::HTTPResponse& response, call_response& result)
+void readFullBody(runtime::response_reader& response, call_response& result)
 {
-    auto body = runtime::readBody(in, maxBodyBytes);
-    result.body = body ? *body : std::string();
-    result.done = !response.hasContentLength()
-        || static_cast<std::size_t>(response.getContentLength64()) == result.body.size();
+    auto received = runtime::readWhole(response);
+    if (!received.ok()) {
+        result.failure = std::string(received.status().message());
+        return;
+    }
+    result.body = std::move(received->message.body());
+    result.done = true;
     json whole = json::parse(result.body, nullptr, false);
     if (!whole.is_object())
         return;
@@ -116,16 +119,22 @@
             head.set(name, value);
         head.setContentType("application/json");
         head.setContentLength64(static_cast<Poco::Int64>(request.body.size()));
-        session.sendRequest(head) << request.body << std::flush;
-        Poco::Net::HTTPResponse response;
-        std::istream& in = session.receiveResponse(response);
-        result.status = response.getStatus();
-        for (const auto& [name, value] : response)
-            result.headers[name] = value;
-        if (response.getContentType() == "text/event-stream")
-            readStream(in, request, started, result);
+        bool isSent = (session.sendRequest(head) << request.body << std::flush).good();
+        runtime::response_reader response(
+            session.socket(), { maxBodyBytes, request.method != "HEAD", isSent });
+        response.setMaxPause(request.timeout);
+        if (auto status = response.readHead(); !status.ok()) {
+            result.failure = std::string(status.message());
+            result.total = elapsedSince(started);
+            return result;
+        }
+        result.status = static_cast<int>(response.head().result_int());
+        for (const auto& field : response.head())
+            result.headers[std::string(field.name_string())] = std::string(field.value());
+        if (response.head()[boost::beast::http::field::content_type] == "text/event-stream")
+            readStream(response, request, started, result);
         else
-            readFullBody(in, response, result);
+            readFullBody(response, result);
     } catch (const Poco::Exception& error) {
         result.failure = error.displayText();
     } catch (const json::exception& error) {
--- a/packages/entry/src/plumfold_http_target_adapter.cpp
+++ b/packages/entry/src/plumfold_http_target_adapter.cpp
@@ -5,11 +5,9 @@
 #include "plumfold/runtime/plumfold_response_reader.hpp"
 
 #include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/NetException.h>
 #include <nlohmann/json.hpp>
 
-#include <istream>
 #include <ostream>
 
 namespace plumfold::entry {
@@ -30,6 +28,7 @@
 constexpr int maxProbes = 3;
 constexpr std::size_t maxIdlePerTarget = 32;
 constexpr std::size_t maxEventBytes = 1 << 20;
+constexpr std::size_t maxStreamBytes = 64 << 20;
 constexpr std::string_view eventPrefix = "data: ";
 constexpr std::string_view endOfStream = "[DONE]";
 
@@ -94,25 +93,23 @@
 }
 
 /// Reads events until the stream ends, fails or is cancelled.
-void readEvents(Poco::Net::HTTPClientSession& session, std::istream& in, const completion_call& call,
-    core::instant started, completion_result& result, token_sink& sink)
+void readEvents(runtime::response_reader& response, const completion_call& call, core::instant started,
+    completion_result& result, token_sink& sink)
 {
     result.outcome = attempt_outcome::lost;
     bool finished = false;
     bool first = true;
-    std::string line;
-    while (std::getline(in, line)) {
-        if (!line.empty() && line.back() == '\r')
-            line.pop_back();
+    runtime::line_reader lines(response, maxEventBytes);
+    for (auto line = lines.next(); line.ok(); line = lines.next()) {
         // An empty line ends an event. Received tokens are flushed to the caller before this thread blocks
         // for more.
-        if (line.empty() && in.rdbuf()->in_avail() <= 0 && !sink.onPause()) {
+        if (line->empty() && !lines.hasMore() && !sink.onPause()) {
             result.outcome = attempt_outcome::cancelled;
             return;
         }
-        if (line.size() > maxEventBytes || !line.starts_with(eventPrefix))
+        if (!line->starts_with(eventPrefix))
             continue;
-        event_kind kind = handleEvent(std::string_view(line).substr(eventPrefix.size()), result, sink);
+        event_kind kind = handleEvent(std::string_view(*line).substr(eventPrefix.size()), result, sink);
         if (kind == event_kind::failure)
             return;
         if (kind == event_kind::done) {
@@ -126,7 +123,7 @@
         if (first) {
             first = false;
             result.firstToken = std::chrono::duration_cast<milliseconds>(runtime::now() - started);
-            runtime::setIoTimeout(session.socket(), call.tokenTimeout);
+            response.setMaxPause(call.tokenTimeout);
         }
     }
 }
@@ -144,13 +141,16 @@
     session->setKeepAlive(true);
     Poco::Net::HTTPRequest healthRequest("GET", "/healthz", "HTTP/1.1");
     healthRequest.setKeepAlive(true);
-    session->sendRequest(healthRequest);
-    Poco::Net::HTTPResponse response;
-    auto body = runtime::readBody(session->receiveResponse(response), maxEventBytes);
-    json reply = json::parse(body ? *body : "", nullptr, false);
+    session->sendRequest(healthRequest).flush();
+    auto response = runtime::readResponse(
+        session->socket(), { maxEventBytes }, connectTimeout, runtime::now() + connectTimeout);
+    json reply = json::parse(response.ok() ? response->message.body() : "", nullptr, false);
     bool same = reply.is_object() && reply.value("incarnation", std::uint64_t(0)) == target.incarnation;
     if (!same)
         throw Poco::Net::ConnectionAbortedException("another process answers at the target's address");
+    if (!response->isReusable)
+        throw Poco::Net::ConnectionAbortedException(
+            "the target closes the connection behind its first response");
     return session;
 }
 
@@ -202,21 +202,25 @@
         result.outcome = attempt_outcome::lost;
         if (!send(*used, request, toJson(call).dump()))
             return result;
-        Poco::Net::HTTPResponse response;
-        std::istream& in = used->receiveResponse(response);
-        if (response.getStatus() != Poco::Net::HTTPResponse::HTTP_OK) {
-            auto body = runtime::readBody(in, maxEventBytes);
-            json reply = json::parse(body ? *body : "", nullptr, false);
+        runtime::response_reader response(used->socket(), { maxStreamBytes });
+        response.setMaxPause(call.firstTokenTimeout);
+        if (auto status = response.readHead(); !status.ok()) {
+            result.failure = std::string(status.message());
+            return result;
+        }
+        if (response.head().result() != http::status::ok) {
+            auto whole = runtime::readWhole(response);
+            json reply = json::parse(whole.ok() ? whole->message.body() : "", nullptr, false);
             bool ran = !reply.is_object() || reply.value("ran", true);
             result.outcome = ran ? attempt_outcome::lost : attempt_outcome::refused;
-            result.failure = "status " + std::to_string(response.getStatus());
+            result.failure = "status " + std::to_string(response.head().result_int());
             return result;
         }
-        readEvents(*used, in, call, started, result, sink);
+        readEvents(response, call, started, result, sink);
         if (result.outcome == attempt_outcome::succeeded) {
-            std::string rest;
-            while (std::getline(in, rest)) { } // reads the last chunk, so that the connection can be reused
-            returnIdleConnection(target, std::move(used));
+            // Reads the last chunk, so that the connection can be used again.
+            if (runtime::readWhole(response).ok() && response.isReusable())
+                returnIdleConnection(target, std::move(used));
         }
     } catch (const Poco::Exception& error) {
         result.failure = error.displayText();
@@ -283,11 +287,11 @@
         request.setContentType("application/json");
         if (!send(session, request, body))
             return nullptr;
-        Poco::Net::HTTPResponse response;
-        std::istream& in = session.receiveResponse(response);
-        if (response.getStatus() != Poco::Net::HTTPResponse::HTTP_OK)
+        auto response = runtime::readResponse(
+            session.socket(), { maxEventBytes }, timeout, runtime::now() + 2 * timeout);
+        if (!response.ok() || response->message.result() != http::status::ok)
             return nullptr;
-        return runtime::readBody(in, maxEventBytes);
+        return std::make_unique<std::string>(std::move(response->message.body()));
     } catch (const Poco::Exception&) {
         return nullptr;
     }
--- a/packages/plumfold/src/plumfold_rollout_commands.cpp
+++ b/packages/plumfold/src/plumfold_rollout_commands.cpp
@@ -3,12 +3,13 @@
 
 #include "plumfold/core/rollout/plumfold_rollout_names.hpp"
 #include "plumfold/platform/plumfold_platform_control_calls.hpp"
+#include "plumfold/runtime/plumfold_clock.hpp"
+#include "plumfold/runtime/plumfold_response_reader.hpp"
 
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/SocketAddress.h>
-#include <Poco/StreamCopier.h>
 
 #include <cmath>
 #include <cstdlib>
@@ -22,6 +23,7 @@
 using Poco::Net::HTTPResponse;
 
 constexpr int callTimeoutSeconds = 1;
+constexpr std::size_t maxResponseBytes = 1 << 20;
 constexpr std::chrono::milliseconds totalTime { 5'000 }; // for which calls that may succeed are repeated
 constexpr std::chrono::milliseconds retryPause { 100 };
 
@@ -79,11 +81,14 @@
         Poco::Net::HTTPRequest request(call.method, call.path, Poco::Net::HTTPMessage::HTTP_1_1);
         request.setContentType("application/json");
         request.setContentLength(static_cast<std::streamsize>(call.body.size()));
-        session.sendRequest(request) << call.body;
-        HTTPResponse response;
-        out.clear();
-        Poco::StreamCopier::copyToString(session.receiveResponse(response), out);
-        return statusOf(response.getStatus(), out);
+        bool isSent = (session.sendRequest(request) << call.body << std::flush).good();
+        core::milliseconds timeout { callTimeoutSeconds * 1'000 };
+        auto response = runtime::readResponse(
+            session.socket(), { maxResponseBytes, true, isSent }, timeout, runtime::now() + timeout);
+        if (!response.ok())
+            return absl::UnavailableError(address + ": " + std::string(response.status().message()));
+        out = std::move(response->message.body());
+        return statusOf(static_cast<HTTPResponse::HTTPStatus>(response->message.result_int()), out);
     } catch (const Poco::Exception& error) {
         return absl::UnavailableError(address + ": " + error.displayText());
     }
--- a/packages/runtime/include/plumfold/runtime/plumfold_response_reader.hpp
+++ b/packages/runtime/include/plumfold/runtime/plumfold_response_reader.hpp
@@ -60,8 +60,8 @@
 
     /// @return whether the whole response was received.
     bool isComplete() const { return m_parser && m_parser->is_done(); }
-    /// @return whether more of the body was received and not parsed.
-    bool hasMore() const { return m_buffer.size() > 0 && !isComplete(); }
+    /// @return whether readSome() would return without waiting for more of the body.
+    bool hasMore();
     /// @return whether another request may be sent on the connection: the response is complete, nothing was
     /// received behind it, and the peer keeps the connection open.
     bool isReusable() const;
@@ -82,12 +82,42 @@
     boost::system::error_code m_error;
 };
 
+/// Reads the body of a response line by line.
+class line_reader {
+public:
+    /// @param maxLineBytes limit of a line.
+    line_reader(response_reader& response, std::size_t maxLineBytes)
+        : m_response(response)
+        , m_maxLineBytes(maxLineBytes)
+    {
+    }
+
+    /// Waits for the next line.
+    /// @return the line without its end; out_of_range at the end of the body, behind which a line without an
+    /// end is not given; unavailable if the body is truncated or malformed, or a line is too long.
+    /// @throws Poco::Exception when the connection is reset or a time limit passes.
+    absl::StatusOr<std::string> next();
+
+    /// @return whether bytes behind the last line have been received.
+    bool hasMore() const { return !m_rest.empty() || m_response.hasMore(); }
+
+private:
+    response_reader& m_response;
+    std::size_t m_maxLineBytes;
+    std::string m_rest; // received behind the last line
+};
+
 /// A response that was received as a whole.
 struct received_response {
     boost::beast::http::response<boost::beast::http::string_body> message;
     bool isReusable = false; ///< See response_reader::isReusable().
 };
 
+/// Reads a response to its end behind its head, with the limits that are set for the reader.
+/// @return the response; unavailable if it is truncated, malformed or beyond the limits.
+/// @throws Poco::Exception when the connection is reset or a time limit passes.
+absl::StatusOr<received_response> readWhole(response_reader& reader);
+
 /// Reads a response to its end.
 /// @param maxPause time limit for each read.
 /// @param deadline time limit for the whole response.
--- a/packages/runtime/src/plumfold_response_reader.cpp
+++ b/packages/runtime/src/plumfold_response_reader.cpp
@@ -89,8 +89,20 @@
     return absl::UnavailableError("the response is malformed");
 }
 
+bool response_reader::hasMore()
+{
+    const auto& body = m_parser->get().body();
+    bool needsMore = false;
+    // What is buffered may be framing alone.
+    while (body.empty() && !m_parser->is_done() && !m_error && !needsMore && m_buffer.size() > 0)
+        needsMore = parse();
+    return !body.empty() || m_error;
+}
+
 absl::StatusOr<std::string> response_reader::readSome()
 {
+    if (m_error)
+        return absl::UnavailableError(m_error.message());
     auto& body = m_parser->get().body();
     while (body.empty() && !m_parser->is_done()) {
         if (auto status = advance(); !status.ok())
@@ -105,6 +117,30 @@
         && m_parser->keep_alive();
 }
 
+absl::StatusOr<std::string> line_reader::next()
+{
+    std::size_t searched = 0;
+    while (true) {
+        auto end = m_rest.find('\n', searched);
+        if (end != std::string::npos) {
+            auto line = m_rest.substr(0, end);
+            m_rest.erase(0, end + 1);
+            if (!line.empty() && line.back() == '\r')
+                line.pop_back();
+            return line;
+        }
+        if (m_rest.size() > m_maxLineBytes)
+            return absl::UnavailableError("a line of the response is too long");
+        searched = m_rest.size();
+        auto part = m_response.readSome();
+        if (!part.ok())
+            return part.status();
+        if (part->empty())
+            return absl::OutOfRangeError("the response has ended");
+        m_rest += *part;
+    }
+}
+
 absl::StatusOr<received_response> readResponse(Poco::Net::StreamSocket& socket, response_limits limits,
     core::milliseconds maxPause, core::instant deadline)
 {
@@ -113,6 +149,11 @@
     reader.setDeadline(deadline);
     if (auto status = reader.readHead(); !status.ok())
         return status;
+    return readWhole(reader);
+}
+
+absl::StatusOr<received_response> readWhole(response_reader& reader)
+{
     received_response out;
     out.message.base() = reader.head();
     while (!reader.isComplete()) {
--- a/tests/fakes/plumfold_raw_server.hpp
+++ b/tests/fakes/plumfold_raw_server.hpp
@@ -20,6 +20,7 @@
     std::vector<std::string> parts; ///< Sent one after the other, with a moment between them.
     raw_end end = raw_end::close;
     bool readsRequest = true; ///< Waits for the end of the request's head first.
+    std::string firstResponse; ///< To a request on the connection before the one that the parts respond to.
 };
 
 /// A server that sends scripted bytes: the scripts for the first connections in order, and the last one for
@@ -60,17 +61,27 @@
         }
     }
 
-    static void run(Poco::Net::StreamSocket& socket, const raw_script& script)
+    static void readRequest(Poco::Net::StreamSocket& socket)
     {
-        socket.setNoDelay(true);
         std::string request;
-        while (script.readsRequest && request.find("\r\n\r\n") == std::string::npos) {
+        while (request.find("\r\n\r\n") == std::string::npos) {
             char bytes[4096];
             int received = socket.receiveBytes(bytes, sizeof(bytes));
             if (received <= 0)
                 return;
             request.append(bytes, static_cast<std::size_t>(received));
         }
+    }
+
+    static void run(Poco::Net::StreamSocket& socket, const raw_script& script)
+    {
+        socket.setNoDelay(true);
+        if (!script.firstResponse.empty()) {
+            readRequest(socket);
+            socket.sendBytes(script.firstResponse.data(), static_cast<int>(script.firstResponse.size()));
+        }
+        if (script.readsRequest)
+            readRequest(socket);
         for (std::size_t index = 0; index < script.parts.size(); ++index) {
             if (index > 0)
                 std::this_thread::sleep_for(std::chrono::microseconds(200));
