--- a/packages/control/src/plumfold_stream_journal.cpp
+++ b/packages/control/src/plumfold_stream_journal.cpp
@@ -31,12 +31,8 @@
     : m_folder(std::move(folder))
     , m_ring(maxWaiting)
 {
-    for (std::size_t segment = 0; segment < segments; ++segment) {
+    for (std::size_t segment = 0; segment < segments; ++segment)
         load(segment);
-        if (auto status = open(segment); !status.ok())
-            runtime::log_event("stream_journal_failed", runtime::log_level::warning)
-                .with("reason", std::string(status.message()));
-    }
     if (!m_records.empty())
         runtime::log_event("stream_journal_read").with("records", m_records.size());
     m_thread = std::thread([this] { run(); });
@@ -77,13 +73,11 @@
     }
 }
 
+/// Opens a segment, and creates it if it does not exist.
 absl::Status stream_journal::open(std::size_t segment)
 {
     m_files[segment] = ::open(pathOf(segment).c_str(), O_CREAT | O_WRONLY | O_APPEND | O_CLOEXEC, 0600);
-    bool isOpen = m_files[segment] >= 0
-        && ::ftruncate(m_files[segment], static_cast<off_t>(m_bytes[segment])) == 0
-        && ::fsync(m_files[segment]) == 0;
-    if (!isOpen)
+    if (m_files[segment] < 0)
         return absl::UnavailableError(
             absl::StrCat(pathOf(segment), ": cannot be opened (", std::strerror(errno), ")"));
     int folder = ::open(m_folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
@@ -96,8 +90,10 @@
 
 void stream_journal::append(core::stream_record record)
 {
-    if (!m_ring.tryPush(std::move(record)))
-        runtime::log_event("stream_record_dropped", runtime::log_level::warning);
+    bool isDropped = !m_ring.tryPush(std::move(record));
+    if (std::exchange(m_isDropping, isDropped) != isDropped)
+        runtime::log_event(isDropped ? "stream_records_dropped" : "stream_records_kept",
+            isDropped ? runtime::log_level::warning : runtime::log_level::info);
 }
 
 void stream_journal::run()
--- a/packages/control/src/plumfold_stream_journal.hpp
+++ b/packages/control/src/plumfold_stream_journal.hpp
@@ -27,7 +27,8 @@
     /// as when they were appended, since the time that has passed is not known.
     std::vector<core::stream_record> takeRecords() { return std::move(m_records); }
 
-    /// Appends a record without waiting. It is dropped if too many wait for the disk.
+    /// Appends a record without waiting. It is dropped if too many wait for the disk. The first one creates
+    /// the files. Called on one thread only.
     void append(core::stream_record record);
 
 private:
@@ -43,6 +44,7 @@
 
     std::string m_folder;
     std::vector<core::stream_record> m_records;
+    bool m_isDropping = false; // used by append()
 
     // Used on the journal's thread only, once it runs.
     core::segment_rotation m_rotation;
--- a/packages/control/src/plumfold_stream_origins.cpp
+++ b/packages/control/src/plumfold_stream_origins.cpp
@@ -2,13 +2,12 @@
 
 #include "plumfold/runtime/plumfold_clock.hpp"
 
-#include <map>
-
 namespace plumfold::control {
 
 namespace {
 
 constexpr std::size_t maxStreams = 200'000;
+constexpr core::milliseconds versionsInterval { 200 }; // at which the versions of a service are counted
 
 } // namespace
 
@@ -26,23 +25,30 @@
 void stream_origins::record(const std::vector<core::stream_record>& records)
 {
     auto now = runtime::now();
-    std::map<std::string, bool> isWritten; // by service
     for (const auto& each : records) {
         m_table.record(each, now);
-        const auto& service = each.origin.service;
-        auto [known, isNew] = isWritten.try_emplace(service, false);
-        if (isNew)
-            known->second = m_journal && m_versions.versionsOf(service).size() > 1;
-        if (!known->second) {
-            m_written.erase(service);
-        } else if (m_written.insert(service).second) {
-            // Streams that began before the second version was known go on beside it.
-            for (auto& former : m_table.recordsOf(service, now))
-                m_journal->append(std::move(former));
-        } else {
-            m_journal->append(each);
-        }
+        if (m_journal)
+            write(each, now);
+    }
+}
+
+/// Writes a record of a service with several versions. With the first one, those of streams that began before
+/// the second version was known are written.
+void stream_origins::write(const core::stream_record& record, core::instant now)
+{
+    const auto& service = record.origin.service;
+    auto& known = m_services[service];
+    bool wasWritten = known.isWritten;
+    if (now - known.checkedAt >= versionsInterval)
+        known = { now, m_versions.versionsOf(service).size() > 1 };
+    if (!known.isWritten)
+        return;
+    if (wasWritten) {
+        m_journal->append(record);
+        return;
     }
+    for (auto& each : m_table.recordsOf(service, now))
+        m_journal->append(std::move(each));
 }
 
 std::optional<core::stream_origin> stream_origins::find(std::uint64_t stream) const
--- a/packages/control/src/plumfold_stream_origins.hpp
+++ b/packages/control/src/plumfold_stream_origins.hpp
@@ -5,9 +5,9 @@
 
 #include "plumfold/core/plumfold_stream_origin.hpp"
 
+#include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -27,10 +27,17 @@
     std::optional<core::stream_origin> find(std::uint64_t stream) const;
 
 private:
+    struct service_state {
+        core::instant checkedAt {};
+        bool isWritten = false;
+    };
+
+    void write(const core::stream_record& record, core::instant now);
+
     const software_versions& m_versions;
     std::unique_ptr<stream_journal> m_journal; // null: nothing is written
     core::stream_origin_table m_table;
-    std::set<std::string> m_written; // services whose streams are written
+    std::map<std::string, service_state> m_services; // by name
 };
 
 } // namespace plumfold::control
--- a/tests/control/plumfold_stream_journal_tests.cpp
+++ b/tests/control/plumfold_stream_journal_tests.cpp
@@ -31,7 +31,10 @@
     std::filesystem::path segment(int number) const { return m_path / ("streams-" + std::to_string(number)); }
     std::uintmax_t bytes() const
     {
-        return std::filesystem::file_size(segment(0)) + std::filesystem::file_size(segment(1));
+        std::uintmax_t sum = 0;
+        for (const auto& each : std::filesystem::directory_iterator(m_path))
+            sum += each.file_size();
+        return sum;
     }
 
     /// Appends records with numbers from first on, in one life of a journal.
@@ -63,6 +66,7 @@
 {
     journal_folder folder;
     CHECK(folder.read().empty());
+    CHECK(std::filesystem::is_empty(folder.path())); // nothing is created before there is a record
     folder.append(1, 2);
     folder.append(3, 1);
     CHECK(folder.read() == std::vector<std::uint64_t> { 1, 2, 3 });
