Idle threads of a listener see a stop within 100 ms

Cause: the server library puts a single notice into the queue of its threads when it stops, so one idle thread wakes; others wait for the library's idle time of 10 s. Several are idle when connections end while others begin.

Ruled out: a connection that is accepted during the stop and waits for its read timeout (the earlier guess); stacks of two late entries show an idle thread of the listener for targets.

Change: idle threads wait 100 ms at a time. All listeners use this class.

--- a/packages/entry/src/plumfold_entry_role.cpp
+++ b/packages/entry/src/plumfold_entry_role.cpp
@@ -20,8 +20,8 @@
 
 constexpr core::milliseconds drainCheckInterval { 20 };
 constexpr core::milliseconds condemnTimeout { 60'000 };
-/// Part of the grace period that is reserved for the exit of the process. Each of the two listeners needs up
-/// to 250 ms to stop.
+/// Part of the grace period that is reserved for the exit of the process. The listener for callers accepts
+/// nothing by then; the other one needs up to 350 ms to stop.
 constexpr core::milliseconds exitMargin { 600 };
 /// Part of the grace period before that in which the last responses are sent.
 constexpr core::milliseconds lastResponseMargin { 300 };
--- a/packages/runtime/src/plumfold_http.cpp
+++ b/packages/runtime/src/plumfold_http.cpp
@@ -17,6 +17,8 @@
 
 constexpr int listenBacklog = 256;
 constexpr int microsecondsPerMillisecond = 1000;
+/// The server wakes only one idle thread when it stops. The others see the stop when this time is over.
+constexpr int threadIdleMs = 100;
 
 } // namespace
 
@@ -35,6 +37,7 @@
     Poco::Net::HTTPServerParams::Ptr params = new Poco::Net::HTTPServerParams;
     params->setMaxThreads(limits.maxConnections);
     params->setMaxQueued(limits.maxConnections);
+    params->setThreadIdleTime(Poco::Timespan(0, threadIdleMs * microsecondsPerMillisecond));
     params->setTimeout(Poco::Timespan(0, limits.headerTimeoutMs * microsecondsPerMillisecond));
     params->setKeepAlive(true);
     params->setKeepAliveTimeout(Poco::Timespan(0, limits.keepAliveMs * microsecondsPerMillisecond));
