Engines that name no model get no requests to it, and no request lacks a namespace

Cause: the decoder took the missing field for a target without models, the selector took unknown weights for current ones, and the cache namespace was set only with a known weight version.

Change: control VMs answer 400 to announcements that name no models although the deployment gives the service some; entries use only targets that name the model; a request with a model or prompt parts always bears a namespace.

--- a/packages/control/src/plumfold_deployment_feed.cpp
+++ b/packages/control/src/plumfold_deployment_feed.cpp
@@ -89,6 +89,11 @@
         .with("weights", target.models.empty() ? std::string("none") : target.models.front().version);
 }
 
+bool deployment_feed::lacksModels(const core::target_announcement& target) const
+{
+    return target.models.empty() && m_modelServices.contains(target.service);
+}
+
 void deployment_feed::onAnnouncement(const core::target_announcement& target)
 {
     auto before = m_directory.latestChange();
@@ -149,10 +154,13 @@
     }
     m_stores.clear();
     m_coldRates.clear();
+    m_modelServices.clear();
     for (const auto& service : decoded->services()) {
         m_coldRates[service.name] = service.coldRequestsPerSecond;
         if (service.store)
             m_stores.push_back(*service.store);
+        if (service.engine && !service.engine->models.empty())
+            m_modelServices.insert(service.name);
     }
 }
 
--- a/packages/control/src/plumfold_deployment_feed.hpp
+++ b/packages/control/src/plumfold_deployment_feed.hpp
@@ -21,6 +21,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace plumfold::control {
@@ -49,6 +50,9 @@
     /// @return the document of the current deployment.
     const document_catalog& document() const { return m_document; }
 
+    /// @return whether an announcement names no models although the deployment says that its service has
+    /// some.
+    bool lacksModels(const core::target_announcement& target) const;
     /// Applies an announcement that a target sent to this control VM.
     void onAnnouncement(const core::target_announcement& target);
     /// Marks a target as silent because it does not respond to this control VM.
@@ -196,6 +200,7 @@
     core::event_history m_returns; // of failure domains to service; in the same times
     std::vector<core::part_store> m_stores; // from the current deployment
     std::map<std::string, double> m_coldRates; // requests per second by service, from the current deployment
+    std::set<std::string> m_modelServices; // whose engines have models, from the current deployment
     /// The latest load report of a target.
     struct received_load {
         core::target_load load;
--- a/packages/control/src/plumfold_platform_api_server.cpp
+++ b/packages/control/src/plumfold_platform_api_server.cpp
@@ -53,11 +53,18 @@
 
     api_response operator()(const platform::announce_call& call)
     {
+        bool isLeaving = call.target.state == core::target_state::leaving;
+        bool isComplete = true;
         auto nextAddress = m_context.rpc.run([&] {
-            m_context.feed.onAnnouncement(call.target);
+            isComplete = isLeaving || !m_context.feed.lacksModels(call.target);
+            if (isComplete)
+                m_context.feed.onAnnouncement(call.target);
             return m_context.feed.announceAddressIn(call.target.failureDomain);
         });
-        if (call.target.state == core::target_state::leaving) {
+        if (!isComplete)
+            return errorResponse(
+                HTTPResponse::HTTP_BAD_REQUEST, "the service has models, but the announcement names none");
+        if (isLeaving) {
             core::departure left { call.target.name, call.target.startedAt };
             auto recorded = await([&] { return m_context.departures.record(left, deadline()); });
             if (recorded.status != HTTPResponse::HTTP_OK)
--- a/packages/core/include/plumfold/core/plumfold_deployment.hpp
+++ b/packages/core/include/plumfold/core/plumfold_deployment.hpp
@@ -52,6 +52,7 @@
     std::uint64_t memoryTokens = 0; ///< KV memory in tokens.
     std::uint64_t bytesPerToken = 0; ///< KV data per token.
     double linkMegabitsPerSecond = 0;
+    std::vector<std::string> models; ///< That each engine names in its announcements.
     auto operator<=>(const engine_limits&) const = default;
 };
 
--- a/packages/core/include/plumfold/core/plumfold_target_selector.hpp
+++ b/packages/core/include/plumfold/core/plumfold_target_selector.hpp
@@ -373,6 +373,7 @@
     bool mayBePaused(const tracked_target& target, instant now) const;
     bool isUsable(const tracked_target& target, const placement_request& request, instant now) const;
     bool isAvailable(const tracked_target& target, const placement_request& request, instant now) const;
+    bool lacksModel(const tracked_target& target, const std::string& model) const;
     bool hasCurrentWeights(const tracked_target& target, const std::string& model) const;
     bool mayStart(const tracked_target& target, const std::string& model, instant now) const;
     static std::uint64_t versionNumber(const std::string& version);
--- a/packages/core/src/plumfold_target_selector.cpp
+++ b/packages/core/src/plumfold_target_selector.cpp
@@ -129,6 +129,20 @@
     return number;
 }
 
+/// @return whether a target does not name a model that all engines of its service have, so that nothing is
+/// known of its weights.
+bool target_selector::lacksModel(const tracked_target& target, const std::string& model) const
+{
+    auto isNamed = [&](const loaded_model& each) { return each.model == model; };
+    if (model.empty() || std::any_of(target.last.models.begin(), target.last.models.end(), isNamed))
+        return false;
+    auto limits = m_services.find(target.last.service);
+    if (limits == m_services.end() || !limits->second.engine)
+        return false;
+    const auto& required = limits->second.engine->models;
+    return std::find(required.begin(), required.end(), model) != required.end();
+}
+
 bool target_selector::hasCurrentWeights(const tracked_target& target, const std::string& model) const
 {
     auto current = m_weights.latest(model);
@@ -229,6 +243,8 @@
         return false;
     if (target.weightsUnconfirmed && now - target.unconfirmedSince < unconfirmedWeightsBackoff)
         return false;
+    if (lacksModel(target, request.model))
+        return false;
     bool isBusy = target.load && target.load->isBusy && now - target.loadAt < m_options.maxLoadAge;
     return !isBusy && now >= target.backoffUntil;
 }
--- a/packages/forwarding/src/plumfold_request_attempt.cpp
+++ b/packages/forwarding/src/plumfold_request_attempt.cpp
@@ -39,9 +39,11 @@
     if (m_customer)
         head.customer = m_customer->name;
     head.effectivePriority = core::effectivePriorityOf(*m_route, m_customer);
+    // Without a namespace all customers share the parts.
+    if (!m_head.model.empty() || !m_head.parts.empty())
+        head.cacheNamespace = cacheNamespaceOf(placement.weights);
     if (!m_head.model.empty() && !placement.weights.empty()) {
         head.weights = placement.weights;
-        head.cacheNamespace = cacheNamespaceOf(placement.weights);
         planParts(placement, head);
     }
     head.lastEventId = m_events.lastId();
--- a/tests/core/plumfold_target_selector_tests.cpp
+++ b/tests/core/plumfold_target_selector_tests.cpp
@@ -52,6 +52,42 @@
 
 } // namespace
 
+// Guards against requests at engines whose weights are unknown because their announcements lack the model.
+TEST_CASE("An engine that does not name the model of its service gets no requests to it", "[selector]")
+{
+    auto unnamed = engine("unnamed");
+    unnamed.models.clear();
+    auto other = engine("other");
+    other.models = { { "n", "1", {} } };
+    auto limits = coldLimits();
+    limits.engine.emplace();
+    limits.engine->models = { "m" };
+
+    SECTION("a sound engine takes all requests, with and without a session")
+    {
+        auto selector = selectorOf({ unnamed, other, engine("named") });
+        selector.setServices({ limits });
+        for (std::uint64_t session = 0; session < 40; ++session) {
+            auto chosen = selector.choose(requestOf(session), start).chosen;
+            REQUIRE(chosen);
+            CHECK(chosen->target == "named");
+        }
+    }
+    SECTION("no engine names it")
+    {
+        auto selector = selectorOf({ unnamed, other });
+        selector.setServices({ limits });
+        CHECK_FALSE(selector.choose(requestOf(), start).chosen);
+    }
+    SECTION("the service does not require the model")
+    {
+        limits.engine->models = { "n" };
+        auto selector = selectorOf({ unnamed });
+        selector.setServices({ limits });
+        CHECK(selector.choose(requestOf(), start).chosen);
+    }
+}
+
 TEST_CASE("Entries spread requests without a session over idle targets", "[selector]")
 {
     constexpr int entries = 60;
--- a/tests/forwarding/plumfold_odd_announcement_tests.cpp
+++ b/tests/forwarding/plumfold_odd_announcement_tests.cpp
@@ -82,6 +82,8 @@
     bodies.push_back(engineWith("cold-remaining-ms", -1e300));
     bodies.push_back(engineWith("models", { { { "name", "words" }, { "version", 1e300 } } }));
     bodies.push_back(engineWith("models", 7));
+    bodies.push_back(engineWith("models", nullptr));
+    bodies.push_back(engineWith("models", json::object()));
     auto text = engine().dump();
     auto withSlots = [&](const std::string& slots) {
         auto out = text;
