--- a/packages/control/src/plumfold_platform_api_server.cpp
+++ b/packages/control/src/plumfold_platform_api_server.cpp
@@ -39,12 +39,54 @@
 /// A call that has waited for longer may have been given up by its caller, and followed by others.
 constexpr core::milliseconds maxWait { 700 };
 
+/// Memory for the bodies of all calls, which threads of the listener share.
+class call_bodies {
+public:
+    /// The part that the body of one call uses, until destruction.
+    class share {
+    public:
+        explicit share(call_bodies& bodies)
+            : m_mutex(bodies.m_mutex)
+            , m_share(std::in_place, bodies.m_budget)
+        {
+        }
+        ~share()
+        {
+            std::lock_guard lock(m_mutex);
+            m_share.reset();
+        }
+        share(const share&) = delete;
+        share& operator=(const share&) = delete;
+
+        /// @return whether the body may have this size.
+        bool resize(std::size_t bytes)
+        {
+            std::lock_guard lock(m_mutex);
+            return m_share->resize(bytes);
+        }
+
+    private:
+        std::mutex& m_mutex;
+        std::optional<core::buffer_share> m_share;
+    };
+
+    /// To be held while a large body is decoded, which takes many times its bytes.
+    std::mutex& decoding() { return m_decoding; }
+
+private:
+    std::mutex m_mutex;
+    std::mutex m_decoding;
+    core::buffer_budget m_budget { allCallsBytes };
+};
+
 /// Executes one call on a thread of the listener and returns its response.
 class call_visitor {
 public:
     /// @param waited how long the call had been waiting when it was read, according to the kernel.
-    call_visitor(platform_api_context& context, std::string body, core::milliseconds waited)
+    call_visitor(
+        platform_api_context& context, call_bodies& bodies, std::string body, core::milliseconds waited)
         : m_context(context)
+        , m_bodies(bodies)
         , m_body(std::move(body))
         , m_readAt(runtime::nowWithSuspension())
         , m_waited(waited)
@@ -87,13 +129,13 @@
 
     api_response operator()(const platform::put_deployment_call&)
     {
-        auto decoded = platform::decodeDeployment(m_body);
-        absl::Status status = decoded.ok() ? decoded->check() : decoded.status();
-        if (!status.ok()) {
-            runtime::log_event("deployment_refused").with("reason", std::string(status.message()));
-            return errorResponse(HTTPResponse::HTTP_BAD_REQUEST, std::string(status.message()));
+        auto version = checkedVersion();
+        if (!version.ok()) {
+            std::string reason(version.status().message());
+            runtime::log_event("deployment_refused").with("reason", reason);
+            return errorResponse(HTTPResponse::HTTP_BAD_REQUEST, reason);
         }
-        return submit(core::adopt_document_command { { decoded->version(), m_body } });
+        return submit(core::adopt_document_command { { *version, m_body } });
     }
 
     api_response operator()(const platform::read_deployment_call&)
@@ -188,6 +230,17 @@
             "the call may have waited until its caller gave up: it was not carried out, try again");
     }
 
+    /// @return the version of the deployment in the body, or why it is refused.
+    absl::StatusOr<std::uint64_t> checkedVersion()
+    {
+        std::lock_guard lock(m_bodies.decoding());
+        auto decoded = platform::decodeDeployment(m_body);
+        absl::Status status = decoded.ok() ? decoded->check() : decoded.status();
+        if (!status.ok())
+            return status;
+        return decoded->version();
+    }
+
     /// @return when the caller gives up, less a margin; in the time of runtime::nowWithSuspension().
     core::instant deadline() const
     {
@@ -215,47 +268,12 @@
     }
 
     platform_api_context& m_context;
+    call_bodies& m_bodies;
     std::string m_body;
     core::instant m_readAt; // in the time of runtime::nowWithSuspension()
     core::milliseconds m_waited;
 };
 
-/// Memory for the bodies of all calls, which threads of the listener share.
-class call_bodies {
-public:
-    /// The part that the body of one call uses, until destruction.
-    class share {
-    public:
-        explicit share(call_bodies& bodies)
-            : m_mutex(bodies.m_mutex)
-            , m_share(std::in_place, bodies.m_budget)
-        {
-        }
-        ~share()
-        {
-            std::lock_guard lock(m_mutex);
-            m_share.reset();
-        }
-        share(const share&) = delete;
-        share& operator=(const share&) = delete;
-
-        /// @return whether the body may have this size.
-        bool resize(std::size_t bytes)
-        {
-            std::lock_guard lock(m_mutex);
-            return m_share->resize(bytes);
-        }
-
-    private:
-        std::mutex& m_mutex;
-        std::optional<core::buffer_share> m_share;
-    };
-
-private:
-    std::mutex m_mutex;
-    core::buffer_budget m_budget { allCallsBytes };
-};
-
 enum class body_result { complete, too_large, no_room };
 
 /// Reads the body of a call as far as the limits allow.
@@ -296,7 +314,7 @@
         if (result == body_result::complete) {
             auto call = platform::decodeControlCall(request.getMethod(), request.getURI(), body);
             isAnnouncement = std::holds_alternative<platform::announce_call>(call);
-            apiResponse = std::visit(call_visitor(m_context, std::move(body), waited), call);
+            apiResponse = std::visit(call_visitor(m_context, m_bodies, std::move(body), waited), call);
         } else {
             // The rest of the body is not read, so no other call can follow.
             response.setKeepAlive(false);
