Tests read the memory of processes and watch orders in one place each

Five test files read the peak memory of a process with the same code, and two watched in the same way whether an order stays in force.

--- a/tests/forwarding/plumfold_control_storage_tests.cpp
+++ b/tests/forwarding/plumfold_control_storage_tests.cpp
@@ -1,28 +1,11 @@
+#include "process/support/plumfold_process_memory.hpp"
 #include "support/plumfold_large_configuration.hpp"
 #include "support/plumfold_slow_machines.hpp"
 
 #include <catch2/catch.hpp>
 
-#include <fstream>
-
 using namespace plumfold::tests;
 
-namespace {
-
-/// @return the largest resident size that a process has had, in bytes.
-std::size_t peakMemoryOf(int process)
-{
-    std::ifstream status("/proc/" + std::to_string(process) + "/status");
-    std::string line;
-    while (std::getline(status, line)) {
-        if (line.starts_with("VmHWM:"))
-            return std::stoul(line.substr(6)) << 10;
-    }
-    return 0;
-}
-
-} // namespace
-
 TEST_CASE("Large configurations are acknowledged in time by control VMs on slow machines",
     "[forwarding][large_configuration]")
 {
@@ -64,7 +47,7 @@
     for (int number = 1; number <= 3; ++number) {
         auto name = "c" + std::to_string(number);
         CAPTURE(name);
-        CHECK(peakMemoryOf(system.process(name).id()) < memory);
+        CHECK(peakBytesOf(system.process(name).id()) < memory);
         CHECK(system.folderBytes(name) < disk);
         CHECK(nlohmann::json::parse(system.call(number, "GET", "/configuration").second)["version"]
             == 3 + changes - 1);
--- a/tests/forwarding/plumfold_costly_document_tests.cpp
+++ b/tests/forwarding/plumfold_costly_document_tests.cpp
@@ -1,3 +1,4 @@
+#include "process/support/plumfold_process_memory.hpp"
 #include "support/plumfold_serving_system.hpp"
 
 #include "plumfold/platform/plumfold_platform_target_calls.hpp"
@@ -6,9 +7,9 @@
 
 #include <algorithm>
 #include <chrono>
-#include <fstream>
 #include <future>
 #include <string>
+#include <unistd.h>
 #include <vector>
 
 using namespace plumfold::tests;
@@ -22,18 +23,6 @@
 constexpr std::size_t controlBytes = 256'000'000; // of a control VM's machine
 constexpr auto maxOtherAnswerTime = 1'000ms;
 
-/// @return the value of a line of a process' status, in bytes.
-std::size_t statusBytesOf(const std::string& process, const std::string& name)
-{
-    std::ifstream status("/proc/" + process + "/status");
-    std::string line;
-    while (std::getline(status, line)) {
-        if (line.starts_with(name))
-            return std::stoul(line.substr(name.size())) << 10;
-    }
-    return 0;
-}
-
 std::string repeat(const std::string& text, std::size_t bytes)
 {
     std::string out;
@@ -98,7 +87,7 @@
         for (auto& each : calling)
             CHECK(each.get() == call.status);
         REQUIRE(process("c1").isRunning());
-        REQUIRE(statusBytesOf(std::to_string(process("c1").id()), "VmHWM:") < controlBytes);
+        REQUIRE(peakBytesOf(process("c1").id()) < controlBytes);
     }
     CHECK(request(1, "/shop/whole").status == 200);
 }
@@ -115,10 +104,9 @@
             raw_ending::close);
         auto check = [&](const char* call, const std::function<bool()>& succeeds) {
             INFO(document.name << ": " << call);
-            auto before
-                = std::max(statusBytesOf("self", "VmHWM:"), statusBytesOf("self", "VmRSS:") + maxGrowthBytes);
+            auto before = std::max(peakBytesOf(::getpid()), residentBytesOf(::getpid()) + maxGrowthBytes);
             CHECK_FALSE(succeeds());
-            CHECK(statusBytesOf("self", "VmHWM:") <= before);
+            CHECK(peakBytesOf(::getpid()) <= before);
         };
         plumfold::platform::target_client client(1'000ms);
         check("report", [&] { return client.readReport(target.address(), "costly").ok(); });
--- a/tests/forwarding/plumfold_endless_senders_tests.cpp
+++ b/tests/forwarding/plumfold_endless_senders_tests.cpp
@@ -1,3 +1,4 @@
+#include "process/support/plumfold_process_memory.hpp"
 #include "support/plumfold_partitioned_system.hpp"
 #include "support/plumfold_serving_system.hpp"
 
@@ -10,7 +11,6 @@
 #include <atomic>
 #include <chrono>
 #include <cstring>
-#include <fstream>
 #include <functional>
 #include <future>
 #include <memory>
@@ -32,17 +32,6 @@
 constexpr int platformPort = 7080;
 constexpr int relayPort = 8002;
 
-std::size_t peakBytesOf(int process)
-{
-    std::ifstream status("/proc/" + std::to_string(process) + "/status");
-    std::string line;
-    while (std::getline(status, line)) {
-        if (line.starts_with("VmHWM:"))
-            return std::stoul(line.substr(6)) << 10;
-    }
-    return 0;
-}
-
 /// What a sender sends: a beginning, then a part again and again.
 struct endless_message {
     const char* name;
--- a/tests/forwarding/plumfold_forwarded_order_tests.cpp
+++ b/tests/forwarding/plumfold_forwarded_order_tests.cpp
@@ -1,5 +1,6 @@
 #include "support/plumfold_forwarding_system.hpp"
 #include "support/plumfold_narrow_links.hpp"
+#include "support/plumfold_served_requests.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -35,8 +36,6 @@
         waitForTarget(1);
     }
 
-    bool isServed() { return request(1, "/shop/whole").status == 200; }
-
     bool order(int control, const char* method)
     {
         return call(control, method, "/evacuations/east").first == 200;
@@ -55,18 +54,6 @@
 
     void reconnect() { m_links.release(); }
 
-    /// @return whether no request is served for a time.
-    bool staysOut()
-    {
-        for (auto until = std::chrono::steady_clock::now() + observation;
-             std::chrono::steady_clock::now() < until;) {
-            if (isServed())
-                return false;
-            std::this_thread::sleep_for(milliseconds(50));
-        }
-        return true;
-    }
-
 private:
     narrow_links m_links;
 };
@@ -85,18 +72,18 @@
     int third = follower % controlVms + 1;
     CAPTURE(leading, follower, third);
     REQUIRE(eventually([&] { return order(follower, "POST"); }));
-    REQUIRE(eventually([&] { return !isServed(); }));
+    REQUIRE(eventually([&] { return !isServed(*this); }));
     isolate(follower);
     CHECK_FALSE(order(follower, "DELETE"));
     REQUIRE(eventually([&] { return order(third, "DELETE"); }));
-    REQUIRE(eventually([&] { return isServed(); }));
+    REQUIRE(eventually([&] { return isServed(*this); }));
     REQUIRE(eventually([&] { return order(leading, "POST"); }));
-    REQUIRE(eventually([&] { return !isServed(); }));
+    REQUIRE(eventually([&] { return !isServed(*this); }));
     reconnect();
-    CHECK(staysOut());
+    CHECK(staysOut(*this, observation));
     // The control VM passes orders on again.
     CHECK(eventually([&] { return order(follower, "DELETE"); }));
-    CHECK(eventually([&] { return isServed(); }));
+    CHECK(eventually([&] { return isServed(*this); }));
 }
 
 // Guards against a condition that keeps orders which come through another control VM from being carried out.
@@ -107,8 +94,8 @@
         int control = (number - 1) % controlVms + 1;
         CAPTURE(number, control);
         CHECK(order(control, "POST"));
-        CHECK(eventually([&] { return !isServed(); }));
+        CHECK(eventually([&] { return !isServed(*this); }));
         CHECK(order(control % controlVms + 1, "DELETE"));
-        CHECK(eventually([&] { return isServed(); }));
+        CHECK(eventually([&] { return isServed(*this); }));
     }
 }
--- a/tests/forwarding/plumfold_request_body_tests.cpp
+++ b/tests/forwarding/plumfold_request_body_tests.cpp
@@ -1,10 +1,10 @@
+#include "process/support/plumfold_process_memory.hpp"
 #include "support/plumfold_serving_system.hpp"
 
 #include <catch2/catch.hpp>
 
 #include <algorithm>
 #include <chrono>
-#include <fstream>
 #include <future>
 #include <memory>
 #include <set>
@@ -26,17 +26,6 @@
 constexpr milliseconds maxRefusalTime { 1'000 };
 constexpr milliseconds callerTimeout { 15'000 };
 
-std::size_t peakBytesOf(int process)
-{
-    std::ifstream status("/proc/" + std::to_string(process) + "/status");
-    std::string line;
-    while (std::getline(status, line)) {
-        if (line.starts_with("VmHWM:"))
-            return std::stoul(line.substr(6)) << 10;
-    }
-    return 0;
-}
-
 std::string chunkedBytes(const std::string& path, const std::string& id)
 {
     constexpr std::size_t chunkBytes = 64 << 10;
--- a/tests/forwarding/plumfold_waiting_order_tests.cpp
+++ b/tests/forwarding/plumfold_waiting_order_tests.cpp
@@ -1,3 +1,4 @@
+#include "support/plumfold_served_requests.hpp"
 #include "support/plumfold_serving_system.hpp"
 
 #include <Poco/Net/StreamSocket.h>
@@ -33,20 +34,6 @@
             m_connection.close();
     }
 
-    bool isServed() { return request(1, "/shop/whole").status == 200; }
-
-    /// @return whether no request is served for a time.
-    bool staysOut()
-    {
-        for (auto until = std::chrono::steady_clock::now() + observation;
-             std::chrono::steady_clock::now() < until;) {
-            if (isServed())
-                return false;
-            std::this_thread::sleep_for(milliseconds(50));
-        }
-        return true;
-    }
-
     test_process& standing() { return process("c" + std::to_string(standingControl)); }
 
 private:
@@ -65,20 +52,20 @@
     bool isClosed = GENERATE(true, false);
     CAPTURE(isClosed);
     REQUIRE(call(1, "POST", "/evacuations/east").first == 200);
-    REQUIRE(eventually([&] { return !isServed(); }));
+    REQUIRE(eventually([&] { return !isServed(*this); }));
     standing().pause();
     auto resumeAt = std::chrono::steady_clock::now() + standstill;
     callInVain("DELETE", "/evacuations/east", isClosed);
     REQUIRE(eventually([&] { return call(1, "DELETE", "/evacuations/east").first == 200; }));
-    REQUIRE(eventually([&] { return isServed(); }));
+    REQUIRE(eventually([&] { return isServed(*this); }));
     REQUIRE(eventually([&] { return call(2, "POST", "/evacuations/east").first == 200; }));
-    REQUIRE(eventually([&] { return !isServed(); }));
+    REQUIRE(eventually([&] { return !isServed(*this); }));
     std::this_thread::sleep_until(resumeAt);
     standing().resume();
-    CHECK(staysOut());
+    CHECK(staysOut(*this, observation));
     // The control VM carries out orders again.
     CHECK(eventually([&] { return call(standingControl, "DELETE", "/evacuations/east").first == 200; }));
-    CHECK(eventually([&] { return isServed(); }));
+    CHECK(eventually([&] { return isServed(*this); }));
 }
 
 // Guards against a departure that ends the next incarnation of a target.
@@ -92,12 +79,12 @@
         callInVain("DELETE", std::string("/instances/") + name, true);
     announceRestarts();
     announceTargets();
-    REQUIRE(eventually([&] { return isServed(); }));
+    REQUIRE(eventually([&] { return isServed(*this); }));
     std::this_thread::sleep_until(resumeAt);
     standing().resume();
     for (auto until = std::chrono::steady_clock::now() + observation;
          std::chrono::steady_clock::now() < until;) {
-        CHECK(isServed());
+        CHECK(isServed(*this));
         std::this_thread::sleep_for(milliseconds(50));
     }
 }
--- a/tests/process/plumfold_endless_senders_tests.cpp
+++ b/tests/process/plumfold_endless_senders_tests.cpp
@@ -1,3 +1,4 @@
+#include "support/plumfold_process_memory.hpp"
 #include "support/plumfold_test_system.hpp"
 
 #include <Poco/Exception.h>
@@ -10,7 +11,6 @@
 #include <atomic>
 #include <chrono>
 #include <cstring>
-#include <fstream>
 #include <thread>
 #include <vector>
 
@@ -26,17 +26,6 @@
 constexpr std::size_t storeOverheadBytes = 64 << 20;
 constexpr std::size_t maxSentBytes = 128 << 20; // a process that fails must not exhaust the test machine
 
-std::size_t peakBytesOf(int process)
-{
-    std::ifstream status("/proc/" + std::to_string(process) + "/status");
-    std::string line;
-    while (std::getline(status, line)) {
-        if (line.starts_with("VmHWM:"))
-            return std::stoul(line.substr(6)) << 10;
-    }
-    return 0;
-}
-
 /// Sends a beginning and then a block again and again, until the peer closes the connection or the limit of
 /// the tests is reached.
 void sendWithoutEnd(Poco::Net::StreamSocket& socket, const std::string& begin, const std::atomic<bool>& stop)
@@ -132,7 +121,7 @@
             CHECK(clock_type::now() - begun <= maxAnswerTime);
         }
         CHECK(store.connections() > 0);
-        CHECK(peakBytesOf(process("entry-1").id()) < entryBytes);
+        CHECK(tests::peakBytesOf(process("entry-1").id()) < entryBytes);
     }
 }
 
@@ -167,7 +156,7 @@
         for (auto& each : threads)
             each.join();
         CHECK(process("store-1").isRunning());
-        CHECK(peakBytesOf(process("store-1").id()) < storeBytes + storeOverheadBytes);
+        CHECK(tests::peakBytesOf(process("store-1").id()) < storeBytes + storeOverheadBytes);
     }
     const std::string conversation(16'384, 's');
     CHECK(eventually([&] {
