Log and count connections of callers that are closed over unanswered input

A connection that ended without a response left neither a line nor a counter, so that a request which was read and dropped looked like one that crossed an idle close. caller_input_dropped names the reason of the close, the request, what was read and what was still in the socket; two counters give closes and such closes by reason. No decision has changed.

--- a/packages/forwarding/src/plumfold_caller_connection.cpp
+++ b/packages/forwarding/src/plumfold_caller_connection.cpp
@@ -47,6 +47,18 @@
     return http::status::bad_request;
 }
 
+constexpr const char* closeReasonNames[]
+    = { "caller_closed", "idle", "stopping", "request_rejected", "after_response" }; // by close_reason
+
+/// @return the id of the request whose header the input begins with; "none" if the header is incomplete.
+std::string requestIdIn(const beast::flat_buffer& input)
+{
+    http::request_parser<http::empty_body> parser;
+    error_code error;
+    parser.put(input.data(), error);
+    return parser.is_header_done() ? platform::decodeCallerRequest(parser.get().base()).id : "none";
+}
+
 } // namespace
 
 caller_connection::caller_connection(forwarding_state& state, asio::ip::tcp::socket socket, bool isRelay)
@@ -67,6 +79,15 @@
 task<void> caller_connection::run()
 {
     auto self = shared_from_this();
+    co_await serveRequests();
+    logClose();
+    error_code ignored;
+    m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+}
+
+/// Serves requests until the connection is to be closed.
+task<void> caller_connection::serveRequests()
+{
     bool open = true;
     while (open && co_await waitForRequest()) {
         m_isServing = true;
@@ -92,9 +113,30 @@
         request_forwarder forwarder(m_state, *this, std::move(request), std::move(relayed));
         open = co_await forwarder.run();
         m_isServing = false;
+        ++m_servedRequests;
     }
+    if (!open)
+        m_closeReason = close_reason::after_response;
+}
+
+/// Records the close, and the input of the caller that gets no response because of it.
+void caller_connection::logClose()
+{
+    const char* name = closeReasonNames[static_cast<int>(m_closeReason)];
+    auto label = std::string("{reason=\"") + name + "\"}";
+    m_state.metrics.count("plumfold_caller_connections_closed_total" + label);
     error_code ignored;
-    m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+    auto unread = m_stream.socket().available(ignored);
+    if (m_closeReason == close_reason::caller_closed || m_buffer.size() + unread == 0)
+        return;
+    m_state.metrics.count("plumfold_caller_input_dropped_total" + label);
+    runtime::log_event("caller_input_dropped", runtime::log_level::warning)
+        .with("reason", name)
+        .with("request", requestIdIn(m_buffer))
+        .with("read_bytes", m_buffer.size())
+        .with("unread_bytes", unread)
+        .with("served_requests", m_servedRequests)
+        .with("stopping", m_state.stopping ? "true" : "false");
 }
 
 task<bool> caller_connection::waitForRequest()
@@ -105,6 +147,8 @@
     m_stream.expires_after(limitsOf(m_state).idleTimeout);
     auto bytes = co_await m_stream.async_read_some(m_buffer.prepare(readBufferBytes), into(error));
     m_buffer.commit(bytes);
+    if (error == beast::error::timeout)
+        m_closeReason = close_reason::idle;
     co_return !error;
 }
 
@@ -222,6 +266,7 @@
 /// Sends a last response and closes the connection.
 task<void> caller_connection::closeWith(http::response<http::empty_body> response)
 {
+    m_closeReason = close_reason::request_rejected;
     response.keep_alive(false);
     response.prepare_payload();
     m_stream.expires_after(errorWriteTimeout);
@@ -244,8 +289,10 @@
 
 void caller_connection::closeIfIdle()
 {
-    if (!m_isServing)
-        m_stream.close();
+    if (m_isServing)
+        return;
+    m_closeReason = close_reason::stopping;
+    m_stream.close();
 }
 
 void caller_connection::watchForDisconnect(std::function<void()> onDisconnect)
--- a/packages/forwarding/src/plumfold_caller_connection.hpp
+++ b/packages/forwarding/src/plumfold_caller_connection.hpp
@@ -7,6 +7,15 @@
 
 namespace plumfold::forwarding {
 
+/// Why an entry closes a caller's connection.
+enum class close_reason : std::uint8_t {
+    caller_closed, ///< Also when the connection was lost.
+    idle,
+    stopping, ///< Idle when the entry stopped accepting requests.
+    request_rejected, ///< Malformed, or without room for its body.
+    after_response, ///< The last response announced it, or was not delivered as a whole.
+};
+
 /// A connection of a caller. Reads its requests one at a time and forwards each.
 class caller_connection : public std::enable_shared_from_this<caller_connection> {
 public:
@@ -35,6 +44,8 @@
 private:
     using request_parser = http::request_parser<http::string_body>;
 
+    task<void> serveRequests();
+    void logClose();
     task<bool> waitForRequest();
     task<bool> readRequest(request_parser& parser, core::buffer_share& body);
     task<bool> readBody(request_parser& parser, core::buffer_share& body, error_code& error);
@@ -54,6 +65,8 @@
     bool m_readTimedOut = false;
     std::uint64_t m_watchId = 0;
     bool m_isServing = false;
+    close_reason m_closeReason = close_reason::caller_closed;
+    std::size_t m_servedRequests = 0;
 };
 
 } // namespace plumfold::forwarding
