Await in one statement each: GCC 12 evaluates operands that are not to be evaluated

Callers saw: after a response that must close their connection, an entry waited for one more request, read it, and closed the connection without a response. Also outside a stop a connection was not closed behind "Connection: close" until its caller sent more.

Cause: `while (open && co_await waitForRequest())`. GCC 12.2 (-O0 and -O2) awaits the right operand of && and || in conditions of while, do and for although the left one decides; a nested conditional operator awaited two of its operands in one program of ours and crashed in another. In if, in a return or an assignment the programs were right. Ruled out: optimisation, Asio's awaitable (a plain if with the same operands is right).

Two of the five failing tests pass now: 10 of 10 connections are closed behind a response that announces it, and none that stays open drops a request. The others, about requests that stand behind another, are a fault of their own.

All nine expressions in packages/forwarding await in a statement of their own now.

--- a/packages/forwarding/src/plumfold_caller_connection.cpp
+++ b/packages/forwarding/src/plumfold_caller_connection.cpp
@@ -89,7 +89,10 @@
 task<void> caller_connection::serveRequests()
 {
     bool open = true;
-    while (open && co_await waitForRequest()) {
+    while (open) {
+        bool hasRequest = co_await waitForRequest();
+        if (!hasRequest)
+            co_return;
         m_isServing = true;
         request_parser parser;
         auto limits = limitsOf(m_state);
@@ -115,8 +118,7 @@
         m_isServing = false;
         ++m_servedRequests;
     }
-    if (!open)
-        m_closeReason = close_reason::after_response;
+    m_closeReason = close_reason::after_response;
 }
 
 /// Records the close, and the input of the caller that gets no response because of it.
--- a/packages/forwarding/src/plumfold_request_attempt.cpp
+++ b/packages/forwarding/src/plumfold_request_attempt.cpp
@@ -240,9 +240,13 @@
             recordDemands(head);
         }
         bool isRelayFailure = relayed && relayed->outcome != relay_outcome::by_target;
-        auto end = isRelayFailure ? co_await receiveRelayFailure(parser, *relayed)
-            : isStream            ? co_await relayStream(parser)
-                                  : co_await receiveBuffered(parser, head);
+        auto end = core::attempt_result::lost;
+        if (isRelayFailure)
+            end = co_await receiveRelayFailure(parser, *relayed);
+        else if (isStream)
+            end = co_await relayStream(parser);
+        else
+            end = co_await receiveBuffered(parser, head);
         bool isComplete = parser.is_done() && !parser.need_eof();
         bool isReusable
             = isComplete && !sendError && end != core::attempt_result::lost && parser.keep_alive();
@@ -402,7 +406,10 @@
             onRolloutAnswer(m_lastByteAt);
         if (!m_origin && !events.empty())
             beginStream(isSameTarget ? m_lastVersion : std::string());
-        if (!events.empty() && !co_await relayChunk(std::move(events))) {
+        bool isDelivered = true;
+        if (!events.empty())
+            isDelivered = co_await relayChunk(std::move(events));
+        if (!isDelivered) {
             onCallerDisconnected();
             co_return core::attempt_result::abandoned;
         }
@@ -418,7 +425,10 @@
         m_mayTargetHaveEnded = true;
         co_return core::attempt_result::lost;
     }
-    if (!m_streamStarted && !co_await writeStreamHead())
+    bool hasHead = m_streamStarted;
+    if (!hasHead)
+        hasHead = co_await writeStreamHead();
+    if (!hasHead)
         co_return core::attempt_result::abandoned;
     m_streamDone = true;
     m_outcome = "answered";
@@ -459,7 +469,10 @@
 
 task<bool> request_forwarder::relayChunk(std::string chunk)
 {
-    if (!m_streamStarted && !co_await writeStreamHead())
+    bool hasHead = m_streamStarted;
+    if (!hasHead)
+        hasHead = co_await writeStreamHead();
+    if (!hasHead)
         co_return false;
     error_code error;
     m_caller.stream().expires_after(callerWriteTimeout);
--- a/packages/forwarding/src/plumfold_request_forwarder.cpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.cpp
@@ -104,14 +104,19 @@
             stopBy(*m_state.stopAt);
         m_caller.watchForDisconnect([this] { onCallerDisconnected(); });
         armDeadline();
-        if (m_relayed || !isTakeUp() || co_await findOrigin())
+        bool mayStart = m_relayed || !isTakeUp();
+        if (!mayStart)
+            mayStart = co_await findOrigin();
+        if (mayStart)
             co_await runAttempts();
         m_deadlineTimer.cancel();
         m_caller.stopWatchingForDisconnect();
     }
     bool delivered = false;
-    if (!m_callerDisconnected)
-        delivered = m_streamStarted ? co_await endStream() : co_await writeResponse();
+    if (!m_callerDisconnected && m_streamStarted)
+        delivered = co_await endStream();
+    else if (!m_callerDisconnected)
+        delivered = co_await writeResponse();
     log(delivered);
     co_return delivered&& m_request.keep_alive() && !m_state.stopping;
 }
@@ -310,7 +315,10 @@
         auto request = placementRequest();
         auto selection = m_state.targetSelector.choose(request, runtime::now());
         if (!selection.chosen) {
-            if (mayRelayAfter(selection) && co_await relay())
+            bool isRelayed = false;
+            if (mayRelayAfter(selection))
+                isRelayed = co_await relay();
+            if (isRelayed)
                 break;
             bool mayWait = !m_relayed && m_attemptCount == 0 && !m_callerDisconnected;
             if (mayWait && mayWaitFor(selection, waitUntil)) {
--- a/packages/forwarding/src/plumfold_request_relay.cpp
+++ b/packages/forwarding/src/plumfold_request_relay.cpp
@@ -152,7 +152,10 @@
         bool mayTryNext = result != core::attempt_result::lost || mayRetry();
         if (!mayTryNext)
             co_return true;
-        if (result == core::attempt_result::lost && !co_await takeRetryBudget())
+        bool isWithinBudget = true;
+        if (result == core::attempt_result::lost)
+            isWithinBudget = co_await takeRetryBudget();
+        if (!isWithinBudget)
             co_return true;
         m_response.reset();
     }
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
-# Runs clang-tidy in parallel on all package sources, or only on the files given as arguments.
+# Runs the linters on all package sources (the await check on all sources), or only on the files given as arguments.
 set -euo pipefail
 cd "$(dirname "$0")/.."
+tools/await-check.sh "$@"
 if [ $# -gt 0 ]; then files=("$@"); else
     mapfile -t files < <(git ls-files --cached --others --exclude-standard 'packages/*.cpp' | grep -v '/generated/')
 fi
