Ignore a read timer that expired while the request was completed

By reading, not seen: a timer that has expired can no longer be cancelled, so its handler could run after the request had been read. It marked the connection as timed out for good and cancelled whatever the connection waited for, and each later request with a body on it would have been answered 408. A timer counts only until the next start or stop now, and each start clears the mark. The race takes a handler that is already queued when the last byte is read; no test of ours reaches it.

--- a/packages/forwarding/src/plumfold_caller_connection.cpp
+++ b/packages/forwarding/src/plumfold_caller_connection.cpp
@@ -162,7 +162,7 @@
     startReadTimer(limits.headerTimeout);
     co_await http::async_read_header(m_stream, m_buffer, parser, into(error));
     if (!error && m_isRelay && !hasRelaySecret(parser.get().base(), m_state.settings.process.clusterSecret)) {
-        m_readTimer.cancel();
+        stopReadTimer();
         co_await rejectStranger();
         co_return false;
     }
@@ -172,12 +172,12 @@
         startReadTimer(limits.idleTimeout);
         bool hasRoom = co_await readBody(parser, body, error);
         if (!hasRoom) {
-            m_readTimer.cancel();
+            stopReadTimer();
             co_await rejectForRoom(parser, body);
             co_return false;
         }
     }
-    m_readTimer.cancel();
+    stopReadTimer();
     if (!error)
         co_return true;
     if (m_readTimedOut)
@@ -215,15 +215,23 @@
 
 void caller_connection::startReadTimer(core::milliseconds time)
 {
+    m_readTimedOut = false;
     m_readTimer.expires_after(time);
-    m_readTimer.async_wait([self = shared_from_this()](const error_code& error) {
-        if (error)
+    m_readTimer.async_wait([self = shared_from_this(), id = ++m_readTimerId](const error_code& error) {
+        // A timer that has expired is not cancelled any more.
+        if (error || id != self->m_readTimerId)
             return;
         self->m_readTimedOut = true;
         self->m_stream.cancel();
     });
 }
 
+void caller_connection::stopReadTimer()
+{
+    ++m_readTimerId;
+    m_readTimer.cancel();
+}
+
 /// Only entries that know the cluster secret may relay requests.
 task<void> caller_connection::rejectStranger()
 {
--- a/packages/forwarding/src/plumfold_caller_connection.hpp
+++ b/packages/forwarding/src/plumfold_caller_connection.hpp
@@ -51,6 +51,7 @@
     task<bool> readBody(request_parser& parser, core::buffer_share& body, error_code& error);
     task<void> rejectForRoom(request_parser& parser, core::buffer_share& body);
     void startReadTimer(core::milliseconds time);
+    void stopReadTimer();
     task<void> rejectMalformed(const error_code& error, const request_parser& parser);
     task<void> rejectStranger();
     task<void> closeWith(http::response<http::empty_body> response);
@@ -63,6 +64,7 @@
     std::function<void()> m_onDisconnect;
     asio::steady_timer m_readTimer; // the stream's own timeout would close it before a 408 can be sent
     bool m_readTimedOut = false;
+    std::uint64_t m_readTimerId = 0; // of the latest start or stop
     std::uint64_t m_watchId = 0;
     bool m_isServing = false;
     close_reason m_closeReason = close_reason::caller_closed;
