Serve or refuse requests that callers sent before a stopping entry announced its close

Callers saw: during a planned stop a request that stood behind another on its connection, or followed a stream that had begun before the stop, got no response; a request that crossed the close of an idle connection could be read and dropped.

Cause: a stopping entry closed each connection after one response, whatever its caller had sent meanwhile and whether or not the response had announced the close; an idle connection had a read under way, so that bytes could be taken from the socket and the connection closed before anybody looked at them.

Now the head of a response announces the close only if the caller has sent nothing more, and a connection is closed only behind a response that announced it. Else the entry serves on, in order, and refuses as not run what comes after it has stopped accepting requests. Idle connections wait for input without reading it, and one whose caller has sent something is not closed. Behind a last response the entry reads on until the caller closes (500 ms at most), so that a request that crosses the announcement does not reset the connection under the response. When an entry no longer accepts requests it awaits one more, for 500 ms, on connections that were not told: a stream that has just ended, and a connection that has not carried a request yet. The drain counts these as open. The grace period bounds all of it.

--- a/packages/forwarding/src/plumfold_caller_connection.cpp
+++ b/packages/forwarding/src/plumfold_caller_connection.cpp
@@ -15,6 +15,8 @@
 
 constexpr core::milliseconds errorWriteTimeout { 1'000 };
 constexpr core::milliseconds lingerTimeout { 500 };
+/// A stopping entry waits so long for a request that its caller may have sent without knowing of the stop.
+constexpr core::milliseconds lastRequestTimeout { 500 };
 constexpr std::size_t readBufferBytes = 8192;
 /// The parser limits neither chunk extensions nor trailers: it waits for their end in the buffer.
 constexpr std::size_t maxUnparsedRequestBytes = 64 << 10;
@@ -80,6 +82,8 @@
 {
     auto self = shared_from_this();
     co_await serveRequests();
+    if (m_closeReason == close_reason::after_response)
+        co_await lingeringClose();
     logClose();
     error_code ignored;
     m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
@@ -115,7 +119,6 @@
             relayed = takeRelayHeaders(request.base());
         request_forwarder forwarder(m_state, *this, std::move(request), std::move(relayed));
         open = co_await forwarder.run();
-        m_isServing = false;
         ++m_servedRequests;
     }
     m_closeReason = close_reason::after_response;
@@ -127,31 +130,44 @@
     const char* name = closeReasonNames[static_cast<int>(m_closeReason)];
     auto label = std::string("{reason=\"") + name + "\"}";
     m_state.metrics.count("plumfold_caller_connections_closed_total" + label);
-    error_code ignored;
-    auto unread = m_stream.socket().available(ignored);
-    if (m_closeReason == close_reason::caller_closed || m_buffer.size() + unread == 0)
+    bool isDropped
+        = m_closeReason != close_reason::caller_closed && m_closeReason != close_reason::request_rejected;
+    if (!isDropped || m_buffer.size() + m_lingerBytes == 0)
         return;
     m_state.metrics.count("plumfold_caller_input_dropped_total" + label);
     runtime::log_event("caller_input_dropped", runtime::log_level::warning)
         .with("reason", name)
         .with("request", requestIdIn(m_buffer))
-        .with("read_bytes", m_buffer.size())
-        .with("unread_bytes", unread)
+        .with("bytes", m_buffer.size() + m_lingerBytes)
         .with("served_requests", m_servedRequests)
         .with("stopping", m_state.stopping ? "true" : "false");
 }
 
+/// Reads nothing, so that no input is lost when the connection is closed meanwhile.
 task<bool> caller_connection::waitForRequest()
 {
-    if (m_buffer.size() > 0)
+    if (hasInput())
         co_return true;
+    // Callers that were not told of the stop may be sending a request.
+    m_isServing = m_state.refusesRequests;
     error_code error;
-    m_stream.expires_after(limitsOf(m_state).idleTimeout);
-    auto bytes = co_await m_stream.async_read_some(m_buffer.prepare(readBufferBytes), into(error));
-    m_buffer.commit(bytes);
-    if (error == beast::error::timeout)
-        m_closeReason = close_reason::idle;
-    co_return !error;
+    m_stream.expires_never();
+    startReadTimer(m_state.refusesRequests ? lastRequestTimeout : limitsOf(m_state).idleTimeout);
+    co_await m_stream.socket().async_wait(asio::ip::tcp::socket::wait_read, into(error));
+    stopReadTimer();
+    if (!error || hasInput())
+        co_return true;
+    if (m_readTimedOut)
+        m_closeReason = m_state.refusesRequests ? close_reason::stopping : close_reason::idle;
+    co_return false;
+}
+
+bool caller_connection::hasInput()
+{
+    if (m_buffer.size() > 0)
+        return true;
+    char byte = 0;
+    return ::recv(m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
 task<bool> caller_connection::readRequest(request_parser& parser, core::buffer_share& body)
@@ -293,16 +309,23 @@
     m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, error);
     m_stream.expires_after(lingerTimeout);
     std::array<char, readBufferBytes> rest;
-    while (!error)
-        co_await m_stream.async_read_some(asio::buffer(rest), into(error));
+    while (!error) {
+        auto bytes = co_await m_stream.async_read_some(asio::buffer(rest), into(error));
+        m_lingerBytes += bytes;
+    }
 }
 
 void caller_connection::closeIfIdle()
 {
-    if (m_isServing)
+    if (m_isServing || hasInput())
+        return;
+    if (m_servedRequests == 0) { // its first request follows
+        m_isServing = true;
+        startReadTimer(lastRequestTimeout);
         return;
+    }
     m_closeReason = close_reason::stopping;
-    m_stream.close();
+    m_stream.cancel();
 }
 
 void caller_connection::watchForDisconnect(std::function<void()> onDisconnect)
--- a/packages/forwarding/src/plumfold_caller_connection.hpp
+++ b/packages/forwarding/src/plumfold_caller_connection.hpp
@@ -28,12 +28,15 @@
     /// Serves requests until the connection is closed.
     task<void> run();
 
-    /// Closes the connection unless it is serving a request.
+    /// Closes the connection unless a request is being received or served, or has been sent by the caller.
     void closeIfIdle();
 
-    /// @return whether a request is being received or served, or a last response is being sent.
+    /// @return whether a request is being received, served or awaited, or a last response is being sent.
     bool isServing() const { return m_isServing; }
 
+    /// @return whether the caller has sent more than the request that is being served.
+    bool hasInput();
+
     /// Watches for a disconnect of the caller while its request is being served.
     /// @param onDisconnect called at most once, when the caller closes the connection.
     void watchForDisconnect(std::function<void()> onDisconnect);
@@ -69,6 +72,7 @@
     bool m_isServing = false;
     close_reason m_closeReason = close_reason::caller_closed;
     std::size_t m_servedRequests = 0;
+    std::size_t m_lingerBytes = 0; // received after the last response
 };
 
 } // namespace plumfold::forwarding
--- a/packages/forwarding/src/plumfold_request_attempt.cpp
+++ b/packages/forwarding/src/plumfold_request_attempt.cpp
@@ -457,7 +457,8 @@
     m_streamHead.result(statusOk);
     m_streamHead.version(httpVersion);
     m_streamHead.chunked(true);
-    m_streamHead.keep_alive(m_request.keep_alive() && !m_state.stopping);
+    m_isCallerKept = mayKeepCaller();
+    m_streamHead.keep_alive(m_isCallerKept);
     if (m_relayed)
         encodeRelayResult(relayResult(true), m_streamHead);
     http::response_serializer<http::empty_body> serializer(m_streamHead);
--- a/packages/forwarding/src/plumfold_request_forwarder.cpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.cpp
@@ -118,7 +118,7 @@
     else if (!m_callerDisconnected)
         delivered = co_await writeResponse();
     log(delivered);
-    co_return delivered&& m_request.keep_alive() && !m_state.stopping;
+    co_return delivered&& m_isCallerKept;
 }
 
 /// After a restart of the whole system, a quorum confirms a deployment within a second. Rejecting requests
@@ -472,6 +472,13 @@
     co_return !error;
 }
 
+/// @return whether the response may keep the caller's connection. A stopping entry closes it behind the last
+/// request that the caller has sent.
+bool request_forwarder::mayKeepCaller() const
+{
+    return m_request.keep_alive() && (!m_state.stopping || m_caller.hasInput());
+}
+
 task<bool> request_forwarder::writeResponse()
 {
     if (!m_response)
@@ -484,7 +491,8 @@
     if (m_relayed)
         encodeRelayResult(relayResult(m_outcome == "answered" || m_outcome == "target_failed"), out);
     out.body() = std::move(m_response->body);
-    out.keep_alive(m_request.keep_alive() && !m_state.stopping);
+    m_isCallerKept = mayKeepCaller();
+    out.keep_alive(m_isCallerKept);
     out.prepare_payload();
     error_code error;
     m_caller.stream().expires_after(callerWriteTimeout);
--- a/packages/forwarding/src/plumfold_request_forwarder.hpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.hpp
@@ -148,6 +148,7 @@
     void recordPrediction();
     void recordSpeed();
     core::attempt_result classifyFailure(const error_code& error);
+    bool mayKeepCaller() const;
     task<bool> writeResponse();
     task<bool> endStream();
     void onCallerDisconnected();
@@ -232,6 +233,7 @@
     bool m_mayTargetHaveEnded = false; // the current attempt was lost with its connection
     bool m_isPredictionReliable = false;
     bool m_callerDisconnected = false;
+    bool m_isCallerKept = false; // as announced in the head of the response
     std::unique_ptr<target_connection> m_connection; // of the current attempt
 
     std::optional<buffered_response> m_response;
