Accept the connections that wait when an entry stops accepting

Callers saw: a connection that the kernel had accepted, but not yet the entry, was reset together with the request on it when the stop closed the listening socket. Beside load, or on a slow machine, many can wait.

Cause: the listening socket was closed without a look at its queue. The entry now takes what waits there first; those requests are refused as not run.

--- a/packages/forwarding/src/plumfold_forwarding_role.cpp
+++ b/packages/forwarding/src/plumfold_forwarding_role.cpp
@@ -156,18 +156,38 @@
     }
 
     /// Closes the acceptor and idle connections: a request that arrived later might not complete within the
-    /// grace period. Those that are still being received are refused.
+    /// grace period. Those that the callers have begun to send are refused.
     void stopAcceptingCallers()
     {
         m_state.refusesRequests = true;
-        error_code ignored;
-        m_acceptor.close(ignored);
+        closeAcceptor(m_acceptor, false);
         if (m_relayAcceptor)
-            m_relayAcceptor->close(ignored);
+            closeAcceptor(*m_relayAcceptor, true);
         for (auto* caller : m_state.callerConnections)
             caller->closeIfIdle();
     }
 
+    /// Accepts the connections that wait, which the close would reset.
+    void closeAcceptor(asio::ip::tcp::acceptor& acceptor, bool isRelay)
+    {
+        error_code error;
+        acceptor.non_blocking(true, error);
+        while (!error) {
+            asio::ip::tcp::socket socket(m_io);
+            acceptor.accept(socket, error);
+            if (!error)
+                serve(std::move(socket), isRelay);
+        }
+        acceptor.close(error);
+    }
+
+    void serve(asio::ip::tcp::socket socket, bool isRelay)
+    {
+        auto connection = std::make_shared<caller_connection>(m_state, std::move(socket), isRelay);
+        asio::co_spawn(
+            m_io, [connection] { return connection->run(); }, asio::detached);
+    }
+
     std::size_t openRequests()
     {
         return asio::post(m_io, asio::use_future([this] {
@@ -323,9 +343,7 @@
                 co_await pause(drainCheckInterval);
                 continue;
             }
-            auto connection = std::make_shared<caller_connection>(m_state, std::move(socket), isRelay);
-            asio::co_spawn(
-                m_io, [connection] { return connection->run(); }, asio::detached);
+            serve(std::move(socket), isRelay);
         }
     }
 
--- a/tests/forwarding/plumfold_kept_connection_stop_tests.cpp
+++ b/tests/forwarding/plumfold_kept_connection_stop_tests.cpp
@@ -198,3 +198,29 @@
     }
     CHECK(stopped.get() == 0);
 }
+
+TEST_CASE_METHOD(kept_connections,
+    "Connections that wait to be accepted when an entry stops accepting get a response",
+    "[forwarding][planned_stop]")
+{
+    constexpr std::size_t waiting = 40;
+    constexpr milliseconds margin { 300 };
+    auto stopped = stopLater();
+    std::this_thread::sleep_for(acceptancePeriod - margin);
+    process(name()).pause();
+    std::vector<std::pair<std::unique_ptr<raw_caller>, std::string>> late;
+    for (std::size_t number = 0; number < waiting; ++number) {
+        auto caller = std::make_unique<raw_caller>(callerAddress(entry));
+        auto id = send(*caller, "/shop/whole");
+        late.emplace_back(std::move(caller), std::move(id));
+    }
+    std::this_thread::sleep_for(2 * margin);
+    process(name()).resume();
+    for (auto& [caller, id] : late) {
+        auto response = caller->receive();
+        CHECK((response.status == 200 || response.status == 503));
+        CHECK(announcesClose(response));
+        CHECK(runsOf(id) == (response.status == 200 ? 1 : 0));
+    }
+    CHECK(stopped.get() == 0);
+}
