Await check: braces within expressions, alternative spellings, exit code

Found by an independent review: an operand with braces split the expression in which an await stood, `and` and `or` were unknown, and the test of the check would have passed with a script that prints its findings and ends with code 0.

--- a/tests/tools/plumfold_await_check_tests.sh
+++ b/tests/tools/plumfold_await_check_tests.sh
@@ -7,8 +7,10 @@
 
 expect() { # WHAT EXPECTED CODE: checks the lines that are found, or "none"
     printf '%s\n' "$3" >"$folder/source.cpp"
-    local found
-    found=$("$script" "$folder/source.cpp" | sed -n "s|^$folder/source.cpp:\([0-9]*\): .*|\1|p" | tr '\n' ' ') || true
+    local found output code=0
+    output=$("$script" "$folder/source.cpp") || code=$?
+    [ "$code" = "$([ "$2" = none ] && echo 0 || echo 1)" ] || { echo "FAILED: $1: exit code $code"; exit 1; }
+    found=$(sed -n "s|^$folder/source.cpp:\([0-9]*\): .*|\1|p" <<<"$output" | tr '\n' ' ')
     found=${found% }
     [ "${found:-none}" = "$2" ] || { echo "FAILED: $1: expected '$2', got '${found:-none}'"; exit 1; }
 }
@@ -26,6 +28,9 @@
 expect "a conditional operator" 1 'auto end = isStream ? co_await stream() : co_await respond();'
 expect "an assignment" 2 '// co_await a || b
 ok = isReady || co_await wait();'
+expect "alternative spellings" 1 'ok = isReady and co_await wait();'
+expect "an operand with braces" 1 'auto end = isStream ? response { 200 } : co_await respond();'
+expect "a call with braces" 1 'ok = isReady && check({ x }, co_await y());'
 expect "an await of its own" none 'bool hasRequest = co_await next();
 if (isOpen && hasRequest) co_await serve(a && b_);'
 expect "a single await in a condition" none 'if (!co_await start()) co_return;'
--- a/tools/await-check.sh
+++ b/tools/await-check.sh
@@ -10,7 +10,7 @@
     my ($text, $failed) = ($_, 0);
     # Comments and literals become blanks, so that positions stay the same.
     $text =~ s{(//[^\n]*|/\*.*?\*/|"(?:[^"\\\n]|\\.)*"|(?<!\w)\x27(?:[^\x27\\\n]|\\.)+\x27)}{$1 =~ s/[^\n]/ /gr}gse;
-    my $operator = qr{(?<!auto)(?<!auto )&&|\|\||\?};
+    my $operator = qr{(?<!auto)(?<!auto )&&|\|\||\?|\band\b|\bor\b};
     my $report = sub {
         my ($at, $why) = @_;
         my $line = 1 + (substr($text, 0, $at) =~ tr/\n//);
@@ -31,6 +31,8 @@
         $report->($at, "co_await in a loop condition") if $isLoop && $head =~ /\bco_await\b/;
         $report->($at, "co_await beside &&, || or ?:") if !$isLoop && $isUnsafe->($head);
     }
+    # Braces within an expression are none of a block.
+    1 while $text =~ s/(?<=[\w\s(,])\{((?:(?!\bco_await\b)[^{};])*)\}(?=\s*[:,;)&|?])/ $1 /g;
     # What follows the condition of a statement is a statement of its own.
     $text =~ s{$keyword$nested}{my $head = $&; $head =~ s/[^\n]/ /g; $head =~ s/^ /;/; $head}ge;
     while ($text =~ /[^;{}]+/g) {
