Let the drain wait for connections whose input is not read yet

Callers saw: an entry without open requests that stopped accepting while connections waited, or while the bytes of an idle one had just arrived, ended before it had answered them.

Cause: a connection that was not closed for its input did not count as open until its coroutine ran, and the count was taken right behind the close of the listening socket.

The test hid this before: its idle connections had carried no request and held the drain up.

--- a/packages/forwarding/src/plumfold_caller_connection.cpp
+++ b/packages/forwarding/src/plumfold_caller_connection.cpp
@@ -317,9 +317,13 @@
 
 void caller_connection::closeIfIdle()
 {
-    if (m_isServing || hasInput())
+    if (m_isServing)
         return;
-    if (m_servedRequests == 0) { // its first request follows
+    if (hasInput()) {
+        m_isServing = true;
+        return;
+    }
+    if (m_servedRequests == 0) { // its first request may be on its way
         m_isServing = true;
         startReadTimer(lastRequestTimeout);
         return;
--- a/tests/forwarding/plumfold_kept_connection_stop_tests.cpp
+++ b/tests/forwarding/plumfold_kept_connection_stop_tests.cpp
@@ -205,6 +205,10 @@
 {
     constexpr std::size_t waiting = 40;
     constexpr milliseconds margin { 300 };
+    for (auto& caller : callers()) { // idle connections do not delay the end
+        send(*caller, "/shop/whole");
+        CHECK(caller->receive().status == 200);
+    }
     auto stopped = stopLater();
     std::this_thread::sleep_for(acceptancePeriod - margin);
     process(name()).pause();
