Limit how long an entry reads behind a last response

The loop looks at the clock now. In a stop the time for this, and for a request that may be on its way, also ends with the time of all requests, so that answered connections do not count as open at the end of the grace period.

--- a/packages/forwarding/src/plumfold_caller_connection.cpp
+++ b/packages/forwarding/src/plumfold_caller_connection.cpp
@@ -152,7 +152,8 @@
     m_isServing = m_state.refusesRequests;
     error_code error;
     m_stream.expires_never();
-    startReadTimer(m_state.refusesRequests ? lastRequestTimeout : limitsOf(m_state).idleTimeout);
+    startReadTimer(
+        m_state.refusesRequests ? limitedByStop(lastRequestTimeout) : limitsOf(m_state).idleTimeout);
     co_await m_stream.socket().async_wait(asio::ip::tcp::socket::wait_read, into(error));
     stopReadTimer();
     if (!error || hasInput())
@@ -307,14 +308,25 @@
 {
     error_code error;
     m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, error);
-    m_stream.expires_after(lingerTimeout);
+    auto until = runtime::now() + limitedByStop(lingerTimeout);
+    m_stream.expires_at(until);
     std::array<char, readBufferBytes> rest;
-    while (!error) {
+    // The stream's timeout does not end reads that complete at once.
+    while (!error && runtime::now() < until) {
         auto bytes = co_await m_stream.async_read_some(asio::buffer(rest), into(error));
         m_lingerBytes += bytes;
     }
 }
 
+/// @return the time, or what is left of it until a stopping entry ends all requests.
+core::milliseconds caller_connection::limitedByStop(core::milliseconds time) const
+{
+    if (!m_state.stopAt)
+        return time;
+    auto left = std::chrono::duration_cast<core::milliseconds>(*m_state.stopAt - runtime::now());
+    return std::clamp(left, core::milliseconds(0), time);
+}
+
 void caller_connection::closeIfIdle()
 {
     if (m_isServing)
@@ -325,7 +337,7 @@
     }
     if (m_servedRequests == 0) { // its first request may be on its way
         m_isServing = true;
-        startReadTimer(lastRequestTimeout);
+        startReadTimer(limitedByStop(lastRequestTimeout));
         return;
     }
     m_closeReason = close_reason::stopping;
--- a/packages/forwarding/src/plumfold_caller_connection.hpp
+++ b/packages/forwarding/src/plumfold_caller_connection.hpp
@@ -28,7 +28,8 @@
     /// Serves requests until the connection is closed.
     task<void> run();
 
-    /// Closes the connection unless a request is being received or served, or has been sent by the caller.
+    /// Closes the connection unless a request is being received or served, or the caller has sent one. Waits
+    /// a moment for the first request of a new connection.
     void closeIfIdle();
 
     /// @return whether a request is being received, served or awaited, or a last response is being sent.
@@ -59,6 +60,7 @@
     task<void> rejectStranger();
     task<void> closeWith(http::response<http::empty_body> response);
     task<void> lingeringClose();
+    core::milliseconds limitedByStop(core::milliseconds time) const;
 
     forwarding_state& m_state;
     bool m_isRelay;
