Do not take a caller that is lost while idle for a malformed request

Found by an independent review: an idle connection is read only once it has input or an error, so the error of keep-alive probes was answered 400 and logged and counted as malformed, one for each kept connection of a partition. An error without a byte of a request ends the connection now. The reason of a close is set anew with each wait, and an error while waiting connections are accepted is logged.

--- a/packages/forwarding/src/plumfold_caller_connection.cpp
+++ b/packages/forwarding/src/plumfold_caller_connection.cpp
@@ -152,6 +152,7 @@
     m_isServing = m_state.refusesRequests;
     error_code error;
     m_stream.expires_never();
+    m_closeReason = close_reason::caller_closed;
     startReadTimer(
         m_state.refusesRequests ? limitedByStop(lastRequestTimeout) : limitsOf(m_state).idleTimeout);
     co_await m_stream.socket().async_wait(asio::ip::tcp::socket::wait_read, into(error));
@@ -200,7 +201,7 @@
     if (m_readTimedOut)
         error = beast::error::timeout;
     bool isDisconnected = error == http::error::end_of_stream || error == http::error::partial_message
-        || error == asio::error::connection_reset;
+        || error == asio::error::connection_reset || (!m_readTimedOut && !parser.got_some());
     if (!isDisconnected)
         co_await rejectMalformed(error, parser);
     co_return false;
--- a/packages/forwarding/src/plumfold_forwarding_role.cpp
+++ b/packages/forwarding/src/plumfold_forwarding_role.cpp
@@ -178,6 +178,8 @@
             if (!error)
                 serve(std::move(socket), isRelay);
         }
+        if (error != asio::error::would_block)
+            runtime::log_event("accept_failed", runtime::log_level::warning).with("reason", error.message());
         acceptor.close(error);
     }
 
