--- a/tests/forwarding/plumfold_kept_connection_stop_tests.cpp
+++ b/tests/forwarding/plumfold_kept_connection_stop_tests.cpp
@@ -1,5 +1,6 @@
 #include "support/plumfold_serving_system.hpp"
 
+#include <Poco/Exception.h>
 #include <catch2/catch.hpp>
 
 #include <chrono>
@@ -90,6 +91,26 @@
     }
 }
 
+TEST_CASE_METHOD(kept_connections,
+    "A caller that sends without end behind a last response does not keep its connection",
+    "[forwarding][planned_stop]")
+{
+    auto& caller = *callers().front();
+    caller.send(requestBytes("/shop/whole", nextId(), "order", { { "Connection", "close" } }));
+    CHECK(caller.receive().status == 200);
+    const std::string bytes(64 << 10, 'x');
+    auto sendsUntil = std::chrono::steady_clock::now() + milliseconds(3'000);
+    bool isClosed = false;
+    while (!isClosed && std::chrono::steady_clock::now() < sendsUntil) {
+        try {
+            caller.send(bytes);
+        } catch (const Poco::Exception&) {
+            isClosed = true;
+        }
+    }
+    CHECK(isClosed);
+}
+
 TEST_CASE_METHOD(kept_connections,
     "A connection that is still open behind a stream takes another request during a planned stop",
     "[forwarding][planned_stop]")
