--- a/packages/forwarding/src/plumfold_caller_connection.cpp
+++ b/packages/forwarding/src/plumfold_caller_connection.cpp
@@ -15,8 +15,8 @@
 
 constexpr core::milliseconds errorWriteTimeout { 1'000 };
 constexpr core::milliseconds lingerTimeout { 500 };
-/// A stopping entry waits so long for a request that its caller may have sent without knowing of the stop.
-constexpr core::milliseconds lastRequestTimeout { 500 };
+/// A stopping entry waits so long for what callers may have sent without knowing of the stop.
+constexpr core::milliseconds crossingTimeout { 200 };
 constexpr std::size_t readBufferBytes = 8192;
 /// The parser limits neither chunk extensions nor trailers: it waits for their end in the buffer.
 constexpr std::size_t maxUnparsedRequestBytes = 64 << 10;
@@ -153,8 +153,7 @@
     error_code error;
     m_stream.expires_never();
     m_closeReason = close_reason::caller_closed;
-    startReadTimer(
-        m_state.refusesRequests ? limitedByStop(lastRequestTimeout) : limitsOf(m_state).idleTimeout);
+    startReadTimer(m_state.refusesRequests ? crossingTime() : limitsOf(m_state).idleTimeout);
     co_await m_stream.socket().async_wait(asio::ip::tcp::socket::wait_read, into(error));
     stopReadTimer();
     if (!error || hasInput())
@@ -309,7 +308,7 @@
 {
     error_code error;
     m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, error);
-    auto until = runtime::now() + limitedByStop(lingerTimeout);
+    auto until = runtime::now() + (m_state.stopping ? crossingTime() : lingerTimeout);
     m_stream.expires_at(until);
     std::array<char, readBufferBytes> rest;
     // The stream's timeout does not end reads that complete at once.
@@ -319,13 +318,11 @@
     }
 }
 
-/// @return the time, or what is left of it until a stopping entry ends all requests.
-core::milliseconds caller_connection::limitedByStop(core::milliseconds time) const
+/// @return how long to wait for more of the caller during a stop, at most until all requests are ended.
+core::milliseconds caller_connection::crossingTime() const
 {
-    if (!m_state.stopAt)
-        return time;
     auto left = std::chrono::duration_cast<core::milliseconds>(*m_state.stopAt - runtime::now());
-    return std::clamp(left, core::milliseconds(0), time);
+    return std::clamp(left, core::milliseconds(0), crossingTimeout);
 }
 
 void caller_connection::closeIfIdle()
@@ -338,7 +335,7 @@
     }
     if (m_servedRequests == 0) { // its first request may be on its way
         m_isServing = true;
-        startReadTimer(limitedByStop(lastRequestTimeout));
+        startReadTimer(crossingTime());
         return;
     }
     m_closeReason = close_reason::stopping;
--- a/packages/forwarding/src/plumfold_caller_connection.hpp
+++ b/packages/forwarding/src/plumfold_caller_connection.hpp
@@ -60,7 +60,7 @@
     task<void> rejectStranger();
     task<void> closeWith(http::response<http::empty_body> response);
     task<void> lingeringClose();
-    core::milliseconds limitedByStop(core::milliseconds time) const;
+    core::milliseconds crossingTime() const;
 
     forwarding_state& m_state;
     bool m_isRelay;
