Soak of kept connections: leave out requests that were never sent

When the entry closes a connection while a caller sends, the requests behind the failed one are not sent at all. What was sent is checked as before.

--- a/tests/forwarding/support/plumfold_kept_callers.cpp
+++ b/tests/forwarding/support/plumfold_kept_callers.cpp
@@ -80,6 +80,7 @@
         sendAll(caller, sent, isOneSegment, random);
     } catch (const Poco::Exception&) {
         // The entry has closed the connection; what it has received before may have responses.
+        std::erase_if(sent, [](const auto& each) { return each.sentAt == steady_clock::time_point(); });
     }
     bool isAnnounced = false;
     bool isOpen = true;
