--- a/review/11/case.cpp
+++ b/review/11/case.cpp
@@ -92,7 +92,7 @@
         workers.emplace_back(system,
             worker_options { "i-" + std::to_string(number), service,
                 system.address(firstWorkerHost + number, workerPort), system_under_review::zone(number), 64,
-                { { firstModel, 2 }, { secondModel, 1 } }, { &store } });
+                { { firstModel, 2 }, { secondModel, 1 } }, { &store }, 0 });
     auto configuration = emptyConfiguration(1);
     configuration["routes"].push_back(route("r-2xp4zhp", host, "/kafi500/", "streaming", service));
     configuration["services"].push_back(engineService(service, { firstModel, secondModel }));
--- a/review/stand-ins-3/standin_http.cpp
+++ b/review/stand-ins-3/standin_http.cpp
@@ -18,6 +18,7 @@
 constexpr int backlog = 256;
 constexpr std::size_t readBytes = 16 << 10;
 constexpr std::size_t versionBytes = 9; // of "HTTP/1.1 " before a status
+constexpr std::chrono::milliseconds keptConnectionTimeout { 20'000 }; // without a byte
 
 std::string lowerCase(std::string text)
 {
@@ -60,22 +61,35 @@
     {
     }
 
-    /// @return the next message; nothing when the connection has ended.
-    std::optional<http_message> next()
+    /// @return the head of the next message; nothing when the connection has ended.
+    std::optional<http_message> nextHead()
     {
         auto head = take("\r\n\r\n");
         if (!head)
             return std::nullopt;
         http_message out;
         parseHead(*head + "\r\n", out);
+        return out;
+    }
+
+    /// @return bytes that were received behind what was returned.
+    std::size_t buffered() const { return m_buffer.size(); }
+
+    /// @return the next message; nothing when the connection has ended.
+    std::optional<http_message> next()
+    {
+        auto head = nextHead();
+        if (!head)
+            return std::nullopt;
+        auto& out = *head;
         if (out.header("transfer-encoding") == "chunked")
-            return readChunks(out) ? std::optional(out) : std::nullopt;
+            return readChunks(out) ? head : std::nullopt;
         auto length = out.header("content-length");
         auto body = takeBytes(length.empty() ? 0 : std::stoul(length));
         if (!body)
             return std::nullopt;
         out.body = *body;
-        return out;
+        return head;
     }
 
 private:
@@ -190,6 +204,51 @@
     return response.value_or(none);
 }
 
+client_connection::client_connection(const endpoint& to, const reading& how)
+    : m_socket(::socket(AF_INET, SOCK_STREAM, 0))
+    , m_reading(how)
+{
+    setTimeout(m_socket, keptConnectionTimeout);
+    if (how.receiveBuffer > 0)
+        ::setsockopt(m_socket, SOL_SOCKET, SO_RCVBUF, &how.receiveBuffer, sizeof(how.receiveBuffer));
+    auto address = socketAddress(to);
+    if (::connect(m_socket, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0)
+        throw std::runtime_error("cannot connect to " + to.text());
+}
+
+client_connection::~client_connection()
+{
+    ::close(m_socket);
+}
+
+received_answer client_connection::ask(const std::string& method, const std::string& path,
+    const std::map<std::string, std::string>& headers) const
+{
+    auto sentAt = std::chrono::steady_clock::now();
+    received_answer out;
+    http_message request;
+    request.headers = headers;
+    bool isSent = sendAll(m_socket, encode(method + ' ' + path + " HTTP/1.1", request));
+    reader incoming(m_socket);
+    auto head = isSent ? incoming.nextHead() : std::nullopt;
+    auto length = head ? std::stoul("0" + head->header("content-length")) : 0;
+    out.status = head ? head->status : 0;
+    out.bodyBytes = incoming.buffered();
+    std::string bytes(readBytes, '\0');
+    ssize_t count = 1;
+    while (out.bodyBytes < length && count > 0) {
+        if (m_reading.bytesPerSecond > 0)
+            std::this_thread::sleep_for(
+                std::chrono::duration<double>(static_cast<double>(readBytes) / m_reading.bytesPerSecond));
+        count = ::recv(m_socket, bytes.data(), bytes.size(), 0);
+        out.bodyBytes += count > 0 ? static_cast<std::size_t>(count) : 0;
+    }
+    out.isComplete = head && out.bodyBytes == length;
+    out.took
+        = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - sentAt);
+    return out;
+}
+
 http_server::http_server(const endpoint& address, handler handle)
     : m_handle(std::move(handle))
 {
--- a/review/stand-ins-3/standin_http.hpp
+++ b/review/stand-ins-3/standin_http.hpp
@@ -37,6 +37,37 @@
     const std::map<std::string, std::string>& headers, const std::string& body,
     std::chrono::milliseconds timeout);
 
+/// How a client reads its answers.
+struct reading {
+    int receiveBuffer = 0; ///< Bytes that the system takes ahead; 0: as it is set up.
+    std::size_t bytesPerSecond = 0; ///< 0: as fast as they come.
+};
+
+/// What came of an answer over a kept connection.
+struct received_answer {
+    int status = 0; ///< 0: none came.
+    std::size_t bodyBytes = 0;
+    bool isComplete = false;
+    std::chrono::milliseconds took { 0 };
+};
+
+/// A client's connection that is kept for several requests.
+class client_connection {
+public:
+    client_connection(const endpoint& to, const reading& how);
+    ~client_connection();
+    client_connection(const client_connection&) = delete;
+    client_connection& operator=(const client_connection&) = delete;
+
+    /// Sends a request without a body and reads the answer, which has to have a length.
+    received_answer ask(const std::string& method, const std::string& path,
+        const std::map<std::string, std::string>& headers) const;
+
+private:
+    int m_socket;
+    reading m_reading;
+};
+
 /// Answers requests at an address.
 class http_server {
 public:
--- a/review/stand-ins-3/standin_worker.cpp
+++ b/review/stand-ins-3/standin_worker.cpp
@@ -305,7 +305,8 @@
     }
     m_system.note("worker " + m_options.id + " runs " + one.request + " for tenant " + one.tenant + more);
     if (one.model.empty()) {
-        out.body = "done by " + m_options.id;
+        out.body = request.path.ends_with("/report") ? std::string(m_options.reportBytes, 'x')
+                                                     : "done by " + m_options.id;
         return out;
     }
     out.headers["Content-Type"] = "text/event-stream";
--- a/review/stand-ins-3/standin_worker.hpp
+++ b/review/stand-ins-3/standin_worker.hpp
@@ -65,6 +65,7 @@
     int slots = 6;
     std::map<std::string, std::uint64_t> models; ///< Version of each one.
     std::vector<kv_store*> stores; ///< That it reaches.
+    std::size_t reportBytes = 0; ///< Of answers to paths that end with "/report".
 };
 
 /// A sound worker: announces itself, answers reports and orders, runs every request that expects it.
--- a/review/stand-ins-3/system.sh
+++ b/review/stand-ins-3/system.sh
@@ -13,6 +13,7 @@
 caller_port=8580
 readiness_port=8586
 pids=()
+front_pids=()
 
 finish() {
     local pid
@@ -70,6 +71,7 @@
     render "$top/deploy/entry.settings" "$name" "$(zone_of "$1")" "$(front_host "$1")" false "" >"$settings"
     PLUMFOLD_CONFIG=$settings "$daemon" --set /forwarding/rollouts= >"$folder/$name.log" 2>&1 &
     pids+=($!)
+    front_pids+=($!)
 }
 
 # Starts four core and four frontend machines, as many as the site has zones.
@@ -85,7 +87,7 @@
 run_case() {
     local program=$top/build/review-3/$1 result pid
     [ -x "$program" ] || unrunnable "review/build-3.sh has not run"
-    timeout 100 "$program" "$net" "${TROUBLE:-1}" "$here/record.txt"
+    FRONT_PIDS="${front_pids[*]}" timeout 100 "$program" "$net" "${TROUBLE:-1}" "$here/record.txt"
     result=$?
     [ "$result" -le 1 ] || unrunnable "the stand-ins ended with $result"
     for pid in "${pids[@]}"; do
