--- a/review/stand-ins-3/standin_worker.cpp
+++ b/review/stand-ins-3/standin_worker.cpp
@@ -141,20 +141,27 @@
     return m_options.models;
 }
 
+std::string worker::nextHeartbeat()
+{
+    std::lock_guard lock(m_mutex);
+    json models = json::array();
+    for (const auto& [name, version] : m_options.models)
+        models.push_back({ { "name", name }, { "version", version }, { "adapters", json::array() } });
+    json body { { "service", m_options.service }, { "address", m_options.address.text() },
+        { "zone", m_options.zone }, { "version", "v1" }, { "slots", m_options.slots }, { "state", "ready" },
+        { "cold-remaining-ms", 0 }, { "stage", "both" }, { "models", models }, { "sequence", ++m_heartbeats },
+        { "born", m_born } };
+    return body.dump();
+}
+
 void worker::announce()
 {
-    for (std::uint64_t sequence = 1;; ++sequence) {
-        json models = json::array();
-        for (const auto& [name, version] : this->models())
-            models.push_back({ { "name", name }, { "version", version }, { "adapters", json::array() } });
-        json body { { "service", m_options.service }, { "address", m_options.address.text() },
-            { "zone", m_options.zone }, { "version", "v1" }, { "slots", m_options.slots },
-            { "state", "ready" }, { "cold-remaining-ms", 0 }, { "stage", "both" }, { "models", models },
-            { "sequence", sequence }, { "born", m_born } };
+    while (m_isAnnouncing) {
+        auto body = nextHeartbeat();
         bool isAcknowledged = false;
-        for (int number = 1; number <= zoneCount && !isAcknowledged; ++number) {
+        for (int number = 1; number <= zoneCount && !isAcknowledged && m_isAnnouncing; ++number) {
             auto answer = call(m_system.core(number), "PUT", "/instances/" + m_options.id,
-                { { "Content-Type", "application/json" } }, body.dump(), heartbeatTimeout);
+                { { "Content-Type", "application/json" } }, body, heartbeatTimeout);
             isAcknowledged = answer.status == statusOk;
         }
         std::this_thread::sleep_for(heartbeatInterval);
@@ -281,7 +288,8 @@
     out.status = statusOk;
     out.headers["Request-Id"] = request.header("request-id");
     out.headers["Response-Signature"] = "signature-of-" + m_options.id;
-    run one { request.header("request-id"), request.header("tenant"), request.header("model"), 0, {} };
+    run one { request.header("request-id"), request.header("tenant"), request.header("model"), 0, {},
+        std::chrono::steady_clock::now() };
     std::string more;
     {
         std::lock_guard lock(m_mutex);
--- a/review/stand-ins-3/standin_worker.hpp
+++ b/review/stand-ins-3/standin_worker.hpp
@@ -2,6 +2,7 @@
 
 #include "standin_system.hpp"
 
+#include <atomic>
 #include <functional>
 #include <map>
 #include <mutex>
@@ -35,6 +36,7 @@
     std::string model; ///< Empty at plain services.
     std::uint64_t version = 0;
     std::vector<used_part> used;
+    std::chrono::steady_clock::time_point at {};
 };
 
 /// A managed store of KV cache: keeps each part as it was first made, by salt and id, and drops nothing.
@@ -74,6 +76,12 @@
 public:
     worker(system_under_review& system, worker_options options);
 
+    /// @return a heartbeat with the next sequence number.
+    std::string nextHeartbeat();
+    /// Ends the periodic heartbeats.
+    void stopAnnouncing() { m_isAnnouncing = false; }
+
+    const worker_options& options() const { return m_options; }
     std::vector<run> runs() const;
     std::map<std::string, std::uint64_t> models() const;
 
@@ -90,7 +98,9 @@
     system_under_review& m_system;
     worker_options m_options;
     std::int64_t m_born;
+    std::atomic<bool> m_isAnnouncing { true };
     mutable std::mutex m_mutex;
+    std::uint64_t m_heartbeats = 0;
     std::uint64_t m_orders = 0;
     std::uint64_t m_highestFence = 0;
     std::map<std::tuple<std::string, std::string, std::string>, part_origin> m_parts; // by model, salt and id
--- a/review/stand-ins-3/system.sh
+++ b/review/stand-ins-3/system.sh
@@ -17,8 +17,11 @@
 
 finish() {
     local pid
+    touch "$folder/stopping"
     for pid in "${pids[@]}"; do kill -KILL "$pid" 2>/dev/null; done
     for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null; done
+    for pid in "$folder"/core-*.pid; do [ ! -e "$pid" ] || kill -KILL "$(cat "$pid")" 2>/dev/null; done
+    sleep 0.2
     rm -rf "$folder"
 }
 trap finish EXIT
@@ -66,6 +69,23 @@
     pids+=($!)
 }
 
+# Starts a core machine again 0.5 s after its process has ended, with its disk, as the platform does. Its process is in
+# core-NUMBER.pid of the folder.
+supervise_core() { # NUMBER
+    local first=true settings=$folder/core-$1.settings
+    mkdir -p "$folder/data-$1"
+    while [ ! -e "$folder/stopping" ]; do
+        render "$top/deploy/control.settings" "core-$1" "$(zone_of "$1")" "$(core_host "$1")" $first "$folder/data-$1" \
+            >"$settings"
+        PLUMFOLD_CONFIG=$settings "$daemon" --set /control/rolloutExposureShare= --set /control/rolloutExposureSlack= \
+            >>"$folder/core-$1.log" 2>&1 &
+        echo $! >"$folder/core-$1.pid"
+        wait $!
+        first=false
+        sleep 0.5
+    done
+}
+
 start_front() { # NUMBER
     local name=frontend-$1 settings=$folder/frontend-$1.settings
     render "$top/deploy/entry.settings" "$name" "$(zone_of "$1")" "$(front_host "$1")" false "" >"$settings"
@@ -74,12 +94,19 @@
     front_pids+=($!)
 }
 
-# Starts four core and four frontend machines, as many as the site has zones.
+# Starts four core and four frontend machines, as many as the site has zones: start_system [supervised]
 start_system() {
     [ -x "$daemon" ] || unrunnable "the build of the deploy file has not run"
     local number
     : >"$here/record.txt"
-    for number in 1 2 3 4; do start_core "$number"; done
+    for number in 1 2 3 4; do
+        if [ "${1:-}" = supervised ]; then
+            supervise_core "$number" 2>/dev/null &
+            pids+=($!)
+        else
+            start_core "$number"
+        fi
+    done
     for number in 1 2 3 4; do start_front "$number"; done
 }
 
@@ -87,7 +114,7 @@
 run_case() {
     local program=$top/build/review-3/$1 result pid
     [ -x "$program" ] || unrunnable "review/build-3.sh has not run"
-    FRONT_PIDS="${front_pids[*]}" timeout 100 "$program" "$net" "${TROUBLE:-1}" "$here/record.txt"
+    FRONT_PIDS="${front_pids[*]}" PROCESS_FOLDER=$folder timeout 100 "$program" "$net" "${TROUBLE:-1}" "$here/record.txt"
     result=$?
     [ "$result" -le 1 ] || unrunnable "the stand-ins ended with $result"
     for pid in "${pids[@]}"; do
