Compare the hosts of routes and requests without regard to case

Cause: the entry wrote the request's host in small letters and cut its port off, the deployment kept the route's host as written, and bytes were compared. Hosts are compared without regard to case (RFC 9110, 4.2.3). Evidence: 404 with reason=no_route while deployment_in_force names the version, 200 on the route beside it; no other hypothesis was left.

Change: core::host_name is the one normal form of a host, for both sides. The same cause on related paths: a host with a port never matched, [::1] was cut to "[", prefixes with a query or a blank never match. Hosts with a port are matched by requests for this port; what no request can match, and two routes for the same host and prefix, are refused with 400. Only new configurations are checked, so that a stored one stays in force after an upgrade: the entry logs deployment_invalid, and the same text sent again is acknowledged again.

--- a/packages/control/src/plumfold_platform_api_server.cpp
+++ b/packages/control/src/plumfold_platform_api_server.cpp
@@ -129,9 +129,11 @@
 
     api_response operator()(const platform::put_deployment_call&)
     {
-        auto version = checkedVersion();
-        if (!version.ok()) {
-            std::string reason(version.status().message());
+        auto checked = checkedVersion();
+        // A former version may have accepted what is refused now.
+        auto version = checked.ok() ? std::optional(*checked) : versionIfStored();
+        if (!version) {
+            std::string reason(checked.status().message());
             runtime::log_event("deployment_refused").with("reason", reason);
             return errorResponse(HTTPResponse::HTTP_BAD_REQUEST, reason);
         }
@@ -241,6 +243,15 @@
         return decoded->version();
     }
 
+    /// @return the version of the stored configuration if it is the one in the body.
+    std::optional<std::uint64_t> versionIfStored()
+    {
+        return m_context.rpc.run([&] {
+            const auto& stored = m_context.feed.view().deployment->document;
+            return stored.text == m_body ? std::optional(stored.version) : std::nullopt;
+        });
+    }
+
     /// @return when the caller gives up, less a margin; in the time of runtime::nowWithSuspension().
     core::instant deadline() const
     {
--- a/packages/core/include/plumfold/core/plumfold_deployment.hpp
+++ b/packages/core/include/plumfold/core/plumfold_deployment.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "plumfold/core/plumfold_host_name.hpp"
 #include "plumfold/core/plumfold_time.hpp"
 
 #include <absl/status/status.h>
@@ -31,7 +32,7 @@
 /// Forwarding rules for the requests of one host and path prefix.
 struct route {
     std::string name;
-    std::string host;
+    std::string host; ///< As the operator writes it; with a port, only requests for this port match.
     std::string pathPrefix; ///< Begins and ends with a slash.
     request_kind kind = request_kind::once;
     milliseconds timeout { 0 }; ///< Longest time that a caller waits.
@@ -111,8 +112,9 @@
     const std::vector<route>& routes() const { return m_routes; }
     const std::vector<service_limits>& services() const { return m_services; }
 
-    /// @return the route of the host with the longest matching path prefix, or null. A query is ignored.
-    const route* findRoute(std::string_view host, std::string_view path) const;
+    /// @return the route of the host with the longest matching path prefix, or null. Routes that name the
+    /// port of the host precede those that name none. A query is ignored.
+    const route* findRoute(const host_name& host, std::string_view path) const;
 
     /// @return the customer that holds the key, or null.
     const customer_access* findCustomer(std::string_view key) const;
@@ -124,12 +126,15 @@
     const service_limits* findService(std::string_view name) const;
 
 private:
+    void addRoute(std::size_t index);
+    const route* findRouteOf(const host_name& host, std::string_view path) const;
+
     std::uint64_t m_version = 0;
     std::vector<route> m_routes;
     std::vector<service_limits> m_services;
     caller_limits m_limits;
     std::vector<customer_access> m_customers;
-    std::map<std::string, std::map<std::string, std::size_t, std::less<>>, std::less<>> m_routesByHost;
+    std::map<host_name, std::map<std::string, std::size_t, std::less<>>> m_routesByHost;
     std::map<std::string, std::size_t, std::less<>> m_customersByKey;
     std::map<std::string, std::size_t, std::less<>> m_servicesByName;
 };
--- a/packages/core/src/plumfold_deployment.cpp
+++ b/packages/core/src/plumfold_deployment.cpp
@@ -1,5 +1,6 @@
 #include "plumfold/core/plumfold_deployment.hpp"
 
+#include <absl/strings/ascii.h>
 #include <absl/strings/str_cat.h>
 #include <algorithm>
 #include <cmath>
@@ -11,15 +12,27 @@
 /// Effective priorities per customer priority, distinguished by the priority of the route.
 constexpr std::uint32_t routeRanks = 3;
 
+bool isPathCharacter(char c)
+{
+    auto byte = static_cast<unsigned char>(c);
+    return !absl::ascii_isspace(byte) && !absl::ascii_iscntrl(byte) && c != '?' && c != '#';
+}
+
 absl::Status checkRoute(const route& checked, const deployment& whole)
 {
     if (checked.host.empty())
         return absl::InvalidArgumentError(absl::StrCat("route ", checked.name, " has no host: name one"));
+    if (!host_name(checked.host).isValid())
+        return absl::InvalidArgumentError(absl::StrCat(
+            "the host of route ", checked.name, " is no name or address, with or without a port"));
     bool hasSlashes = !checked.pathPrefix.empty() && checked.pathPrefix.front() == '/'
         && checked.pathPrefix.back() == '/';
     if (!hasSlashes)
         return absl::InvalidArgumentError(
             absl::StrCat("the path prefix of route ", checked.name, " must begin and end with a slash"));
+    if (!std::all_of(checked.pathPrefix.begin(), checked.pathPrefix.end(), isPathCharacter))
+        return absl::InvalidArgumentError(absl::StrCat("the path prefix of route ", checked.name,
+            " has a blank, a control character, a query or a fragment, which no path has"));
     if (checked.timeout.count() <= 0)
         return absl::InvalidArgumentError(
             absl::StrCat("the timeout of route ", checked.name, " is 0: give a longer one"));
@@ -47,7 +60,7 @@
     , m_customers(std::move(customers))
 {
     for (std::size_t index = 0; index < m_routes.size(); ++index)
-        m_routesByHost[m_routes[index].host].emplace(m_routes[index].pathPrefix, index);
+        addRoute(index);
     for (std::size_t index = 0; index < m_customers.size(); ++index) {
         for (const auto& key : m_customers[index].keys)
             m_customersByKey.emplace(key, index);
@@ -56,13 +69,27 @@
         m_servicesByName.emplace(m_services[index].name, index);
 }
 
+/// Of several routes with the same host and prefix, which check() refuses, the first whose host is in normal
+/// form is used, or else the first. Former versions accepted hosts that differ in case, and served by the one
+/// in normal form.
+void deployment::addRoute(std::size_t index)
+{
+    const auto& added = m_routes[index];
+    auto [place, isFirst] = m_routesByHost[host_name(added.host)].emplace(added.pathPrefix, index);
+    if (isFirst)
+        return;
+    const auto& known = m_routes[place->second];
+    if (!host_name(known.host).isWrittenAs(known.host) && host_name(added.host).isWrittenAs(added.host))
+        place->second = index;
+}
+
 absl::Status deployment::check() const
 {
     for (std::size_t index = 0; index < m_routes.size(); ++index) {
         const route& each = m_routes[index];
         if (auto status = checkRoute(each, *this); !status.ok())
             return status;
-        if (m_routesByHost.at(each.host).at(each.pathPrefix) != index)
+        if (m_routesByHost.at(host_name(each.host)).at(each.pathPrefix) != index)
             return absl::InvalidArgumentError(absl::StrCat(
                 "two routes have host ", each.host, " and prefix ", each.pathPrefix, ": remove one"));
     }
@@ -76,7 +103,13 @@
     return absl::OkStatus();
 }
 
-const route* deployment::findRoute(std::string_view host, std::string_view path) const
+const route* deployment::findRoute(const host_name& host, std::string_view path) const
+{
+    const auto* found = findRouteOf(host, path);
+    return found || host.port().empty() ? found : findRouteOf(host.withoutPort(), path);
+}
+
+const route* deployment::findRouteOf(const host_name& host, std::string_view path) const
 {
     auto prefixes = m_routesByHost.find(host);
     if (prefixes == m_routesByHost.end())
--- a/packages/forwarding/src/plumfold_forwarding_role.cpp
+++ b/packages/forwarding/src/plumfold_forwarding_role.cpp
@@ -312,6 +312,12 @@
                     .with("reason", std::string(decoded.status().message()));
                 return;
             }
+            // A former version may have accepted what is refused now.
+            if (auto status = decoded->check(); !status.ok()) {
+                runtime::log_event("deployment_invalid", runtime::log_level::warning)
+                    .with("version", next.document.version)
+                    .with("reason", std::string(status.message()));
+            }
             m_state.deployment = std::make_shared<const core::deployment>(std::move(*decoded));
             m_state.targetSelector.setServices(m_state.deployment->services());
             m_state.partPlanner.setStores(m_state.deployment->services());
--- a/packages/forwarding/src/plumfold_request_forwarder.cpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.cpp
@@ -38,14 +38,6 @@
     return { in.data(), in.size() };
 }
 
-std::string hostOf(const http::request<http::string_body>& request)
-{
-    std::string host(request[http::field::host]);
-    host = host.substr(0, host.find(':'));
-    std::transform(host.begin(), host.end(), host.begin(), [](unsigned char c) { return std::tolower(c); });
-    return host;
-}
-
 /// Counts a failure against the link of this entry, unless the target has ended.
 task<void> countLinkFailure(
     forwarding_state& state, std::string target, core::unix_milliseconds startedAt, std::string address)
@@ -150,7 +142,7 @@
         reject(http::status::service_unavailable, "no_deployment", retryAfterNoDeployment);
         return false;
     }
-    m_route = m_deployment->findRoute(hostOf(m_request), view(m_request.target()));
+    m_route = m_deployment->findRoute(host(), view(m_request.target()));
     if (!m_route) {
         reject(http::status::not_found, "no_route");
         return false;
@@ -171,9 +163,9 @@
     return !rejectCondemned();
 }
 
-std::string request_forwarder::hostOfRequest() const
+core::host_name request_forwarder::host() const
 {
-    return hostOf(m_request);
+    return core::host_name(view(m_request[http::field::host]));
 }
 
 bool request_forwarder::isTakeUp() const
@@ -190,10 +182,10 @@
 /// Determines what the request has in common with others.
 void request_forwarder::identify()
 {
-    auto host = hostOf(m_request);
+    auto host = this->host();
     auto customer = customerName();
     m_traits = core::traitsOf(
-        { customer, m_customer && m_customer->isIsolated, host, view(m_request.method_string()),
+        { customer, m_customer && m_customer->isIsolated, host.name(), view(m_request.method_string()),
             view(m_request.target()), m_head.model, m_request.body(), m_head.parts });
     m_traitList = core::listTraits(m_traits);
 }
--- a/packages/forwarding/src/plumfold_request_forwarder.hpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.hpp
@@ -85,7 +85,7 @@
     task<void> waitForDeployment();
     bool admit();
     bool admitRelayed();
-    std::string hostOfRequest() const;
+    core::host_name host() const;
     bool isIdempotent() const;
     /// @return whether the time of the request ends with this entry instead of with the caller's deadline.
     bool isStopped() const { return m_stopAt.has_value(); }
--- a/packages/forwarding/src/plumfold_request_relay.cpp
+++ b/packages/forwarding/src/plumfold_request_relay.cpp
@@ -52,8 +52,7 @@
                                    : "no_deployment");
         return false;
     }
-    m_route
-        = m_deployment->findRoute(hostOfRequest(), { m_request.target().data(), m_request.target().size() });
+    m_route = m_deployment->findRoute(host(), { m_request.target().data(), m_request.target().size() });
     m_customer = m_relayed->customer.empty() ? nullptr : m_deployment->findCustomerNamed(m_relayed->customer);
     bool isCustomerKnown = m_customer != nullptr || m_relayed->customer.empty();
     bool isOnRoute = m_route
--- a/tests/core/plumfold_deployment_tests.cpp
+++ b/tests/core/plumfold_deployment_tests.cpp
@@ -23,6 +23,31 @@
     return out;
 }
 
+route routeOf(const std::string& name, const std::string& host, const std::string& prefix = "/a/")
+{
+    route out;
+    out.name = name;
+    out.host = host;
+    out.pathPrefix = prefix;
+    out.timeout = milliseconds(1'000);
+    out.shares = { { "service", 1 } };
+    return out;
+}
+
+deployment deploymentOf(std::vector<route> routes, std::vector<customer_access> customers = {})
+{
+    service_limits service;
+    service.name = "service";
+    return { 1, std::move(routes), { service }, {}, std::move(customers) };
+}
+
+/// @return the name of the route of a request; empty if there is none.
+std::string foundRoute(const deployment& in, const std::string& host, const std::string& path = "/a/b")
+{
+    const auto* found = in.findRoute(host_name(host), path);
+    return found ? found->name : std::string();
+}
+
 struct waiting_request {
     std::uint32_t effectivePriority = 0;
     double serviceMs = 0;
@@ -83,3 +108,59 @@
     CHECK(servedInTime(ranked) == 8);
     CHECK(servedInTime(unranked) == 4);
 }
+
+// Guards against routes that are never used because their hosts have capital letters.
+TEST_CASE("Routes are found by hosts without regard to case", "[deployment][hosts]")
+{
+    auto in = deploymentOf({ routeOf("app", "Round-App.example"),
+        routeOf("deep", "round-app.Example", "/a/b/"), routeOf("other", "other.example") });
+    CHECK(in.check().ok());
+    CHECK(foundRoute(in, "Round-App.example") == "app");
+    CHECK(foundRoute(in, "round-app.example:8580") == "app");
+    CHECK(foundRoute(in, "ROUND-APP.EXAMPLE", "/a/b/c") == "deep");
+    CHECK(foundRoute(in, "OTHER.example") == "other");
+    CHECK(foundRoute(in, "app.example").empty());
+    CHECK(foundRoute(in, "round-app.example", "/A/b").empty());
+    CHECK(in.routes().front().host == "Round-App.example");
+}
+
+TEST_CASE("Routes that name the port of a request precede those that name none", "[deployment][hosts]")
+{
+    auto in = deploymentOf({ routeOf("any", "app.example"), routeOf("deep", "app.example", "/a/b/"),
+        routeOf("port", "APP.example:81"), routeOf("address", "[::1]") });
+    CHECK(in.check().ok());
+    CHECK(foundRoute(in, "app.example:81", "/a/b/c") == "port");
+    CHECK(foundRoute(in, "app.example:82", "/a/b/c") == "deep");
+    CHECK(foundRoute(in, "app.example:81", "/b/").empty());
+    CHECK(foundRoute(in, "app.example") == "any");
+    CHECK(foundRoute(in, "[::1]:81") == "address");
+    CHECK(foundRoute(in, "[::2]").empty());
+}
+
+TEST_CASE("Routes with the same host and prefix are refused, and one of them is used", "[deployment][hosts]")
+{
+    auto inNormalForm = routeOf("normal", "app.example");
+    auto capital = routeOf("capital", "App.example");
+    auto port = routeOf("port", "app.example:");
+    CHECK(foundRoute(deploymentOf({ inNormalForm, capital, port }), "app.example") == "normal");
+    CHECK(foundRoute(deploymentOf({ capital, inNormalForm, port }), "app.example") == "normal");
+    CHECK(foundRoute(deploymentOf({ port, capital }), "app.example") == "port");
+    for (const auto& each :
+        { deploymentOf({ inNormalForm, capital }), deploymentOf({ capital, inNormalForm }),
+            deploymentOf({ port, capital }), deploymentOf({ inNormalForm, inNormalForm }) })
+        CHECK_FALSE(each.check().ok());
+}
+
+TEST_CASE("Routes that no request can match are refused", "[deployment][hosts]")
+{
+    for (const auto* host :
+        { "", " app.example", "app example", "http://app.example", "::1", "app.example:x" })
+        CHECK_FALSE(deploymentOf({ routeOf("app", host) }).check().ok());
+    for (const auto* prefix : { "", "a/", "/a", "/a b/", "/a/?b=/", "/a/#b/", "/a\n/" })
+        CHECK_FALSE(deploymentOf({ routeOf("app", "app.example", prefix) }).check().ok());
+    for (const auto* prefix : { "/", "//", "/a//b/", "/a%2Fb/", "/a/../b/", "/A/" }) {
+        auto in = deploymentOf({ routeOf("app", "app.example", prefix) });
+        CHECK(in.check().ok());
+        CHECK(foundRoute(in, "app.example", std::string(prefix) + "c?d=/e/") == "app");
+    }
+}
--- a/tests/forwarding/support/plumfold_decided_rollout_system.cpp
+++ b/tests/forwarding/support/plumfold_decided_rollout_system.cpp
@@ -1,42 +1,15 @@
 #include "plumfold_decided_rollout_system.hpp"
 
-#include "plumfold/core/rollout/plumfold_rollout_names.hpp"
-#include "plumfold/wire/plumfold_convert.hpp"
-#include "plumfold/wire/plumfold_entry_session.hpp"
-#include "plumfold/wire/plumfold_rpc_thread.hpp"
+#include "plumfold_command_submitter.hpp"
 
-#include <stdexcept>
+#include "plumfold/core/rollout/plumfold_rollout_names.hpp"
 
 namespace plumfold::tests {
 
 namespace {
 
-constexpr std::chrono::milliseconds callTimeout { 2'000 };
 constexpr int controls = 3;
 
-/// @return the result of a command; nothing if the control VM does not lead.
-std::optional<core::rollout_result> submitTo(
-    wire::rpc_thread& rpc, const std::string& address, const core::command& command)
-{
-    std::optional<core::rollout_result> out;
-    rpc.run([&] {
-        return wire::rpc_connection::connect(rpc, address, callTimeout)
-            .then([&](kj::Own<wire::rpc_connection> connection) {
-                auto session = wire::openEntrySession(*connection, { "test", "test", "east" });
-                auto request = session.submitRequest();
-                wire::write(request.initCommand(), command);
-                return wire::withTimeout(rpc, request.send().dropPipeline(), callTimeout)
-                    .then([&out](auto&& response) {
-                        if (response.getReply().getAccepted())
-                            out = std::get<core::rollout_result>(wire::read(response.getResult()));
-                    })
-                    .attach(kj::mv(session), kj::mv(connection));
-            })
-            .catch_([](kj::Exception&&) {}); // the next control VM is asked
-    });
-    return out;
-}
-
 } // namespace
 
 decided_rollout_system::decided_rollout_system(bool hasNext)
@@ -69,16 +42,7 @@
 
 core::rollout_result decided_rollout_system::submit(const core::command& command)
 {
-    wire::rpc_thread rpc;
-    std::optional<core::rollout_result> result;
-    eventually([&] {
-        for (int number = 1; number <= controls && !result; ++number)
-            result = submitTo(rpc, controlAddress(number), command);
-        return result.has_value();
-    });
-    if (!result)
-        throw std::runtime_error("no control VM accepts a command");
-    return *result;
+    return std::get<core::rollout_result>(submitCommand(*this, controls, command));
 }
 
 void decided_rollout_system::begin()
