Admit requests without a key under a deployment without customers

Evidence: 401 with reason=unknown_key while deployment_in_force names the version; a configuration that came late would end within the bound.

Change: a deployment has a list of customers or none, and requiresCustomer is the one rule for callers' and relayed requests. It opens no door: an empty list and null in its place have nobody, nobody holds the empty key, a process without a deployment serves nobody, and only the text goes between processes.

--- a/packages/core/include/plumfold/core/plumfold_deployment.hpp
+++ b/packages/core/include/plumfold/core/plumfold_deployment.hpp
@@ -101,8 +101,9 @@
 class deployment {
 public:
     deployment() = default;
+    /// @param customers who may send requests; without a list, requests need no customer.
     deployment(std::uint64_t version, std::vector<route> routes, std::vector<service_limits> services,
-        caller_limits limits, std::vector<customer_access> customers);
+        caller_limits limits, std::optional<std::vector<customer_access>> customers);
 
     /// @return OK, or invalid_argument that names the first error and how to correct it.
     absl::Status check() const;
@@ -111,12 +112,17 @@
     const caller_limits& limits() const { return m_limits; }
     const std::vector<route>& routes() const { return m_routes; }
     const std::vector<service_limits>& services() const { return m_services; }
+    /// @return whether there is a list of customers. It may be empty: then nobody has a known key.
+    bool hasCustomers() const { return m_customers.has_value(); }
 
     /// @return the route of the host with the longest matching path prefix, or null. Routes that name the
     /// port of the host precede those that name none. A query is ignored.
     const route* findRoute(const host_name& host, std::string_view path) const;
 
-    /// @return the customer that holds the key, or null.
+    /// @return whether only requests of customers may be forwarded by the route.
+    bool requiresCustomer(const route& requestRoute) const;
+
+    /// @return the customer that holds the key, or null. Nobody holds an empty key.
     const customer_access* findCustomer(std::string_view key) const;
 
     /// @return the customer with the name, or null.
@@ -133,7 +139,7 @@
     std::vector<route> m_routes;
     std::vector<service_limits> m_services;
     caller_limits m_limits;
-    std::vector<customer_access> m_customers;
+    std::optional<std::vector<customer_access>> m_customers { std::in_place };
     std::map<host_name, std::map<std::string, std::size_t, std::less<>>> m_routesByHost;
     std::map<std::string, std::size_t, std::less<>> m_customersByKey;
     std::map<std::string, std::size_t, std::less<>> m_servicesByName;
@@ -145,7 +151,7 @@
 /// Combines the priorities of customer and route. The customer's priority decides first; the route's decides
 /// between customers of equal priority. Without the route's priority, small urgent requests would queue
 /// behind large ones when all customers have the same priority.
-/// @param customer null for public routes.
+/// @param customer null for requests of no customer.
 /// @return the effective priority, 0 (highest) to lowestEffectivePriority.
 std::uint32_t effectivePriorityOf(const route& requestRoute, const customer_access* customer);
 
--- a/packages/core/src/plumfold_deployment.cpp
+++ b/packages/core/src/plumfold_deployment.cpp
@@ -52,7 +52,7 @@
 } // namespace
 
 deployment::deployment(std::uint64_t version, std::vector<route> routes, std::vector<service_limits> services,
-    caller_limits limits, std::vector<customer_access> customers)
+    caller_limits limits, std::optional<std::vector<customer_access>> customers)
     : m_version(version)
     , m_routes(std::move(routes))
     , m_services(std::move(services))
@@ -61,8 +61,8 @@
 {
     for (std::size_t index = 0; index < m_routes.size(); ++index)
         addRoute(index);
-    for (std::size_t index = 0; index < m_customers.size(); ++index) {
-        for (const auto& key : m_customers[index].keys)
+    for (std::size_t index = 0; m_customers && index < m_customers->size(); ++index) {
+        for (const auto& key : m_customers->at(index).keys)
             m_customersByKey.emplace(key, index);
     }
     for (std::size_t index = 0; index < m_services.size(); ++index)
@@ -93,11 +93,15 @@
             return absl::InvalidArgumentError(absl::StrCat(
                 "two routes have host ", each.host, " and prefix ", each.pathPrefix, ": remove one"));
     }
-    for (std::size_t index = 0; index < m_customers.size(); ++index) {
-        for (const auto& key : m_customers[index].keys) {
+    for (std::size_t index = 0; m_customers && index < m_customers->size(); ++index) {
+        const auto& each = m_customers->at(index);
+        for (const auto& key : each.keys) {
+            if (key.empty())
+                return absl::InvalidArgumentError(absl::StrCat(
+                    "customer ", each.name, " has an empty key: requests without a key have none"));
             if (m_customersByKey.at(key) != index)
-                return absl::InvalidArgumentError(absl::StrCat("customer ", m_customers[index].name,
-                    " shares a key with another customer: give each its own"));
+                return absl::InvalidArgumentError(absl::StrCat(
+                    "customer ", each.name, " shares a key with another customer: give each its own"));
         }
     }
     return absl::OkStatus();
@@ -127,17 +131,24 @@
     return nullptr;
 }
 
+bool deployment::requiresCustomer(const route& requestRoute) const
+{
+    return hasCustomers() && !requestRoute.isPublic;
+}
+
 const customer_access* deployment::findCustomer(std::string_view key) const
 {
-    auto found = m_customersByKey.find(key);
-    return found == m_customersByKey.end() ? nullptr : &m_customers[found->second];
+    auto found = key.empty() ? m_customersByKey.end() : m_customersByKey.find(key);
+    return found == m_customersByKey.end() ? nullptr : &m_customers->at(found->second);
 }
 
 const customer_access* deployment::findCustomerNamed(std::string_view name) const
 {
+    if (!m_customers)
+        return nullptr;
     auto found = std::find_if(
-        m_customers.begin(), m_customers.end(), [&](const auto& each) { return each.name == name; });
-    return found == m_customers.end() ? nullptr : &*found;
+        m_customers->begin(), m_customers->end(), [&](const auto& each) { return each.name == name; });
+    return found == m_customers->end() ? nullptr : &*found;
 }
 
 const service_limits* deployment::findService(std::string_view name) const
--- a/packages/forwarding/src/plumfold_forwarding_role.cpp
+++ b/packages/forwarding/src/plumfold_forwarding_role.cpp
@@ -332,6 +332,8 @@
             .with("revision", next.revision)
             .with("version", next.document.version)
             .with("before", previousVersion)
+            .with("requires_customers",
+                m_state.deployment && !m_state.deployment->hasCustomers() ? "false" : "true")
             .with("out_of_service", next.outOfService.size());
         m_metrics.set("plumfold_deployment_version", static_cast<double>(next.document.version));
         m_status.setReady(m_state.deployment != nullptr && !m_state.stopping);
--- a/packages/forwarding/src/plumfold_request_forwarder.cpp
+++ b/packages/forwarding/src/plumfold_request_forwarder.cpp
@@ -148,12 +148,10 @@
         return false;
     }
     m_customer = m_deployment->findCustomer(m_head.apiKey);
-    if (!m_customer && !m_route->isPublic) {
+    if (!m_customer && m_deployment->requiresCustomer(*m_route)) {
         reject(http::status::unauthorized, "unknown_key");
         return false;
     }
-    if (m_route->isPublic)
-        m_customer = m_head.apiKey.empty() ? nullptr : m_customer;
     identify();
     auto callerTimeout = m_head.deadline.value_or(defaultDeadline);
     m_deadline = m_receivedAt + std::min(callerTimeout, m_route->timeout);
--- a/packages/forwarding/src/plumfold_request_relay.cpp
+++ b/packages/forwarding/src/plumfold_request_relay.cpp
@@ -59,7 +59,9 @@
         && std::any_of(m_route->shares.begin(), m_route->shares.end(),
             [&](const auto& share) { return share.service == m_relayed->service; });
     // Another deployment may be in force here than at the entry that admitted the request.
-    if (m_head.id.empty() || !isOnRoute || !isCustomerKnown || (!m_customer && !m_route->isPublic)) {
+    bool mayForward = isOnRoute && isCustomerKnown
+        && (m_customer != nullptr || !m_deployment->requiresCustomer(*m_route));
+    if (m_head.id.empty() || !mayForward) {
         m_isUnavailable = true;
         reject(http::status::service_unavailable, "other_deployment");
         return false;
