Refuse configurations with members that would be read as something else

Tried as an operator would: `"limits": null`, `"engine": null`, `"models": null` and `"tenants": null` were taken for missing members or empty ones, a list could be an object, `Tenants` or `Public` was ignored, a second service or customer of a name was never looked at (a relayed request took the isolation and priority of the first), a key with a blank at its end never matched, and a customer's name with a line break was written into a header.

Change: operators' configurations are checked against a table of members and types (decodeSubmittedDeployment); the error names the place. check() refuses services and customers of the same name, and names and keys that no header can carry. Stored configurations are decoded as before. Errors of numbers name the member, which they did not.

--- a/packages/control/src/plumfold_platform_api_server.cpp
+++ b/packages/control/src/plumfold_platform_api_server.cpp
@@ -236,7 +236,7 @@
     absl::StatusOr<std::uint64_t> checkedVersion()
     {
         std::lock_guard lock(m_bodies.decoding());
-        auto decoded = platform::decodeDeployment(m_body);
+        auto decoded = platform::decodeSubmittedDeployment(m_body);
         absl::Status status = decoded.ok() ? decoded->check() : decoded.status();
         if (!status.ok())
             return status;
--- a/packages/core/src/plumfold_deployment.cpp
+++ b/packages/core/src/plumfold_deployment.cpp
@@ -4,6 +4,7 @@
 #include <absl/strings/str_cat.h>
 #include <algorithm>
 #include <cmath>
+#include <set>
 
 namespace plumfold::core {
 
@@ -49,6 +50,30 @@
     return absl::OkStatus();
 }
 
+/// @return whether a header can have the value, and is received as it was sent.
+bool isHeaderValue(const std::string& text)
+{
+    auto isControl = [](unsigned char c) { return absl::ascii_iscntrl(c); };
+    return !text.empty() && std::none_of(text.begin(), text.end(), isControl)
+        && absl::StripAsciiWhitespace(text) == text;
+}
+
+absl::Status checkCustomer(const customer_access& checked)
+{
+    if (!isHeaderValue(checked.name))
+        return absl::InvalidArgumentError(absl::StrCat("the name of customer \"", checked.name,
+            "\" is empty, begins or ends with a blank or has a control character"));
+    for (const auto& key : checked.keys) {
+        if (key.empty())
+            return absl::InvalidArgumentError(absl::StrCat(
+                "customer ", checked.name, " has an empty key, which requests without a key have"));
+        if (!isHeaderValue(key))
+            return absl::InvalidArgumentError(absl::StrCat("customer ", checked.name,
+                " has a key that begins or ends with a blank or has a control character"));
+    }
+    return absl::OkStatus();
+}
+
 } // namespace
 
 deployment::deployment(std::uint64_t version, std::vector<route> routes, std::vector<service_limits> services,
@@ -93,12 +118,20 @@
             return absl::InvalidArgumentError(absl::StrCat(
                 "two routes have host ", each.host, " and prefix ", each.pathPrefix, ": remove one"));
     }
+    for (std::size_t index = 0; index < m_services.size(); ++index) {
+        if (m_servicesByName.at(m_services[index].name) != index)
+            return absl::InvalidArgumentError(
+                absl::StrCat("two services have the name ", m_services[index].name, ": rename one"));
+    }
+    std::set<std::string_view> names;
     for (std::size_t index = 0; m_customers && index < m_customers->size(); ++index) {
         const auto& each = m_customers->at(index);
+        if (auto status = checkCustomer(each); !status.ok())
+            return status;
+        if (!names.insert(each.name).second)
+            return absl::InvalidArgumentError(
+                absl::StrCat("two customers have the name ", each.name, ": rename one or join their keys"));
         for (const auto& key : each.keys) {
-            if (key.empty())
-                return absl::InvalidArgumentError(absl::StrCat(
-                    "customer ", each.name, " has an empty key: requests without a key have none"));
             if (m_customersByKey.at(key) != index)
                 return absl::InvalidArgumentError(absl::StrCat(
                     "customer ", each.name, " shares a key with another customer: give each its own"));
--- a/tests/forwarding/plumfold_configuration_number_tests.cpp
+++ b/tests/forwarding/plumfold_configuration_number_tests.cpp
@@ -143,3 +143,17 @@
     system.waitForTarget(1);
     CHECK(system.request(1, "/shop/whole").status == 200);
 }
+
+TEST_CASE("The error of a number names its member", "[platform][numbers]")
+{
+    for (const auto* each :
+        { "version", "routes/0/priority", "routes/0/timeout-ms", "routes/0/traffic-split/0/weight",
+            "services/0/connection-limit", "services/0/cold-per-s", "tenants/0/priority" }) {
+        auto decoded = decodedWith("/" + std::string(each), "-1");
+        std::string name(each);
+        name = name.substr(name.rfind('/') + 1);
+        INFO(each);
+        REQUIRE_FALSE(decoded.ok());
+        CHECK(std::string(decoded.status().message()).find(name + ": ") != std::string::npos);
+    }
+}
