Known red: streams that began under another list of customers

A stream is known by its customer and the id of its first attempt, so that customers do not learn of each other's. Taken up after the list of customers was removed or added, it is looked up under another number and unknown; while two software versions serve, the caller gets 503.

--- a/tests/forwarding/plumfold_stream_version_tests.cpp
+++ b/tests/forwarding/plumfold_stream_version_tests.cpp
@@ -319,6 +319,41 @@
     CHECK(stream.versions.size() == 1);
 }
 
+// Guards against streams that are lost because they are looked up under another customer than the one under
+// which they began.
+TEST_CASE_METHOD(two_version_system,
+    "A stream goes on although the list of customers was removed or added meanwhile",
+    "[forwarding][versions][keys]")
+{
+    bool hasCustomersLater = GENERATE(false, true);
+    CAPTURE(hasCustomersLater);
+    auto put = [&](int version, bool hasCustomers) {
+        auto body = deployment(version);
+        for (auto& route : body["routes"])
+            route["timeout-ms"] = 8000;
+        if (!hasCustomers)
+            body.erase("tenants");
+        REQUIRE(putDeployment(1, body));
+        std::this_thread::sleep_for(2s);
+    };
+    put(4, !hasCustomersLater);
+    breakOffStreams(1);
+    caller_stream stream;
+    for (int tries = 0; tries < 20 && (stream.lastEvent == 0 || stream.isComplete); ++tries) {
+        stream = {};
+        attempt(1, stream, hasCustomersLater ? "" : "key-1");
+    }
+    breakOffStreams(0);
+    REQUIRE(stream.lastEvent > 0);
+    REQUIRE_FALSE(stream.isComplete);
+    put(5, hasCustomersLater);
+    auto before = counts().wentOn;
+    attempt(2, stream, hasCustomersLater ? "key-1" : "");
+    CHECK(stream.status == 200);
+    CHECK(counts().wentOn == before + 1);
+    CHECK(stream.versions.size() == 1);
+}
+
 TEST_CASE_METHOD(two_version_system,
     "No event is lost when the target at which a stream goes on was restarted meanwhile",
     "[forwarding][versions]")
