Tests: one example configuration for the forms and the numbers

The same configuration stood in two test files. They share one with the members of both; checks and bounds are the same.

--- a/tests/forwarding/plumfold_configuration_form_tests.cpp
+++ b/tests/forwarding/plumfold_configuration_form_tests.cpp
@@ -1,4 +1,5 @@
 #include "support/plumfold_command_submitter.hpp"
+#include "support/plumfold_example_configuration.hpp"
 #include "support/plumfold_serving_system.hpp"
 
 #include "plumfold/platform/plumfold_platform_deployment.hpp"
@@ -14,20 +15,6 @@
 
 namespace {
 
-json configuration()
-{
-    return json::parse(R"({ "version": 7,
-        "routes": [ { "name": "r", "host": "a.example", "path-prefix": "/a/", "kind": "streaming",
-            "timeout-ms": 12000, "target-latency-ms": 1200, "target-gap-ms": 800, "priority": 2, "max-attempts": 2,
-            "public": false, "sticky-sessions": true, "resumable": true,
-            "traffic-split": [ { "service": "s", "weight": 90 }, { "service": "t", "weight": 10 } ] } ],
-        "services": [ { "name": "s", "connection-limit": 360, "cold-start-s": 3.0, "cold-per-s": 8.9,
-                "engine": { "slots": 64, "kv-capacity-tokens": 93552, "models": [ { "name": "m" } ] } },
-            { "name": "t", "kv-store-address": "172.20.0.6:8583", "zone": "z", "kv-capacity-tokens": 102536 } ],
-        "limits": { "max-header-bytes": 16384, "idle-timeout-ms": 15000 },
-        "tenants": [ { "name": "p", "api-keys": ["k", "l"], "priority": 1, "isolated": true } ] })");
-}
-
 /// @return the error of a configuration; empty if it is accepted.
 std::string errorOf(const json& in)
 {
@@ -39,7 +26,7 @@
 /// @return the error of the configuration with another value at a place.
 std::string errorWith(const std::string& pointer, const json& value)
 {
-    auto in = configuration();
+    auto in = tests::exampleConfiguration();
     in[json::json_pointer(pointer)] = value;
     return errorOf(in);
 }
@@ -65,11 +52,11 @@
 // Guards against members that are taken for missing ones because their value has the wrong type.
 TEST_CASE("A member with null or a value of another type is refused by its place", "[platform][form]")
 {
-    REQUIRE(errorOf(configuration()).empty());
-    for (const auto& pointer : membersOf(configuration())) {
+    REQUIRE(errorOf(tests::exampleConfiguration()).empty());
+    for (const auto& pointer : membersOf(tests::exampleConfiguration())) {
         INFO(pointer);
         CHECK(errorWith(pointer, nullptr).find(pointer) != std::string::npos);
-        auto present = configuration()[json::json_pointer(pointer)];
+        auto present = tests::exampleConfiguration()[json::json_pointer(pointer)];
         std::vector<json> others { json::object(), json::array(), "text", 5, true };
         for (const auto& each : others) {
             bool isSameType = each.type() == present.type() || (each.is_number() && present.is_number());
@@ -90,8 +77,8 @@
         "/services/1/name", "/tenants/0/name", "/tenants/0/api-keys", "/services/0/engine/models/0/name",
         "/routes/0/traffic-split/0/service", "/routes/0/traffic-split/0/weight",
         "/routes/0/traffic-split/1/service", "/routes/0/traffic-split/1/weight", "/routes/0/traffic-split" };
-    for (const auto& pointer : membersOf(configuration())) {
-        auto in = configuration();
+    for (const auto& pointer : membersOf(tests::exampleConfiguration())) {
+        auto in = tests::exampleConfiguration();
         json::json_pointer place(pointer);
         in[place.parent_pointer()].erase(place.back());
         INFO(pointer);
--- a/tests/forwarding/plumfold_configuration_number_tests.cpp
+++ b/tests/forwarding/plumfold_configuration_number_tests.cpp
@@ -1,3 +1,4 @@
+#include "support/plumfold_example_configuration.hpp"
 #include "support/plumfold_forwarding_system.hpp"
 
 #include "plumfold/platform/plumfold_platform_control_calls.hpp"
@@ -13,24 +14,9 @@
 
 namespace {
 
-json configuration()
-{
-    return json::parse(R"({ "version": 7,
-        "routes": [ { "name": "r", "host": "a.example", "path-prefix": "/a/", "kind": "streaming",
-            "timeout-ms": 12000, "target-latency-ms": 1200, "target-gap-ms": 800, "priority": 2, "max-attempts": 2,
-            "traffic-split": [ { "service": "s", "weight": 90 }, { "service": "t", "weight": 10 } ] } ],
-        "services": [ { "name": "s", "connection-limit": 360, "cold-start-s": 3.0, "cold-per-s": 8.9,
-                "engine": { "slots": 64, "kv-capacity-tokens": 93552, "kv-token-bytes": 18432, "link-mbps": 740000.0 } },
-            { "name": "t", "kv-store-address": "172.20.0.6:8583", "zone": "z", "kv-capacity-tokens": 102536,
-                "link-mbps": 57000.0 } ],
-        "limits": { "max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 3000,
-            "idle-timeout-ms": 15000 },
-        "tenants": [ { "name": "p", "api-keys": ["k"], "priority": 1 } ] })");
-}
-
 absl::StatusOr<core::deployment> decodedWith(const std::string& pointer, const std::string& literal)
 {
-    auto in = configuration();
+    auto in = tests::exampleConfiguration();
     in[json::json_pointer(pointer)] = "PLACE";
     auto text = in.dump();
     return platform::decodeDeployment(
@@ -107,7 +93,7 @@
 
 TEST_CASE("Requests are split by weights with fractions", "[platform][numbers]")
 {
-    auto in = configuration();
+    auto in = tests::exampleConfiguration();
     in["routes"][0]["traffic-split"]
         = { { { "service", "s" }, { "weight", 0.75 } }, { { "service", "t" }, { "weight", 0.25 } } };
     auto decoded = platform::decodeDeployment(in.dump());
